--- /dev/null
+++ b/src/fireflythread/base/ids.h
@@ -0,0 +1,21 @@
+#ifndef FIREFLYTHREAD_BASE_IDS_H_
+#define FIREFLYTHREAD_BASE_IDS_H_
+
+#include "fireflythread/base/id.h"
+
+namespace fireflythread {
+
+using EntryId = Id<struct EntryTag>;
+using PoolName = Id<struct PoolTag>;
+using ProfileName = Id<struct ProfileTag>;
+using RackName = Id<struct RackTag>;
+using ServiceName = Id<struct ServiceTag>;
+using TaskId = Id<struct TaskTag>;
+using TeamName = Id<struct TeamTag>;
+using VmId = Id<struct VmTag>;
+using WaveId = Id<struct WaveTag>;
+using ZoneName = Id<struct ZoneTag>;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_BASE_IDS_H_
