--- /dev/null
+++ b/src/fireflythread/gateway/gateway_settings.h
@@ -0,0 +1,38 @@
+#ifndef FIREFLYTHREAD_GATEWAY_GATEWAY_SETTINGS_H_
+#define FIREFLYTHREAD_GATEWAY_GATEWAY_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+
+namespace fireflythread {
+
+/// What the gateway is told at start.
+struct GatewaySettings {
+  EntryId self;
+  ZoneName zone;
+  /// Where callers connect; port 0 lets the kernel choose one.
+  std::string listen_ip = "127.0.0.1";
+  std::uint16_t listen_port = 0;
+  /// All member entries, this one included. Slots are shared between them.
+  std::vector<EntryId> members;
+  std::size_t max_request_bytes = std::size_t{8} * 1024 * 1024;
+  std::size_t max_response_bytes = std::size_t{32} * 1024 * 1024;
+  /// Requests waiting at once in one pool's queue.
+  std::size_t max_queued = 2048;
+  /// No request runs longer on a worker.
+  Duration longest_request = std::chrono::seconds(30);
+  /// How long one call of the platform may take.
+  Duration store_timeout = std::chrono::seconds(2);
+  /// Seed of the random choices and of trace ids.
+  std::uint64_t seed = 1;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_GATEWAY_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/fireflythread/gateway/trace_context.h
@@ -0,0 +1,35 @@
+#ifndef FIREFLYTHREAD_GATEWAY_TRACE_CONTEXT_H_
+#define FIREFLYTHREAD_GATEWAY_TRACE_CONTEXT_H_
+
+#include <string>
+#include <string_view>
+
+#include "fireflythread/base/random.h"
+
+namespace fireflythread {
+
+/// A span in the W3C trace context, with ids in lower-case hexadecimal.
+/// `parent_id` is empty for the first span of a trace.
+struct TraceContext {
+  std::string trace_id;
+  std::string span_id;
+  std::string parent_id;
+  bool sampled = true;
+};
+
+/// Starts a span below the `traceparent` header of a caller, or a new trace
+/// if the header is empty or malformed, as the W3C recommendation asks.
+[[nodiscard]] auto StartTrace(std::string_view traceparent, Random& random)
+    -> TraceContext;
+
+/// Starts a span below another one.
+[[nodiscard]] auto ChildSpan(const TraceContext& parent, Random& random)
+    -> TraceContext;
+
+/// The `traceparent` header that makes `context` the receiver's parent.
+[[nodiscard]] auto TraceparentHeader(const TraceContext& context)
+    -> std::string;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_GATEWAY_TRACE_CONTEXT_H_
