--- /dev/null
+++ b/src/fireflythread/routing/pool_health.cc
@@ -0,0 +1,195 @@
+#include "fireflythread/routing/pool_health.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fireflythread {
+
+namespace {
+
+/// Weight of the newest attempt, which makes about the last 20 count.
+constexpr double kNewest = 0.1;
+/// The floor: one in so many workers may be out.
+constexpr int kFloorShare = 3;
+/// A median of fewer workers says little about one of them.
+constexpr std::size_t kWorkersForMedian = 3;
+
+}  // namespace
+
+auto PoolHealth::SetWorkers(const std::set<VmId>& vms) -> void {
+  std::erase_if(this->workers,
+                [&](const auto& entry) { return !vms.contains(entry.first); });
+  for (const VmId& vm : vms) {
+    this->workers.try_emplace(vm);
+  }
+}
+
+auto PoolHealth::RecordAttempt(const VmId& vm,
+                               bool failed,
+                               Duration elapsed,
+                               TimePoint now) -> std::optional<HealthChange> {
+  const auto found = this->workers.find(vm);
+  if (found == this->workers.end()) {
+    return std::nullopt;
+  }
+  Worker& worker = found->second;
+  ++worker.samples;
+  worker.failure_ratio +=
+      kNewest * ((failed ? 1.0 : 0.0) - worker.failure_ratio);
+  if (failed) {
+    ++worker.consecutive_failures;
+    worker.last_failure = now;
+    worker.good_answers = 0;
+  } else {
+    worker.consecutive_failures = 0;
+    ++worker.timed;
+    const double weight = std::max(kNewest, 1.0 / worker.timed);
+    worker.mean_time += std::chrono::duration_cast<Duration>(
+        weight * (elapsed - worker.mean_time));
+    if (++worker.good_answers >= kTrialAnswers) {
+      worker.ejections = 0;
+    }
+  }
+  std::string reason = this->FailureReason(worker);
+  if (worker.ejected || reason.empty()) {
+    return std::nullopt;
+  }
+  return this->Eject(vm, worker, std::move(reason), now);
+}
+
+auto PoolHealth::FailureReason(const Worker& worker) const -> std::string {
+  // One that was ejected lately gets no second series of failures.
+  if (worker.consecutive_failures >= kConsecutiveLimit ||
+      (worker.ejections > 0 && worker.consecutive_failures > 0)) {
+    return "consecutive failures";
+  }
+  if (worker.samples >= kRatioSamples &&
+      worker.failure_ratio > kFailureRatioLimit) {
+    return "failure ratio";
+  }
+  return this->IsSlow(worker) ? "slow" : "";
+}
+
+auto PoolHealth::IsSlow(const Worker& worker) const -> bool {
+  // Now and then only, because the median looks at every worker.
+  if (worker.timed < kSlowSamples || worker.timed % kRatioSamples != 0) {
+    return false;
+  }
+  std::vector<Duration> means;
+  for (const auto& [vm, other] : this->workers) {
+    if (other.timed >= kSlowSamples) {
+      means.push_back(other.mean_time);
+    }
+  }
+  if (means.size() < kWorkersForMedian) {
+    return false;
+  }
+  const auto middle = means.begin() + static_cast<long>(means.size() / 2);
+  std::nth_element(means.begin(), middle, means.end());
+  return worker.mean_time > *middle * kSlowFactor &&
+         worker.mean_time > *middle + kSlowMargin;
+}
+
+auto PoolHealth::MayEject() const -> bool {
+  const auto size = static_cast<int>(this->workers.size());
+  const int out = this->EjectedCount() + 1;
+  return out <= size / kFloorShare && out < size;
+}
+
+auto PoolHealth::Eject(const VmId& vm,
+                       Worker& worker,
+                       std::string reason,
+                       TimePoint now) const -> std::optional<HealthChange> {
+  if (!this->MayEject()) {
+    // Stays in rotation as the last choice; a probe clears it.
+    worker.silent = true;
+    worker.probe_at = std::min(worker.probe_at, now + kProbeInterval);
+    return std::nullopt;
+  }
+  const auto out = std::min<Duration>(
+      kLongestEjection, kFirstEjection * (1 << std::min(worker.ejections, 5)));
+  ++worker.ejections;
+  worker.ejected = true;
+  worker.silent = false;
+  worker.reason = reason;
+  worker.good_probes = 0;
+  worker.probe_at = now + out;
+  worker.timed = 0;
+  return HealthChange{vm, true, std::move(reason)};
+}
+
+auto PoolHealth::RecordSilence(const VmId& vm, TimePoint now) -> void {
+  const auto found = this->workers.find(vm);
+  if (found != this->workers.end() && !found->second.ejected) {
+    found->second.silent = true;
+    found->second.probe_at = std::min(found->second.probe_at, now);
+  }
+}
+
+auto PoolHealth::DueProbes(TimePoint now) -> std::vector<VmId> {
+  std::vector<VmId> due;
+  for (auto& [vm, worker] : this->workers) {
+    if (worker.probe_at <= now) {
+      worker.probe_at = now + kProbeInterval;
+      due.push_back(vm);
+    }
+  }
+  return due;
+}
+
+auto PoolHealth::RecordProbe(const VmId& vm, bool good, TimePoint now)
+    -> std::optional<HealthChange> {
+  const auto found = this->workers.find(vm);
+  if (found == this->workers.end()) {
+    return std::nullopt;
+  }
+  Worker& worker = found->second;
+  if (!worker.ejected) {
+    if (!worker.silent) {
+      return std::nullopt;
+    }
+    if (!good) {
+      return this->Eject(vm, worker, "no answer to requests and probe", now);
+    }
+    worker.silent = false;
+    worker.probe_at = TimePoint::max();
+    return std::nullopt;
+  }
+  worker.good_probes = good ? worker.good_probes + 1 : 0;
+  if (worker.good_probes < kProbesToReadmit) {
+    return std::nullopt;
+  }
+  // What is known from before the ejection no longer counts.
+  const int ejections = worker.ejections;
+  worker = Worker();
+  worker.ejections = ejections;
+  return HealthChange{vm, false, "probes answered"};
+}
+
+auto PoolHealth::IsEjected(const VmId& vm) const -> bool {
+  const auto found = this->workers.find(vm);
+  return found != this->workers.end() && found->second.ejected;
+}
+
+auto PoolHealth::IsSuspect(const VmId& vm, TimePoint now) const -> bool {
+  const auto found = this->workers.find(vm);
+  if (found == this->workers.end()) {
+    return false;
+  }
+  const Worker& worker = found->second;
+  return worker.silent || (worker.consecutive_failures > 0 &&
+                           now < worker.last_failure + kSuspectTime);
+}
+
+auto PoolHealth::Reason(const VmId& vm) const -> std::string {
+  const auto found = this->workers.find(vm);
+  return found == this->workers.end() ? "" : found->second.reason;
+}
+
+auto PoolHealth::EjectedCount() const -> int {
+  return static_cast<int>(
+      std::count_if(this->workers.begin(), this->workers.end(),
+                    [](const auto& entry) { return entry.second.ejected; }));
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/test/fireflythread/routing/slot_table_test.cc
@@ -0,0 +1,126 @@
+#include "fireflythread/routing/slot_table.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace fireflythread {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{std::chrono::hours(1)};
+constexpr Duration kLongest = seconds(30);
+const std::map<VmId, int> kWorkers = {{VmId("vm-1"), 8}, {VmId("vm-2"), 8}};
+
+auto Members() -> std::vector<EntryId> {
+  return {EntryId("a"), EntryId("b"), EntryId("c"), EntryId("d")};
+}
+
+auto MakeTable(const std::string& self) -> SlotTable {
+  SlotTable table{EntryId(self), Members(), kLongest};
+  table.SetWorkers(kWorkers);
+  return table;
+}
+
+/// Takes every free slot of all workers.
+auto AcquireAll(SlotTable& table, TimePoint now) -> std::multiset<SlotLoan> {
+  std::multiset<SlotLoan> taken;
+  for (const auto& [vm, slots] : kWorkers) {
+    while (const auto slot = table.Acquire(vm, now)) {
+      taken.insert({vm, *slot});
+    }
+  }
+  return taken;
+}
+
+}  // namespace
+
+// Guards against a worker that gets more requests at once than it has slots,
+// because two entries both take a slot for theirs.
+TEST_CASE("every slot has exactly one owner") {
+  std::multiset<SlotLoan> taken;
+  for (const EntryId& member : Members()) {
+    SlotTable table = MakeTable(member.value);
+    CHECK(table.OwnSlots() == 4);
+    taken.merge(AcquireAll(table, kStart));
+  }
+  CHECK(taken.size() == 16);
+  CHECK(std::set<SlotLoan>(taken.begin(), taken.end()).size() == 16);
+}
+
+// Guards against a slot used by lender and borrower at once, also while the
+// borrower's last request still runs after the loan has ended.
+TEST_CASE("a lent slot is not used by its owner until it is surely free") {
+  SlotTable lender = MakeTable("a");
+  SlotTable borrower = MakeTable("b");
+  const auto loans = lender.Lend(EntryId("b"), 3, 0, kStart, seconds(1));
+  REQUIRE(loans.size() == 3);
+  borrower.Borrow(EntryId("a"), loans, kStart + seconds(1));
+  CHECK(lender.UsableSlots(kStart) == 1);
+  CHECK(borrower.UsableSlots(kStart) == 7);
+  CHECK(AcquireAll(borrower, kStart + milliseconds(999)).size() == 7);
+
+  const TimePoint ended = kStart + seconds(1);
+  CHECK(borrower.UsableSlots(ended) == 4);
+  CHECK(borrower.TakeEndedLoans(ended).empty());
+  CHECK(lender.UsableSlots(ended + kLongest - milliseconds(1)) == 1);
+  CHECK(lender.UsableSlots(ended + kLongest) == 4);
+
+  borrower.Release(loans[0].vm, loans[0].slot, ended);
+  const auto returned = borrower.TakeEndedLoans(ended);
+  REQUIRE(returned.size() == 1);
+  CHECK(returned.at(EntryId("a")) == std::vector<SlotLoan>{loans[0]});
+  lender.TakeBack(EntryId("b"), returned.at(EntryId("a")));
+  CHECK(lender.UsableSlots(ended) == 2);
+}
+
+// Guards against a loan that a peer extends or gives back for another, and
+// one by an entry that does not own the slot.
+TEST_CASE("only the parties of a loan change it") {
+  SlotTable lender = MakeTable("a");
+  SlotTable borrower = MakeTable("b");
+  const auto loans = lender.Lend(EntryId("b"), 4, 0, kStart, seconds(1));
+  lender.TakeBack(EntryId("c"), loans);
+  CHECK(lender.UsableSlots(kStart) == 0);
+  borrower.Borrow(EntryId("c"), loans, kStart + seconds(1));
+  CHECK(borrower.UsableSlots(kStart) == 4);
+  const auto renewed =
+      lender.Lend(EntryId("b"), 2, 0, kStart + milliseconds(500), seconds(1));
+  CHECK(renewed.size() == 2);
+  CHECK(lender.Lend(EntryId("c"), 4, 0, kStart, seconds(1)).empty());
+}
+
+// Guards against requests on slots that the entry's earlier process may still
+// use, and on one whose request has an unknown result.
+TEST_CASE("own slots stay busy while an unknown request may run") {
+  SlotTable table = MakeTable("a");
+  table.BlockOwnUntil(kStart + kLongest);
+  CHECK(table.UsableSlots(kStart) == 0);
+  CHECK(table.Lend(EntryId("b"), 4, 0, kStart, seconds(1)).empty());
+  table.BlockOwnUntil(TimePoint::min());
+  const auto slot = table.Acquire(VmId("vm-1"), kStart);
+  REQUIRE(slot.has_value());
+  table.Release(VmId("vm-1"), *slot, kStart + seconds(5));
+  CHECK(table.FreeSlots(VmId("vm-1"), kStart + seconds(4)) == 1);
+  CHECK(table.FreeSlots(VmId("vm-1"), kStart + seconds(5)) == 2);
+}
+
+// Guards against a busy slot that is forgotten when its worker leaves the
+// pool and comes back.
+TEST_CASE("a worker that comes back still has its busy slots") {
+  SlotTable table = MakeTable("a");
+  REQUIRE(table.Acquire(VmId("vm-1"), kStart).has_value());
+  table.SetWorkers({{VmId("vm-2"), 8}});
+  CHECK(table.FreeSlots(VmId("vm-1"), kStart) == 0);
+  CHECK(table.TakeEndedLoans(kStart).empty());
+  table.SetWorkers(kWorkers);
+  CHECK(table.FreeSlots(VmId("vm-1"), kStart) == 1);
+}
+
+}  // namespace fireflythread
