--- /dev/null
+++ b/src/fireflythread/admission/class_queue.cc
@@ -0,0 +1,146 @@
+#include "fireflythread/admission/class_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace fireflythread {
+
+auto ClassQueue::Push(const QueuedRequest& request) -> void {
+  const auto [team, added] = this->teams.try_emplace(request.team);
+  if (added) {
+    this->turns.push_back(request.team);
+  }
+  team->second.by_deadline.emplace(request.deadline, request);
+  this->arrivals.emplace(request.queued_at, request.id);
+  ++this->size;
+}
+
+auto ClassQueue::Pop(const WeightOf& weight_of)
+    -> std::optional<QueuedRequest> {
+  if (this->turns.empty()) {
+    return std::nullopt;
+  }
+  // Relative to the largest weight, so that one round finds a team to serve.
+  double largest = 0;
+  for (const TeamName& name : this->turns) {
+    largest = std::max(largest, weight_of(name));
+  }
+  while (true) {
+    const auto team = this->teams.find(this->turns.front());
+    if (team->second.deficit >= 1) {
+      team->second.deficit -= 1;
+      return this->Extract(team, team->second.by_deadline.begin());
+    }
+    // A team is credited when its turn begins, and goes to the back.
+    team->second.deficit += weight_of(team->first) / largest;
+    if (team->second.deficit < 1) {
+      this->turns.splice(this->turns.end(), this->turns, this->turns.begin());
+    }
+  }
+}
+
+auto ClassQueue::Extract(
+    Teams::iterator team,
+    std::multimap<TimePoint, QueuedRequest>::iterator request)
+    -> QueuedRequest {
+  QueuedRequest taken = request->second;
+  team->second.by_deadline.erase(request);
+  const auto [first, last] = this->arrivals.equal_range(taken.queued_at);
+  this->arrivals.erase(std::find_if(first, last, [&](const auto& entry) {
+    return entry.second == taken.id;
+  }));
+  --this->size;
+  if (team->second.by_deadline.empty()) {
+    this->Forget(team);
+  } else if (team->second.deficit < 1 && this->turns.front() == team->first) {
+    this->turns.splice(this->turns.end(), this->turns, this->turns.begin());
+  }
+  return taken;
+}
+
+auto ClassQueue::Forget(Teams::iterator team) -> void {
+  // An idle team saves no credit.
+  this->turns.remove(team->first);
+  this->teams.erase(team);
+}
+
+auto ClassQueue::Remove(const QueuedRequest& request) -> bool {
+  const auto team = this->teams.find(request.team);
+  if (team == this->teams.end()) {
+    return false;
+  }
+  const auto [first, last] =
+      team->second.by_deadline.equal_range(request.deadline);
+  const auto found = std::find_if(first, last, [&](const auto& entry) {
+    return entry.second.id == request.id;
+  });
+  if (found == last) {
+    return false;
+  }
+  this->Extract(team, found);
+  return true;
+}
+
+auto ClassQueue::TakeHopeless(TimePoint now) -> std::vector<QueuedRequest> {
+  std::vector<QueuedRequest> taken;
+  for (auto team = this->teams.begin(); team != this->teams.end();) {
+    const auto current = team++;
+    auto& queue = current->second.by_deadline;
+    std::size_t left = queue.size();
+    while (left > 0 &&
+           queue.begin()->first < now + queue.begin()->second.likely_time) {
+      --left;
+      taken.push_back(this->Extract(current, queue.begin()));
+    }
+  }
+  return taken;
+}
+
+auto ClassQueue::PopLast() -> std::optional<QueuedRequest> {
+  const auto largest = std::max_element(
+      this->teams.begin(), this->teams.end(),
+      [](const auto& left, const auto& right) {
+        return left.second.by_deadline.size() < right.second.by_deadline.size();
+      });
+  if (largest == this->teams.end()) {
+    return std::nullopt;
+  }
+  return this->Extract(largest, std::prev(largest->second.by_deadline.end()));
+}
+
+auto ClassQueue::CountAhead(const QueuedRequest& request,
+                            const WeightOf& weight_of) const -> double {
+  double own = 0;
+  const auto team = this->teams.find(request.team);
+  if (team != this->teams.end()) {
+    const auto& queue = team->second.by_deadline;
+    // Most requests have about the same time to their deadline, so the place
+    // of a new one is near the end.
+    auto later = queue.end();
+    std::size_t after = 0;
+    while (later != queue.begin() &&
+           std::prev(later)->first > request.deadline) {
+      --later;
+      ++after;
+    }
+    own = static_cast<double>(queue.size() - after);
+  }
+  double ahead = own;
+  const double own_weight = weight_of(request.team);
+  for (const auto& [name, queue] : this->teams) {
+    if (name != request.team) {
+      ahead += std::min(static_cast<double>(queue.by_deadline.size()),
+                        (own + 1) * weight_of(name) / own_weight);
+    }
+  }
+  return ahead;
+}
+
+auto ClassQueue::OldestArrival() const -> std::optional<TimePoint> {
+  if (this->arrivals.empty()) {
+    return std::nullopt;
+  }
+  return this->arrivals.begin()->first;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/admission/class_queue.h
@@ -0,0 +1,65 @@
+#ifndef FIREFLYTHREAD_ADMISSION_CLASS_QUEUE_H_
+#define FIREFLYTHREAD_ADMISSION_CLASS_QUEUE_H_
+
+#include <cstddef>
+#include <functional>
+#include <list>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "fireflythread/admission/queued_request.h"
+
+namespace fireflythread {
+
+/// The requests of one class: deficit round robin between teams, earliest
+/// deadline first within a team.
+class ClassQueue {
+ public:
+  using WeightOf = std::function<double(const TeamName&)>;
+
+  auto Push(const QueuedRequest& request) -> void;
+
+  /// Takes the next request; none when the queue is empty.
+  auto Pop(const WeightOf& weight_of) -> std::optional<QueuedRequest>;
+
+  /// Takes a request out; false if it is not there. The request's team and
+  /// deadline must be those it was pushed with.
+  auto Remove(const QueuedRequest& request) -> bool;
+
+  /// Takes out those that can no longer be answered in time.
+  auto TakeHopeless(TimePoint now) -> std::vector<QueuedRequest>;
+
+  /// The request with the latest deadline of the team with the most.
+  auto PopLast() -> std::optional<QueuedRequest>;
+
+  /// How many requests would be picked before this one.
+  [[nodiscard]] auto CountAhead(const QueuedRequest& request,
+                                const WeightOf& weight_of) const -> double;
+
+  [[nodiscard]] auto Size() const -> std::size_t { return this->size; }
+  /// When the request that has waited longest came; none when empty.
+  [[nodiscard]] auto OldestArrival() const -> std::optional<TimePoint>;
+
+ private:
+  struct TeamQueue {
+    std::multimap<TimePoint, QueuedRequest> by_deadline;
+    double deficit = 0;
+  };
+  using Teams = std::map<TeamName, TeamQueue>;
+
+  auto Forget(Teams::iterator team) -> void;
+  auto Extract(Teams::iterator team,
+               std::multimap<TimePoint, QueuedRequest>::iterator request)
+      -> QueuedRequest;
+
+  Teams teams;
+  /// Teams with waiting requests; the front is served next.
+  std::list<TeamName> turns;
+  std::multimap<TimePoint, std::uint64_t> arrivals;
+  std::size_t size = 0;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ADMISSION_CLASS_QUEUE_H_
--- a/src/fireflythread/admission/fwd.h
+++ b/src/fireflythread/admission/fwd.h
@@ -8,6 +8,7 @@
 struct QueuedRequest;
 struct ServiceTime;
 class AdmissionQueue;
+class ClassQueue;
 class TeamLimiter;
 
 }  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/admission/team_limiter.h
@@ -0,0 +1,50 @@
+#ifndef FIREFLYTHREAD_ADMISSION_TEAM_LIMITER_H_
+#define FIREFLYTHREAD_ADMISSION_TEAM_LIMITER_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "fireflythread/admission/refusal_reason.h"
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/config/team_quota.h"
+
+namespace fireflythread {
+
+/// Enforces this entry's share of each team's quota. The shares of all entries
+/// add up to the quota, so that no message is needed for a request.
+class TeamLimiter {
+ public:
+  TeamLimiter(EntryId self, std::vector<EntryId> members);
+
+  /// Replaces the quotas. Requests in flight go on counting.
+  auto SetQuotas(const std::map<TeamName, TeamQuota>& quotas) -> void;
+
+  /// Counts a request in, or says which limit it would break.
+  [[nodiscard]] auto TryAdmit(const TeamName& team, TimePoint now)
+      -> std::optional<RefusalReason>;
+
+  /// Counts out a request that TryAdmit() let in.
+  auto Release(const TeamName& team) -> void;
+
+ private:
+  struct Team {
+    /// 0 in the quota means no limit.
+    std::optional<int> max_in_flight;
+    double rate = 0;
+    double tokens = 0;
+    TimePoint filled_at = TimePoint::min();
+    int in_flight = 0;
+  };
+
+  static auto Refill(Team& team, TimePoint now) -> void;
+
+  EntryId self;
+  std::vector<EntryId> members;
+  std::map<TeamName, Team> teams;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ADMISSION_TEAM_LIMITER_H_
