Run requests through admission, routing and retry in the gateway

Attempts ask directly before the first byte whether they may still be sent, because a connect can outlast the control state that chose the worker.

--- a/src/fireflythread/gateway/backend_connection.cc
+++ b/src/fireflythread/gateway/backend_connection.cc
@@ -107,21 +107,26 @@
     started = g_socket_connect(this->socket, peer, nullptr, &error) != FALSE ||
               g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING) != FALSE;
   }
-  // A connect that has failed already is reported by the timer, so that
-  // `done` never runs inside Send().
-  const std::string reason = started            ? "connect timed out"
-                             : error != nullptr ? error->message
-                                                : "malformed address";
-  this->connect_timer = this->timers.RunAt(
-      ReadBootClock() + (started ? kConnectLimit : Duration::zero()),
-      [this, reason] {
-        this->connect_timer.reset();
-        this->Close(reason);
-      });
-  if (started) {
-    this->write_watch = FdWatch(this->Descriptor(), G_IO_OUT,
-                                [this] { this->FinishConnect(); });
+  if (!started) {
+    this->FailLater(error != nullptr ? error->message : "malformed address");
+    return;
   }
+  this->CloseAt(ReadBootClock() + kConnectLimit, "connect timed out");
+  this->write_watch =
+      FdWatch(this->Descriptor(), G_IO_OUT, [this] { this->FinishConnect(); });
+}
+
+auto BackendConnection::FailLater(const std::string& reason) -> void {
+  // By the timer, so that `done` never runs inside Send().
+  this->CloseAt(ReadBootClock(), reason);
+}
+
+auto BackendConnection::CloseAt(TimePoint at, const std::string& reason)
+    -> void {
+  this->connect_timer = this->timers.RunAt(at, [this, reason] {
+    this->connect_timer.reset();
+    this->Close(reason);
+  });
 }
 
 auto BackendConnection::FinishConnect() -> void {
@@ -144,6 +149,11 @@
 
 auto BackendConnection::WriteMore() -> void {
   const std::string& bytes = this->request.bytes;
+  if (this->written == 0 && this->request.may_send &&
+      !this->request.may_send()) {
+    this->FailLater("no longer allowed to send");
+    return;
+  }
   while (this->written < bytes.size()) {
     g_autoptr(GError) error = nullptr;
     const gssize count =
--- a/src/fireflythread/gateway/backend_connection.h
+++ b/src/fireflythread/gateway/backend_connection.h
@@ -57,6 +57,8 @@
 
   auto StartConnect() -> void;
   auto FinishConnect() -> void;
+  auto FailLater(const std::string& reason) -> void;
+  auto CloseAt(TimePoint at, const std::string& reason) -> void;
   auto WriteMore() -> void;
   auto ReadMore() -> void;
   auto OnAttemptDeadline() -> void;
--- a/src/fireflythread/gateway/gateway.cc
+++ b/src/fireflythread/gateway/gateway.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "fireflythread/base/io_clock.h"
 #include "fireflythread/gateway/request_path.h"
 
 namespace fireflythread {
@@ -38,25 +39,31 @@
 }
 
 auto Gateway::DemandByService() -> DemandSnapshot {
-  return {};
+  return this->path->Demand();
 }
 
 auto Gateway::LoanMessages() -> std::vector<LoanMessage> {
-  return {};
+  return this->path->Loans().TakeMessages(ReadBootClock());
 }
 
-auto Gateway::HandleLoanRequest(const EntryId& /*from*/,
-                                const LoanRequest& request) -> LoanReply {
-  return {request.request, {}, {}};
+auto Gateway::HandleLoanRequest(const EntryId& from, const LoanRequest& request)
+    -> LoanReply {
+  return this->path->Loans().Lend(from, request, ReadBootClock());
 }
 
-auto Gateway::HandleLoanReply(const EntryId& /*from*/,
-                              const LoanReply& /*reply*/) -> void {}
+auto Gateway::HandleLoanReply(const EntryId& from, const LoanReply& reply)
+    -> void {
+  this->path->TakeLoanReply(from, reply);
+}
 
-auto Gateway::HandleSlotReturn(const EntryId& /*from*/,
-                               const SlotReturn& /*returned*/) -> void {}
+auto Gateway::HandleSlotReturn(const EntryId& from, const SlotReturn& returned)
+    -> void {
+  this->path->TakeSlotReturn(from, returned);
+}
 
-auto Gateway::SetPredecessorGone() -> void {}
+auto Gateway::SetPredecessorGone() -> void {
+  this->path->SetPredecessorGone();
+}
 
 auto Gateway::BeginShutdown(std::function<void()> callback) -> void {
   this->path->BeginShutdown(std::move(callback));
--- a/src/fireflythread/gateway/gateway.h
+++ b/src/fireflythread/gateway/gateway.h
@@ -75,7 +75,8 @@
   auto SetPredecessorGone() -> void;
 
   /// Answers new requests "not run", finishes those accepted, and runs
-  /// `callback` once, when the last answer and record has been written.
+  /// `callback` once, when the last answer and record has been written and
+  /// peers have given back what they borrowed. It must not destroy the gateway.
   auto BeginShutdown(std::function<void()> callback) -> void;
 
  private:
--- a/src/fireflythread/gateway/outgoing_request.h
+++ b/src/fireflythread/gateway/outgoing_request.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_GATEWAY_OUTGOING_REQUEST_H_
 #define FIREFLYTHREAD_GATEWAY_OUTGOING_REQUEST_H_
 
+#include <functional>
 #include <string>
 
 namespace fireflythread {
@@ -13,6 +14,9 @@
   /// An answer that names another request in `Fireflythread-Request-Id` is not
   /// taken. Empty when the answer is not checked.
   std::string request_id;
+  /// Asked directly before the first byte is written, because a connect may
+  /// take until after the control state has changed. Empty when always true.
+  std::function<bool()> may_send;
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/gateway/request_path.cc
+++ b/src/fireflythread/gateway/request_path.cc
@@ -1,132 +1,132 @@
 #include "fireflythread/gateway/request_path.h"
 
-#include <fmt/format.h>
-
+#include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "fireflythread/base/io_clock.h"
-#include "fireflythread/gateway/attempt_bytes.h"
+#include "fireflythread/gateway/control_state.h"
 
 namespace fireflythread {
 
-RequestPath::RequestPath(GatewaySettings gateway_settings,
-                         PlatformClient& platform_client,
-                         GatewayObserver gateway_observer)
-    : settings(std::move(gateway_settings)),
-      platform(platform_client),
-      observer(std::move(gateway_observer)),
-      random(this->settings.seed),
+RequestPath::RequestPath(GatewaySettings settings,
+                         PlatformClient& platform,
+                         GatewayObserver observer)
+    : state(std::move(settings), std::move(observer)),
+      dispatcher(this->state, platform),
+      loans(this->state),
       listener(
-          this->settings.max_request_bytes,
+          this->state.settings.max_request_bytes,
           [this](CallerRequest request,
                  std::shared_ptr<CallerExchange> exchange) {
-            this->OnRequest(std::move(request), std::move(exchange));
+            this->dispatcher.Accept(std::move(request), std::move(exchange));
           },
-          [](const Refusal&) {}) {}
+          [this](const Refusal& refusal) { this->OnRefused(refusal); }) {}
 
 auto RequestPath::Start() -> StartResult {
-  return this->listener.Start(this->settings.listen_ip,
-                              this->settings.listen_port);
+  const TimePoint until =
+      ReadBootClock() + this->state.settings.longest_request;
+  BlockOwnSlots(this->state, until);
+  std::ignore = this->state.timers.RunAt(
+      until, [this] { this->dispatcher.DispatchAll(); });
+  return this->listener.Start(this->state.settings.listen_ip,
+                              this->state.settings.listen_port);
 }
 
 auto RequestPath::ApplyControlState(
-    std::shared_ptr<const ConfigSnapshot> new_config,
-    std::shared_ptr<const FleetView> new_fleet) -> void {
-  if (!this->config || new_config->version >= this->config->version) {
-    this->config = std::move(new_config);
+    std::shared_ptr<const ConfigSnapshot> config,
+    std::shared_ptr<const FleetView> fleet) -> void {
+  if (!this->state.config || config->version >= this->state.config->version) {
+    this->state.config = std::move(config);
   }
-  if (!this->fleet || new_fleet->version >= this->fleet->version) {
-    this->fleet = std::move(new_fleet);
+  if (!this->state.fleet || fleet->version >= this->state.fleet->version) {
+    this->state.fleet = std::move(fleet);
   }
+  RefreshPools(this->state);
+  this->dispatcher.DispatchAll();
 }
 
 auto RequestPath::SetLeaving(std::set<VmId> vms) -> void {
-  this->leaving = std::move(vms);
+  this->state.leaving = std::move(vms);
+  RefreshPools(this->state);
 }
 
 auto RequestPath::SetConfirmedUntil(TimePoint until) -> void {
-  this->confirmed_until = until;
+  this->state.confirmed_until = until;
 }
 
 auto RequestPath::InFlight(const VmId& vm) const -> int {
-  const auto found = this->workers.find(vm);
-  return found == this->workers.end() ? 0 : found->second.in_flight;
+  const auto found = this->state.workers.find(vm);
+  return found == this->state.workers.end()
+             ? 0
+             : CountInFlight(found->second, ReadBootClock());
 }
 
-auto RequestPath::BeginShutdown(std::function<void()> callback) -> void {
-  this->shutting_down = true;
-  this->listener.NotifyWhenIdle(std::move(callback));
+auto RequestPath::Demand() -> DemandSnapshot {
+  const TimePoint now = ReadBootClock();
+  DemandSnapshot snapshot;
+  snapshot.services = this->dispatcher.Demand().TakeReport(now);
+  for (const auto& [vm, worker] : this->state.workers) {
+    const auto pool = this->state.pools.find(worker.pool);
+    const bool known = pool != this->state.pools.end();
+    snapshot.workers.push_back({vm, CountInFlight(worker, now),
+                                known && pool->second.health.IsEjected(vm),
+                                known ? pool->second.health.Reason(vm) : ""});
+  }
+  snapshot.config_version =
+      this->state.config ? this->state.config->version : 0;
+  snapshot.fleet_version = this->state.fleet ? this->state.fleet->version : 0;
+  return snapshot;
 }
 
-auto RequestPath::WorkerFor(const VmRecord& vm) -> Worker& {
-  Worker& worker = this->workers[vm.id];
-  if (!worker.connections || worker.connections->Address() != vm.address) {
-    worker.connections = std::make_unique<ConnectionSet>(
-        vm.address, this->settings.max_response_bytes, this->timers);
-  }
-  return worker;
+auto RequestPath::TakeLoanReply(const EntryId& from, const LoanReply& reply)
+    -> void {
+  this->loans.TakeReply(from, reply, ReadBootClock());
+  this->dispatcher.DispatchAll();
 }
 
-auto RequestPath::ChooseVm(const PoolName& pool) -> const VmRecord* {
-  const VmRecord* best = nullptr;
-  for (const auto& [id, vm] : this->fleet->vms) {
-    if (vm.pool == pool && vm.state == VmState::kServing &&
-        !this->leaving.contains(id) &&
-        this->WorkerFor(vm).connections->HasRoom() &&
-        (best == nullptr || this->InFlight(id) < this->InFlight(best->id))) {
-      best = &vm;
-    }
-  }
-  return best;
+auto RequestPath::TakeSlotReturn(const EntryId& from,
+                                 const SlotReturn& returned) -> void {
+  this->loans.TakeReturn(from, returned);
+  this->dispatcher.DispatchAll();
 }
 
-auto RequestPath::OnRequest(CallerRequest request,
-                            std::shared_ptr<CallerExchange> exchange) -> void {
-  const auto refuse = [&](RefusalReason reason) {
-    exchange->Answer(RefusalResponse({reason, ""}));
-  };
-  if (!this->config || !this->fleet || this->shutting_down) {
-    return refuse(this->shutting_down ? RefusalReason::kShuttingDown
-                                      : RefusalReason::kNotReady);
-  }
-  const auto service = this->config->services.find(request.service);
-  if (service == this->config->services.end()) {
-    return refuse(RefusalReason::kUnknownService);
-  }
-  const VmRecord* vm = this->ChooseVm(service->second.pool);
-  if (vm == nullptr) {
-    return refuse(RefusalReason::kNoWorker);
-  }
-  const auto time_left =
-      request.deadline.value_or(service->second.default_deadline);
-  AttemptFields fields{
-      vm->address,
-      fmt::format("{}-{}", this->settings.self.value, this->next_request++),
-      vm->pool,
-      this->settings.self,
-      time_left,
-      StartTrace(request.traceparent, this->random)};
+auto RequestPath::SetPredecessorGone() -> void {
+  BlockOwnSlots(this->state, TimePoint::min());
+  this->dispatcher.DispatchAll();
+}
+
+auto RequestPath::BeginShutdown(std::function<void()> callback) -> void {
+  this->state.shutting_down = true;
+  this->dispatcher.NotifyWhenIdle([this, callback = std::move(callback)] {
+    this->WaitForLentSlots(
+        [this, callback] { this->listener.NotifyWhenIdle(callback); });
+  });
+}
+
+auto RequestPath::WaitForLentSlots(std::function<void()> callback) -> void {
+  constexpr Duration kInterval = std::chrono::milliseconds(50);
   const TimePoint now = ReadBootClock();
-  if (now >= this->confirmed_until) {
-    return refuse(RefusalReason::kNotFresh);
+  const bool any_lent = std::any_of(
+      this->state.pools.begin(), this->state.pools.end(),
+      [&](const auto& entry) { return entry.second.slots.LentSlots(now) > 0; });
+  if (!any_lent) {
+    callback();
+    return;
   }
-  Worker& worker = this->WorkerFor(*vm);
-  ++worker.in_flight;
-  worker.connections->Send(
-      BuildAttempt(request, fields), now + time_left,
-      [&worker, exchange](AttemptReport report) {
-        --worker.in_flight;
-        if (report.result == AttemptResult::kAnswered) {
-          exchange->Answer({report.response.status, RequestOutcome::kAnswered,
-                            "", std::move(report.response.headers),
-                            std::move(report.response.body)});
-        } else if (report.result == AttemptResult::kUnknown) {
-          exchange->Answer(UnknownResponse(report.silent, report.reason));
-        } else {
-          exchange->Answer(RefusalResponse(
-              {RefusalReason::kRefusedByWorkers, report.reason}));
-        }
+  std::ignore = this->state.timers.RunAt(
+      now + kInterval, [this, callback = std::move(callback)] {
+        this->WaitForLentSlots(callback);
       });
 }
 
+auto RequestPath::OnRefused(const Refusal& refusal) -> void {
+  RequestFinished event;
+  event.trace = StartTrace("", this->state.random);
+  event.status = RefusalHttpStatus(refusal.reason);
+  event.reason = RefusalReasonText(refusal.reason);
+  event.started = ReadBootClock();
+  Notify(this->state.observer.request_finished, event);
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/gateway/request_path.h
+++ b/src/fireflythread/gateway/request_path.h
@@ -1,25 +1,19 @@
 #ifndef FIREFLYTHREAD_GATEWAY_REQUEST_PATH_H_
 #define FIREFLYTHREAD_GATEWAY_REQUEST_PATH_H_
 
-#include <map>
+#include <functional>
 #include <memory>
-#include <optional>
 #include <set>
-#include <string>
 
-#include "fireflythread/base/random.h"
-#include "fireflythread/config/config_snapshot.h"
-#include "fireflythread/fleet/fleet_view.h"
 #include "fireflythread/gateway/caller_listener.h"
-#include "fireflythread/gateway/connection_set.h"
-#include "fireflythread/gateway/gateway_observer.h"
-#include "fireflythread/gateway/gateway_settings.h"
-#include "fireflythread/gateway/timer_queue.h"
-#include "fireflythread/platform/fwd.h"
+#include "fireflythread/gateway/demand_snapshot.h"
+#include "fireflythread/gateway/dispatcher.h"
+#include "fireflythread/gateway/gateway_state.h"
+#include "fireflythread/gateway/loan_desk.h"
 
 namespace fireflythread {
 
-/// The state behind Gateway.
+/// The parts behind Gateway, in the order in which they depend on each other.
 class RequestPath {
  public:
   RequestPath(GatewaySettings settings,
@@ -31,32 +25,23 @@
                          std::shared_ptr<const FleetView> fleet) -> void;
   auto SetLeaving(std::set<VmId> vms) -> void;
   auto SetConfirmedUntil(TimePoint until) -> void;
-  auto InFlight(const VmId& vm) const -> int;
+  [[nodiscard]] auto InFlight(const VmId& vm) const -> int;
+  [[nodiscard]] auto Demand() -> DemandSnapshot;
+  [[nodiscard]] auto Loans() -> LoanDesk& { return this->loans; }
+  auto TakeLoanReply(const EntryId& from, const LoanReply& reply) -> void;
+  auto TakeSlotReturn(const EntryId& from, const SlotReturn& returned) -> void;
+  auto SetPredecessorGone() -> void;
   auto BeginShutdown(std::function<void()> callback) -> void;
 
  private:
-  struct Worker {
-    std::unique_ptr<ConnectionSet> connections;
-    int in_flight = 0;
-  };
-
-  auto OnRequest(CallerRequest request,
-                 std::shared_ptr<CallerExchange> exchange) -> void;
-  auto ChooseVm(const PoolName& pool) -> const VmRecord*;
-  auto WorkerFor(const VmRecord& vm) -> Worker&;
-
-  GatewaySettings settings;
-  PlatformClient& platform;
-  GatewayObserver observer;
-  TimerQueue timers;
-  Random random;
-  std::shared_ptr<const ConfigSnapshot> config;
-  std::shared_ptr<const FleetView> fleet;
-  std::set<VmId> leaving;
-  std::map<VmId, Worker> workers;
-  TimePoint confirmed_until = TimePoint::min();
-  bool shutting_down = false;
-  std::uint64_t next_request = 1;
+  auto OnRefused(const Refusal& refusal) -> void;
+  /// A successor takes all own slots for free after a hand-over, so peers must
+  /// have given back what they borrowed. Loans are not renewed meanwhile.
+  auto WaitForLentSlots(std::function<void()> callback) -> void;
+
+  GatewayState state;
+  Dispatcher dispatcher;
+  LoanDesk loans;
   CallerListener listener;
 };
 
