--- a/src/fireflythread/fleet/fwd.h
+++ b/src/fireflythread/fleet/fwd.h
@@ -3,7 +3,12 @@
 
 namespace fireflythread {
 
+struct DeletedRow;
+struct DrainTracker;
+struct FleetChanges;
 struct FleetView;
+struct MemberState;
+struct RowError;
 struct VmRecord;
 
 }  // namespace fireflythread
--- a/src/fireflythread/fleet/vm_record.h
+++ b/src/fireflythread/fleet/vm_record.h
@@ -25,6 +25,9 @@
   WaveId wave;
   /// Why it is in kFailed, for operators.
   std::string reason;
+  /// The boot id that the health probe showed before the reboot was ordered;
+  /// a different one shows that the reboot has happened.
+  std::string boot;
   /// Copied from the VM list when the VM was first seen.
   std::string address;
   ZoneName zone;
