Add the controller core: progress, adoption, reserve, moves and waves

DecideControl is one step over plain inputs. It writes at most one transaction, because each one raises fleet/head and is conditioned on its version. ControllerMemory holds what may be lost with the controller.

--- /dev/null
+++ b/src/fireflythread/control/controller_memory.h
@@ -0,0 +1,47 @@
+#ifndef FIREFLYTHREAD_CONTROL_CONTROLLER_MEMORY_H_
+#define FIREFLYTHREAD_CONTROL_CONTROLLER_MEMORY_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/fleet/drain_tracker.h"
+
+namespace fireflythread {
+
+/// Since when a VM's row has had its generation, as this controller saw it.
+struct VmTimer {
+  std::uint64_t generation = 0;
+  TimePoint since;
+  std::optional<TimePoint> last_command;
+};
+
+/// The largest need of a pool in the recent past.
+struct HeldNeed {
+  int held = 0;
+  TimePoint since;
+  /// The largest need since `since`.
+  int recent = 0;
+};
+
+/// What a controller remembers between its steps. A new controller starts with
+/// an empty one; it then waits out all time limits anew.
+struct ControllerMemory {
+  DrainTracker drains;
+  std::map<VmId, VmTimer> timers;
+  std::map<VmId, TimePoint> missing_since;
+  std::map<PoolName, HeldNeed> needs;
+  /// When each VM that is out for a wave was taken.
+  std::map<VmId, TimePoint> out_since;
+  /// Mean time from taking a VM until it serves again; starts with a guess.
+  Duration maintenance_time = std::chrono::seconds(60);
+  /// Counts the steps; makes the nonces of transactions distinct.
+  std::uint64_t steps = 0;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_CONTROL_CONTROLLER_MEMORY_H_
--- /dev/null
+++ b/src/fireflythread/control/fleet_summary.cc
@@ -0,0 +1,90 @@
+#include "fireflythread/control/fleet_summary.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fireflythread/config/config_snapshot.h"
+#include "fireflythread/control/fleet_draft.h"
+#include "fireflythread/fleet/fleet_view.h"
+
+namespace fireflythread {
+namespace {
+
+auto AddUnlisted(const ControllerInputs& inputs, std::set<VmId>& lost) -> void {
+  if (!inputs.vm_list.has_value()) {
+    return;
+  }
+  std::set<VmId> present;
+  for (const ListedVm& vm : *inputs.vm_list) {
+    if (!vm.leaving) {
+      present.insert(vm.id);
+    }
+  }
+  for (const auto& [vm, record] : inputs.fleet->vms) {
+    if (!present.contains(vm)) {
+      lost.insert(vm);
+    }
+  }
+}
+
+auto Count(FleetSummary& summary, const VmRecord& record, bool changed)
+    -> void {
+  if (!record.wave.empty()) {
+    ++summary.wave_out[record.wave];
+  }
+  if (!record.next_pool.empty() && record.next_pool != record.pool) {
+    ++summary.pools[record.next_pool].incoming;
+    return;
+  }
+  PoolState& pool = summary.pools[record.pool];
+  ++pool.size;
+  if (record.state != VmState::kServing || summary.lost.contains(record.id)) {
+    ++pool.out;
+    pool.wave_out += record.wave.empty() ? 0 : 1;
+  } else if (changed) {
+    // Serves from the next step on; it cannot be taken in this one.
+    ++pool.incoming;
+  } else {
+    pool.serving.push_back(&record);
+  }
+}
+
+}  // namespace
+
+auto FindLostVms(const ControllerInputs& inputs) -> std::set<VmId> {
+  std::set<VmId> lost;
+  AddUnlisted(inputs, lost);
+  const int quorum = std::min<int>(
+      2, std::max<int>(1, static_cast<int>(inputs.members.size())));
+  for (const auto& [vm, fault] : inputs.faults) {
+    if (fault.reporters >= quorum) {
+      lost.insert(vm);
+    }
+  }
+  return lost;
+}
+
+auto SummarizeFleet(const ControllerInputs& inputs, const FleetDraft& draft)
+    -> FleetSummary {
+  FleetSummary summary;
+  summary.lost = FindLostVms(inputs);
+  for (const auto& [name, spec] : inputs.config->pools) {
+    summary.pools[name];
+  }
+  for (const auto& [vm, record] : inputs.fleet->vms) {
+    if (draft.removed.contains(vm)) {
+      continue;
+    }
+    const auto changed = draft.changed.find(vm);
+    const bool is_changed = changed != draft.changed.end();
+    Count(summary, is_changed ? changed->second : record, is_changed);
+  }
+  for (const auto& [vm, record] : draft.changed) {
+    if (!inputs.fleet->vms.contains(vm)) {
+      Count(summary, record, /*changed=*/true);
+    }
+  }
+  return summary;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/control/maintenance_clock.cc
@@ -0,0 +1,55 @@
+#include "fireflythread/control/maintenance_clock.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "fireflythread/config/maintenance_window.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::days;
+using std::chrono::minutes;
+
+auto IsWeekday(const MaintenanceWindow& window, std::chrono::sys_days day)
+    -> bool {
+  const int weekday = static_cast<int>(std::chrono::weekday(day).c_encoding());
+  return window.weekdays.empty() ||
+         std::find(window.weekdays.begin(), window.weekdays.end(), weekday) !=
+             window.weekdays.end();
+}
+
+/// A window over midnight belongs to the weekday on which it begins.
+auto IsInside(const MaintenanceWindow& window, WallTime time) -> bool {
+  const auto day = std::chrono::floor<days>(time);
+  const WallTime::duration of_day = time - day;
+  if (window.begin <= window.end) {
+    return IsWeekday(window, day) && of_day >= window.begin &&
+           of_day < window.end;
+  }
+  return (IsWeekday(window, day) && of_day >= window.begin) ||
+         (IsWeekday(window, day - days(1)) && of_day < window.end);
+}
+
+}  // namespace
+
+auto IsWindowOpen(const std::vector<MaintenanceWindow>& windows, WallTime time)
+    -> bool {
+  return windows.empty() ||
+         std::any_of(windows.begin(), windows.end(),
+                     [time](const MaintenanceWindow& window) {
+                       return IsInside(window, time);
+                     });
+}
+
+auto TimeUntilOpen(const std::vector<MaintenanceWindow>& windows, WallTime time)
+    -> Duration {
+  constexpr minutes kSearched = days(8);
+  minutes wait(0);
+  while (wait < kSearched && !IsWindowOpen(windows, time + wait)) {
+    wait += minutes(1);
+  }
+  return wait;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/control/pool_policy.cc
@@ -0,0 +1,100 @@
+#include "fireflythread/control/pool_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "fireflythread/config/config_snapshot.h"
+#include "fireflythread/control/maintenance_clock.h"
+
+namespace fireflythread {
+namespace {
+
+/// Rounding must not turn a demand that fits exactly into one more VM.
+constexpr double kRoundingSlack = 1e-9;
+
+auto AddWeights(PoolPolicy& policy, const Profile& profile) -> void {
+  policy.weight_buffer = std::max(policy.weight_buffer, profile.weight_buffer);
+  policy.weight_rollout =
+      std::max(policy.weight_rollout, profile.weight_rollout);
+  policy.weight_moves = std::max(policy.weight_moves, profile.weight_moves);
+}
+
+auto AddService(PoolPolicy& policy,
+                const ServiceName& service,
+                const Profile& profile) -> void {
+  policy.services.push_back(service);
+  policy.headroom = std::max(policy.headroom, profile.headroom);
+  policy.max_unavailable =
+      std::min(policy.max_unavailable, profile.max_unavailable);
+  policy.availability = std::max(policy.availability, profile.availability);
+  policy.priority = std::max(policy.priority, profile.priority);
+  if (!profile.windows.empty()) {
+    policy.windows.push_back(profile.windows);
+  }
+  AddWeights(policy, profile);
+}
+
+auto ProfileOf(const ConfigSnapshot& config, const ServiceSpec& service)
+    -> Profile {
+  const auto found = config.profiles.find(service.profile);
+  return found == config.profiles.end() ? Profile{} : found->second;
+}
+
+auto CeilVms(double slots, int slots_per_worker) -> int {
+  return static_cast<int>(
+      std::ceil(slots / std::max(1, slots_per_worker) - kRoundingSlack));
+}
+
+}  // namespace
+
+auto MakePoolPolicies(const ConfigSnapshot& config) -> PoolPolicies {
+  PoolPolicies policies;
+  for (const auto& [name, spec] : config.pools) {
+    PoolPolicy& policy = policies[name];
+    policy.name = name;
+    policy.spare = spec.spare;
+    policy.min_vms = spec.min_vms;
+    policy.max_vms = spec.max_vms;
+    policy.slots_per_worker = spec.slots_per_worker;
+  }
+  PoolPolicy all;
+  for (const auto& [name, service] : config.services) {
+    const Profile profile = ProfileOf(config, service);
+    AddWeights(all, profile);
+    const auto found = policies.find(service.pool);
+    if (found != policies.end()) {
+      AddService(found->second, name, profile);
+    }
+  }
+  for (auto& [name, policy] : policies) {
+    if (policy.services.empty()) {
+      policy.weight_buffer = all.weight_buffer;
+      policy.weight_rollout = all.weight_rollout;
+      policy.weight_moves = all.weight_moves;
+    }
+  }
+  return policies;
+}
+
+auto IsMaintenanceOpen(const PoolPolicy& policy, WallTime time) -> bool {
+  return std::all_of(policy.windows.begin(), policy.windows.end(),
+                     [time](const std::vector<MaintenanceWindow>& windows) {
+                       return IsWindowOpen(windows, time);
+                     });
+}
+
+auto VmsNeeded(const PoolPolicy& policy, double slots) -> int {
+  return CeilVms(slots * (1 + policy.headroom), policy.slots_per_worker);
+}
+
+auto BareVmsNeeded(const PoolPolicy& policy, double slots) -> int {
+  return CeilVms(slots, policy.slots_per_worker);
+}
+
+auto WeightRatio(double weight, double other) -> double {
+  constexpr double kLargest = 5;
+  constexpr double kTiny = 1e-6;
+  return std::clamp((weight + kTiny) / (other + kTiny), 1 / kLargest, kLargest);
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/control/reserve.cc
@@ -0,0 +1,113 @@
+#include "fireflythread/control/reserve.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include "fireflythread/control/controller_inputs.h"
+#include "fireflythread/control/controller_memory.h"
+#include "fireflythread/control/fleet_summary.h"
+#include "fireflythread/control/shared_reserve.h"
+
+namespace fireflythread {
+namespace {
+
+auto PoolSlots(const ControllerInputs& inputs, const PoolPolicy& policy)
+    -> double {
+  double slots = 0;
+  for (const ServiceName& service : policy.services) {
+    const auto demand = inputs.demand.find(service);
+    if (demand != inputs.demand.end()) {
+      slots += SlotsNeeded(demand->second);
+    }
+  }
+  return slots;
+}
+
+auto HoldTime(const ControllerInputs& inputs, const PoolPolicy& policy)
+    -> Duration {
+  return std::chrono::duration_cast<Duration>(
+      inputs.limits.hold *
+      WeightRatio(policy.weight_moves, policy.weight_buffer));
+}
+
+/// Keeps the largest need of the last hold time (up to twice as long).
+auto HoldPeak(HeldNeed& need, int now_needed, TimePoint now, Duration hold)
+    -> int {
+  need.recent = std::max(need.recent, now_needed);
+  if (now_needed >= need.held) {
+    need = {now_needed, now, now_needed};
+  } else if (now - need.since >= hold) {
+    need = {need.recent, now, now_needed};
+  }
+  return need.held;
+}
+
+/// The peak that a pool keeps VMs for. A controller that has not seen the pool
+/// before keeps all its VMs for one hold time, and as long as entries have not
+/// reported the demand for all its services.
+auto PlanHeld(const ControllerInputs& inputs,
+              const PoolPolicy& policy,
+              const PoolState& state,
+              int needed,
+              ControllerMemory& memory) -> int {
+  const int available = static_cast<int>(state.serving.size()) + state.incoming;
+  const bool known = std::all_of(policy.services.begin(), policy.services.end(),
+                                 [&inputs](const auto& service) {
+                                   return inputs.demand.contains(service);
+                                 });
+  const HeldNeed all{std::max(available, needed), inputs.now, needed};
+  HeldNeed& need = memory.needs.try_emplace(policy.name, all).first->second;
+  if (!known) {
+    need = all;
+    return need.held;
+  }
+  return HoldPeak(need, needed, inputs.now, HoldTime(inputs, policy));
+}
+
+auto CountRacks(const PoolState& pool) -> std::map<RackName, int> {
+  std::map<RackName, int> racks;
+  for (const VmRecord* record : pool.serving) {
+    ++racks[record->rack];
+  }
+  return racks;
+}
+
+}  // namespace
+
+auto PlanReserve(const ControllerInputs& inputs,
+                 const PoolPolicies& policies,
+                 const FleetSummary& summary,
+                 ControllerMemory& memory) -> ReservePlan {
+  ReservePlan plan;
+  std::vector<ReservePool> pools;
+  std::map<RackName, int> spare;
+  for (const auto& [name, policy] : policies) {
+    const PoolState& state = summary.pools.at(name);
+    if (policy.spare) {
+      for (const auto& [rack, vms] : CountRacks(state)) {
+        spare[rack] += vms;
+      }
+      continue;
+    }
+    PoolNeed& need = plan.pools[name];
+    const double slots = PoolSlots(inputs, policy);
+    need.bare = BareVmsNeeded(policy, slots);
+    need.needed = VmsNeeded(policy, slots);
+    need.held = PlanHeld(inputs, policy, state, need.needed, memory);
+    need.target = std::clamp(need.held, policy.min_vms,
+                             std::max(policy.min_vms, policy.max_vms));
+    pools.push_back({need.needed, need.target, CountRacks(state)});
+  }
+  const SharedReserve reserve = PlanSharedReserve(std::move(pools), spare);
+  plan.reserve = reserve.vms;
+  plan.limiting_rack = reserve.rack;
+  for (const auto& [name, policy] : policies) {
+    if (policy.spare) {
+      plan.pools[name].target = plan.reserve;
+    }
+  }
+  return plan;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/control/vm_progress.cc
@@ -0,0 +1,220 @@
+#include "fireflythread/control/vm_progress.h"
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "fireflythread/config/config_snapshot.h"
+#include "fireflythread/control/controller_decision.h"
+#include "fireflythread/control/controller_inputs.h"
+#include "fireflythread/control/controller_memory.h"
+#include "fireflythread/control/fleet_draft.h"
+#include "fireflythread/control/reboot_progress.h"
+#include "fireflythread/fleet/fleet_view.h"
+
+namespace fireflythread {
+namespace {
+
+enum class Listing { kUnknown, kPresent, kLeaving, kMissing };
+
+/// What the VM list says of each VM of the fleet.
+struct ListIndex {
+  bool known = false;
+  std::map<VmId, bool> leaving;
+};
+
+auto MakeListIndex(const ControllerInputs& inputs) -> ListIndex {
+  ListIndex index;
+  if (inputs.vm_list.has_value()) {
+    index.known = true;
+    for (const ListedVm& vm : *inputs.vm_list) {
+      index.leaving[vm.id] = vm.leaving;
+    }
+  }
+  return index;
+}
+
+/// A VM counts as missing only after the time limit, since the list lags.
+auto FindListing(const ListIndex& index,
+                 const ControllerInputs& inputs,
+                 ControllerMemory& memory,
+                 const VmId& vm) -> Listing {
+  if (!index.known) {
+    return Listing::kUnknown;
+  }
+  const auto found = index.leaving.find(vm);
+  if (found != index.leaving.end()) {
+    memory.missing_since.erase(vm);
+    return found->second ? Listing::kLeaving : Listing::kPresent;
+  }
+  const TimePoint since =
+      memory.missing_since.try_emplace(vm, inputs.now).first->second;
+  return inputs.now - since >= inputs.limits.gone ? Listing::kMissing
+                                                  : Listing::kUnknown;
+}
+
+auto JoinEntries(const std::vector<EntryId>& entries) -> std::string {
+  std::string text;
+  for (const EntryId& entry : entries) {
+    text += (text.empty() ? "" : ", ") + entry.value;
+  }
+  return text;
+}
+
+/// Whether a drain was begun only because the VM was leaving or missing.
+auto IsLeavingDrain(const VmRecord& record) -> bool {
+  return record.wave.empty() && record.next_pool.empty();
+}
+
+auto StepServing(const VmRecord& record, Listing listing, FleetDraft& draft)
+    -> void {
+  if (listing != Listing::kLeaving && listing != Listing::kMissing) {
+    return;
+  }
+  VmRecord next = record;
+  next.state = VmState::kDraining;
+  next.reason = listing == Listing::kLeaving ? "leaving by the VM list"
+                                             : "gone from the VM list";
+  ChangeVm(draft, record, std::move(next));
+}
+
+auto StepDraining(const ControllerInputs& inputs,
+                  const ControllerMemory& memory,
+                  const VmRecord& record,
+                  Listing listing,
+                  FleetDraft& draft,
+                  ControllerDecision& decision) -> void {
+  VmRecord next = record;
+  if (IsLeavingDrain(record) && listing == Listing::kPresent) {
+    next.state = VmState::kServing;
+    next.reason.clear();
+    ChangeVm(draft, record, std::move(next));
+    return;
+  }
+  const std::vector<EntryId> holding =
+      MembersHoldingDrain(memory.drains, record, inputs.members, inputs.now);
+  if (!holding.empty() || inputs.members.empty()) {
+    decision.report.draining.push_back(
+        {record.id, "waits for " + JoinEntries(holding)});
+    return;
+  }
+  next.state = VmState::kDrained;
+  ChangeVm(draft, record, std::move(next));
+}
+
+auto FinishMove(const ControllerInputs& inputs,
+                const VmRecord& record,
+                FleetDraft& draft) -> void {
+  VmRecord next = record;
+  // The target pool may have been deleted in the meantime.
+  if (inputs.config->pools.contains(record.next_pool)) {
+    next.pool = record.next_pool;
+  }
+  next.next_pool = PoolName();
+  next.state = VmState::kServing;
+  ChangeVm(draft, record, std::move(next));
+}
+
+auto StepDrained(const ControllerInputs& inputs,
+                 const VmRecord& record,
+                 Listing listing,
+                 FleetDraft& draft,
+                 ControllerDecision& decision) -> void {
+  if (listing == Listing::kMissing) {
+    RecordWaveResult(inputs, record, /*succeeded=*/false, draft);
+    RemoveVm(draft, record.id);
+  } else if (!record.wave.empty()) {
+    BeginReboot(inputs, record, draft, decision);
+  } else if (!record.next_pool.empty()) {
+    FinishMove(inputs, record, draft);
+  } else if (listing == Listing::kPresent) {
+    VmRecord next = record;
+    next.state = VmState::kServing;
+    next.reason.clear();
+    ChangeVm(draft, record, std::move(next));
+  }
+}
+
+auto StepFailed(const VmRecord& record,
+                Listing listing,
+                FleetDraft& draft,
+                ControllerDecision& decision) -> void {
+  if (listing == Listing::kMissing) {
+    RemoveVm(draft, record.id);
+    return;
+  }
+  decision.report.failed.push_back({record.id, record.reason});
+}
+
+auto StepVm(const ControllerInputs& inputs,
+            ControllerMemory& memory,
+            const VmRecord& record,
+            Listing listing,
+            FleetDraft& draft,
+            ControllerDecision& decision) -> void {
+  switch (record.state) {
+    case VmState::kServing:
+      StepServing(record, listing, draft);
+      break;
+    case VmState::kDraining:
+      StepDraining(inputs, memory, record, listing, draft, decision);
+      break;
+    case VmState::kDrained:
+      StepDrained(inputs, record, listing, draft, decision);
+      break;
+    case VmState::kRebooting:
+      StepRebooting(inputs, memory, record, draft, decision);
+      break;
+    case VmState::kVerifying:
+      StepVerifying(inputs, memory, record, listing == Listing::kLeaving, draft,
+                    decision);
+      break;
+    case VmState::kFailed:
+      StepFailed(record, listing, draft, decision);
+      break;
+  }
+}
+
+/// Timers of VMs that serve are not needed and would grow the memory.
+auto UpdateTimer(const ControllerInputs& inputs,
+                 ControllerMemory& memory,
+                 const VmRecord& record) -> void {
+  if (record.state != VmState::kRebooting &&
+      record.state != VmState::kVerifying) {
+    memory.timers.erase(record.id);
+    return;
+  }
+  VmTimer& timer = memory.timers[record.id];
+  if (timer.generation != record.generation) {
+    timer = {record.generation, inputs.now, std::nullopt};
+  }
+}
+
+auto ForgetRemoved(const ControllerInputs& inputs, ControllerMemory& memory)
+    -> void {
+  const auto is_removed = [&inputs](const auto& item) {
+    return !inputs.fleet->vms.contains(item.first);
+  };
+  std::erase_if(memory.timers, is_removed);
+  std::erase_if(memory.missing_since, is_removed);
+  std::erase_if(memory.out_since, is_removed);
+}
+
+}  // namespace
+
+auto ProgressVms(const ControllerInputs& inputs,
+                 ControllerMemory& memory,
+                 FleetDraft& draft,
+                 ControllerDecision& decision) -> void {
+  const ListIndex index = MakeListIndex(inputs);
+  ForgetRemoved(inputs, memory);
+  for (const auto& [vm, record] : inputs.fleet->vms) {
+    const Listing listing = FindListing(index, inputs, memory, vm);
+    UpdateTimer(inputs, memory, record);
+    if (CanChange(draft, vm)) {
+      StepVm(inputs, memory, record, listing, draft, decision);
+    }
+  }
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/control/worker_fault.h
@@ -0,0 +1,17 @@
+#ifndef FIREFLYTHREAD_CONTROL_WORKER_FAULT_H_
+#define FIREFLYTHREAD_CONTROL_WORKER_FAULT_H_
+
+#include <string>
+
+namespace fireflythread {
+
+/// A worker that entries have ejected from their rotation.
+struct WorkerFault {
+  /// Entries that report it now.
+  int reporters = 0;
+  std::string reason;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_CONTROL_WORKER_FAULT_H_
--- a/src/fireflythread/fleet/row_reader.h
+++ b/src/fireflythread/fleet/row_reader.h
@@ -23,7 +23,7 @@
  public:
   explicit RowReader(const Row& row);
 
-  [[nodiscard]] auto error() const -> const std::optional<RowError>& {
+  [[nodiscard]] auto Error() const -> const std::optional<RowError>& {
     return this->first_error;
   }
 
--- a/src/fireflythread/fleet/vm_record_codec.cc
+++ b/src/fireflythread/fleet/vm_record_codec.cc
@@ -83,8 +83,8 @@
   if (record.pool.empty()) {
     reader.Fail("field pool is empty");
   }
-  if (reader.error().has_value()) {
-    return *reader.error();
+  if (reader.Error().has_value()) {
+    return *reader.Error();
   }
   return record;
 }
--- /dev/null
+++ b/test/fireflythread/control/controller_test.cc
@@ -0,0 +1,225 @@
+#include "fireflythread/control/controller.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <set>
+#include <string>
+
+#include "bench/common/control_cell.h"
+
+namespace fireflythread::bench {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+/// Two pools and a spare pool over 16 VMs in four racks.
+auto MakeCell() -> VirtualCell {
+  VirtualCell cell;
+  AddMembers(cell, 3);
+  AddVms(cell, 16, 4, 2);
+  PoolSpec pool;
+  pool.min_vms = 5;
+  AddPool(cell, "counter", pool, {});
+  AddPool(cell, "planner", pool, {});
+  pool.spare = true;
+  pool.min_vms = 1;
+  AddPool(cell, "spare", pool, {});
+  SetDemand(cell, "counter", 16);
+  SetDemand(cell, "planner", 16);
+  RunFor(cell, seconds(5));
+  return cell;
+}
+
+auto CountState(const VirtualCell& cell, VmState state) -> int {
+  return static_cast<int>(std::count_if(
+      cell.fleet.vms.begin(), cell.fleet.vms.end(),
+      [state](const auto& vm) { return vm.second.state == state; }));
+}
+
+}  // namespace
+
+// Guards against pools that start below their minimum or all in one rack.
+TEST_CASE("new VMs fill the pools' minimum, spread over racks") {
+  const VirtualCell cell = MakeCell();
+  CHECK(CountPool(cell, "counter") == 5);
+  CHECK(CountPool(cell, "planner") == 5);
+  CHECK(CountPool(cell, "spare") == 6);
+  std::map<std::string, int> racks;
+  for (const auto& [id, record] : cell.fleet.vms) {
+    racks[record.rack.value] += record.pool.value == "counter" ? 1 : 0;
+  }
+  for (const auto& [rack, vms] : racks) {
+    CHECK(vms <= 2);
+  }
+}
+
+// Guards against a pool that stays short in a surge while spare VMs are idle.
+TEST_CASE("a surge gets spare VMs, higher priority first") {
+  VirtualCell cell = MakeCell();
+  for (auto& [name, profile] : cell.config.profiles) {
+    profile.headroom = 0;
+    profile.priority = name.value == "counter" ? 90 : 10;
+  }
+  SetDemand(cell, "counter", 80);
+  SetDemand(cell, "planner", 80);
+  RunFor(cell, seconds(10));
+  CHECK(CountPool(cell, "counter") == 10);
+  CHECK(CountPool(cell, "planner") == 6);
+  CHECK(Step(cell).report.pools.at(PoolName("planner")).missing == 4);
+}
+
+// Guards against a wave that reboots a VM that an entry still uses, leaves VMs
+// out, or does a VM twice. The cell asserts drains and the state machine.
+TEST_CASE("a wave reboots every VM once and returns it to service") {
+  VirtualCell cell = MakeCell();
+  DeclareWave(cell, "w1", {});
+  REQUIRE(RunWave(cell, "w1", minutes(30)));
+  CHECK(cell.waves.at(WaveId("w1")).done.size() == 16);
+  for (const auto& [id, vm] : cell.vms) {
+    CHECK(vm.reboots == 1);
+    CHECK_FALSE(vm.told_to_drain);
+  }
+  CHECK(CountState(cell, VmState::kServing) == 16);
+}
+
+// Guards against a wave that takes more of a pool than its profile allows or
+// that leaves fewer VMs than the demand needs.
+TEST_CASE("a wave keeps max_unavailable and headroom at every step") {
+  VirtualCell cell = MakeCell();
+  SetDemand(cell, "counter", 32);
+  DeclareWave(cell, "w1", {});
+  for (int step = 0; step < 4000; ++step) {
+    Step(cell);
+    int out = 0;
+    int serving = 0;
+    int size = 0;
+    for (const auto& [id, record] : cell.fleet.vms) {
+      if (record.pool.value == "counter" && record.next_pool.empty()) {
+        ++size;
+        (record.state == VmState::kServing ? serving : out) += 1;
+      }
+    }
+    REQUIRE(out <= std::max(1, size / 5));
+    REQUIRE(serving >= 5);
+  }
+  CHECK(cell.waves.at(WaveId("w1")).state == WaveState::kFinished);
+}
+
+// Guards against rebooting a VM while a silent entry may still send to it.
+TEST_CASE("a silent entry holds the drain for 32 s") {
+  VirtualCell cell = MakeCell();
+  cell.silent.insert(EntryId("entry-2"));
+  DeclareWave(cell, "w1", {WaveSelectorKind::kVms, "", {VmId("worker-00000")}});
+  RunFor(cell, seconds(30));
+  CHECK(cell.vms.at(VmId("worker-00000")).reboots == 0);
+  RunFor(cell, seconds(5));
+  CHECK(cell.vms.at(VmId("worker-00000")).reboots == 1);
+}
+
+// Guards against a wave that goes on breaking VMs and against a broken VM that
+// keeps its place in the pool.
+TEST_CASE("a VM that does not come back is failed and replaced") {
+  VirtualCell cell = MakeCell();
+  const VmId broken = std::find_if(cell.fleet.vms.begin(), cell.fleet.vms.end(),
+                                   [](const auto& vm) {
+                                     return vm.second.pool.value == "counter";
+                                   })
+                          ->first;
+  cell.vms.at(broken).breaks = true;
+  SetDemand(cell, "counter", 32);
+  DeclareWave(cell, "w1", {WaveSelectorKind::kVms, "", {broken}});
+  REQUIRE(RunWave(cell, "w1", minutes(10)));
+  CHECK(cell.fleet.vms.at(broken).state == VmState::kFailed);
+  CHECK_FALSE(cell.fleet.vms.at(broken).reason.empty());
+  CHECK(cell.waves.at(WaveId("w1")).failed.size() == 1);
+  RunFor(cell, seconds(5));
+  const PoolStatus status = Step(cell).report.pools.at(PoolName("counter"));
+  CHECK(status.serving >= 5);
+}
+
+// Guards against a cancel that leaves VMs drained or goes on taking VMs.
+TEST_CASE("a cancelled wave takes no more VMs and finishes those out") {
+  VirtualCell cell = MakeCell();
+  DeclareWave(cell, "w1", {});
+  RunFor(cell, seconds(10));
+  const int out = 16 - CountState(cell, VmState::kServing);
+  REQUIRE(out > 0);
+  WaveRecord& wave = cell.waves.at(WaveId("w1"));
+  wave.state = WaveState::kCancelled;
+  wave.version = ++cell.revision;
+  RunFor(cell, minutes(5));
+  CHECK(CountState(cell, VmState::kServing) == 16);
+  CHECK(static_cast<int>(cell.waves.at(WaveId("w1")).done.size()) == out);
+}
+
+// Guards against a wave that ignores the maintenance windows, and against one
+// that does not say why it waits.
+TEST_CASE("a closed window blocks the wave and is reported") {
+  VirtualCell cell = MakeCell();
+  for (auto& [name, profile] : cell.config.profiles) {
+    profile.windows.push_back({minutes(60), minutes(120), {}});
+  }
+  DeclareWave(cell, "w1", {WaveSelectorKind::kPool, "counter", {}});
+  RunFor(cell, minutes(10));
+  CHECK(CountState(cell, VmState::kServing) == 16);
+  const ControllerDecision decision = Step(cell);
+  REQUIRE(decision.report.blocked.size() == 5);
+  CHECK(decision.report.blocked[0].budget == WaveBudget::kWindow);
+  cell.wall_time = WallTime(minutes(60));
+  CHECK(RunWave(cell, "w1", minutes(59)));
+}
+
+// Guards against a row of a VM that is gone, and against dropping a VM that the
+// lagging list omits for a moment.
+TEST_CASE("a VM gone from the list is removed after its drain") {
+  VirtualCell cell = MakeCell();
+  const ListedVm last = cell.listed.back();
+  cell.listed.pop_back();
+  RunFor(cell, seconds(3));
+  cell.listed.push_back(last);
+  RunFor(cell, seconds(10));
+  CHECK(cell.fleet.vms.at(last.id).generation == 1);
+  cell.listed.pop_back();
+  RunFor(cell, seconds(10));
+  CHECK_FALSE(cell.fleet.vms.contains(last.id));
+}
+
+// Guards against an old controller that changes anything after it lost its
+// lease: every transaction must carry the epoch and head conditions.
+TEST_CASE("every transaction is conditioned on the epoch and raises the head") {
+  VirtualCell cell = MakeCell();
+  DeclareWave(cell, "w1", {});
+  int seen = 0;
+  for (int step = 0; step < 400; ++step) {
+    const std::uint64_t version = cell.fleet.version;
+    const ControllerDecision decision = Step(cell);
+    REQUIRE(decision.transactions.size() <= 1);
+    for (const Transaction& transaction : decision.transactions) {
+      ++seen;
+      CHECK(transaction.conditions.at(0).key == "controller_epoch");
+      CHECK(transaction.conditions.at(1).key == "head");
+      CHECK(transaction.conditions.size() == transaction.writes.size() + 1);
+      CHECK(transaction.writes.at(0).value == std::to_string(version + 1));
+    }
+  }
+  CHECK(seen > 0);
+  CHECK(cell.conflicts == 0);
+}
+
+// Guards against a new controller that gives VMs away before it knows the
+// demand.
+TEST_CASE("without demand reports no VM leaves its pool") {
+  VirtualCell cell = MakeCell();
+  for (auto& [name, profile] : cell.config.profiles) {
+    profile.weight_buffer = 5;
+  }
+  cell.config.pools.at(PoolName("counter")).min_vms = 1;
+  cell.memory = {};
+  cell.demand.clear();
+  RunFor(cell, minutes(10));
+  CHECK(CountPool(cell, "counter") == 5);
+}
+
+}  // namespace fireflythread::bench
