--- a/src/fireflythread/gateway/attempt_bytes.h
+++ b/src/fireflythread/gateway/attempt_bytes.h
@@ -18,7 +18,7 @@
   PoolName pool;
   EntryId entry;
   std::chrono::milliseconds time_left{0};
-  TraceContext trace;
+  SpanContext trace;
 };
 
 /// Writes the request as sent to a backend server.
--- a/src/fireflythread/gateway/demand_snapshot.h
+++ b/src/fireflythread/gateway/demand_snapshot.h
@@ -11,7 +11,7 @@
 
 /// Demand of one service at this entry since the last report, in the fields
 /// of the peer message DemandReport.Service.
-struct ServiceDemand {
+struct EntryServiceDemand {
   ServiceName service;
   double arrivals_per_second = 0;
   int in_flight = 0;
@@ -31,7 +31,7 @@
 
 /// What the entry reports to the controller every second.
 struct DemandSnapshot {
-  std::vector<ServiceDemand> services;
+  std::vector<EntryServiceDemand> services;
   std::vector<WorkerDemand> workers;
   std::uint64_t config_version = 0;
   std::uint64_t fleet_version = 0;
--- a/src/fireflythread/gateway/fwd.h
+++ b/src/fireflythread/gateway/fwd.h
@@ -11,7 +11,7 @@
 struct GatewayObserver;
 struct GatewaySettings;
 struct Refusal;
-struct TraceContext;
+struct SpanContext;
 class BackendConnection;
 class CallerExchange;
 class CallerListener;
--- a/src/fireflythread/gateway/gateway_events.h
+++ b/src/fireflythread/gateway/gateway_events.h
@@ -16,7 +16,7 @@
 /// A request has been answered. `trace` is its span; `pool` and `service` are
 /// empty when the request was malformed.
 struct RequestFinished {
-  TraceContext trace;
+  SpanContext trace;
   std::string request_id;
   ServiceName service;
   PoolName pool;
@@ -33,7 +33,7 @@
 
 /// A request left its pool's queue, to be sent or, with a reason, refused.
 struct QueueLeft {
-  TraceContext trace;
+  SpanContext trace;
   std::string request_id;
   PoolName pool;
   RequestClass request_class = RequestClass::kDeadline;
@@ -44,7 +44,7 @@
 
 /// An attempt is about to be sent. `trace` is the attempt's own span.
 struct AttemptStarted {
-  TraceContext trace;
+  SpanContext trace;
   std::string request_id;
   PoolName pool;
   VmId vm;
@@ -53,7 +53,7 @@
 };
 
 struct AttemptFinished {
-  TraceContext trace;
+  SpanContext trace;
   std::string request_id;
   PoolName pool;
   VmId vm;
--- a/src/fireflythread/gateway/trace_context.cc
+++ b/src/fireflythread/gateway/trace_context.cc
@@ -30,8 +30,8 @@
 
 }  // namespace
 
-auto StartTrace(std::string_view header, Random& random) -> TraceContext {
-  TraceContext context;
+auto StartTrace(std::string_view header, Random& random) -> SpanContext {
+  SpanContext context;
   context.span_id = NewSpanId(random);
   const bool taken =
       header.size() == kHeaderSize && header.starts_with("00-") &&
@@ -50,11 +50,11 @@
   return context;
 }
 
-auto ChildSpan(const TraceContext& parent, Random& random) -> TraceContext {
+auto ChildSpan(const SpanContext& parent, Random& random) -> SpanContext {
   return {parent.trace_id, NewSpanId(random), parent.span_id, parent.sampled};
 }
 
-auto TraceparentHeader(const TraceContext& context) -> std::string {
+auto TraceparentHeader(const SpanContext& context) -> std::string {
   return fmt::format("00-{}-{}-{}", context.trace_id, context.span_id,
                      context.sampled ? "01" : "00");
 }
--- a/src/fireflythread/gateway/trace_context.h
+++ b/src/fireflythread/gateway/trace_context.h
@@ -10,7 +10,7 @@
 
 /// A span in the W3C trace context, with ids in lower-case hexadecimal.
 /// `parent_id` is empty for the first span of a trace.
-struct TraceContext {
+struct SpanContext {
   std::string trace_id;
   std::string span_id;
   std::string parent_id;
@@ -20,14 +20,14 @@
 /// Starts a span below the `traceparent` header of a caller, or a new trace
 /// if the header is empty or malformed, as the W3C recommendation asks.
 [[nodiscard]] auto StartTrace(std::string_view traceparent, Random& random)
-    -> TraceContext;
+    -> SpanContext;
 
 /// Starts a span below another one.
-[[nodiscard]] auto ChildSpan(const TraceContext& parent, Random& random)
-    -> TraceContext;
+[[nodiscard]] auto ChildSpan(const SpanContext& parent, Random& random)
+    -> SpanContext;
 
 /// The `traceparent` header that makes `context` the receiver's parent.
-[[nodiscard]] auto TraceparentHeader(const TraceContext& context)
+[[nodiscard]] auto TraceparentHeader(const SpanContext& context)
     -> std::string;
 
 }  // namespace fireflythread
