--- a/src/fireflythread/config/config_snapshot.h
+++ b/src/fireflythread/config/config_snapshot.h
@@ -17,6 +17,8 @@
 struct ConfigSnapshot {
   /// The number in the `config/head` row; 0 before the first configuration.
   std::uint64_t version = 0;
+  /// The table revision of the `config/head` row; every edit requires it.
+  std::uint64_t head_row_version = 0;
   std::map<ProfileName, Profile> profiles;
   std::map<ServiceName, ServiceSpec> services;
   std::map<PoolName, PoolSpec> pools;
--- a/src/fireflythread/config/fwd.h
+++ b/src/fireflythread/config/fwd.h
@@ -3,8 +3,12 @@
 
 namespace fireflythread {
 
+struct ConfigChange;
+struct ConfigEdit;
+struct ConfigFault;
 struct ConfigSnapshot;
 struct MaintenanceWindow;
+struct PlannedEdit;
 struct PoolSpec;
 struct Profile;
 struct ServiceSpec;
