--- a/src/fireflythread/daemon/control_rows.cc
+++ b/src/fireflythread/daemon/control_rows.cc
@@ -55,8 +55,8 @@
 auto FindHeadRow(const std::vector<Row>& rows, HeadKind kind)
     -> std::optional<Row> {
   const char* table = TableOf(kind);
-  const auto found = std::find_if(
-      rows.begin(), rows.end(), [table](const Row& row) {
+  const auto found =
+      std::find_if(rows.begin(), rows.end(), [table](const Row& row) {
         return row.table == table && row.key == kFleetHeadKey;
       });
   return found == rows.end() ? std::nullopt : std::optional<Row>(*found);
--- a/src/fireflythread/daemon/entry_record.cc
+++ b/src/fireflythread/daemon/entry_record.cc
@@ -9,9 +9,8 @@
 
 auto TextField(const json& object, const char* name) -> std::string {
   const auto field = object.find(name);
-  return field != object.end() && field->is_string()
-             ? field->get<std::string>()
-             : std::string();
+  return field != object.end() && field->is_string() ? field->get<std::string>()
+                                                     : std::string();
 }
 
 }  // namespace
--- a/src/fireflythread/daemon/registration_task.h
+++ b/src/fireflythread/daemon/registration_task.h
@@ -30,8 +30,7 @@
   /// Marks the entry as stopped and calls back, also when the store is down.
   auto Stop(std::function<void()> done) -> void;
 
-  [[nodiscard]] auto Entries() const
-      -> const std::map<EntryId, EntryRecord>&;
+  [[nodiscard]] auto Entries() const -> const std::map<EntryId, EntryRecord>&;
 
  private:
   auto Refresh() -> void;
--- a/src/fireflythread/daemon/state_rows.cc
+++ b/src/fireflythread/daemon/state_rows.cc
@@ -31,8 +31,7 @@
   return keys;
 }
 
-auto DeletedRowsFromProto(const StateRowList& rows)
-    -> std::vector<DeletedRow> {
+auto DeletedRowsFromProto(const StateRowList& rows) -> std::vector<DeletedRow> {
   std::vector<DeletedRow> deleted;
   for (const peer::StateRow& row : rows) {
     if (row.deleted()) {
--- a/src/fireflythread/daemon/state_task.cc
+++ b/src/fireflythread/daemon/state_task.cc
@@ -52,8 +52,8 @@
       membership(MakeMembership(daemon_settings.entry.id,
                                 incarnation,
                                 MemberNames(daemon_settings))),
-      state{std::make_shared<ConfigSnapshot>(),
-            std::make_shared<FleetView>()} {}
+      state{std::make_shared<ConfigSnapshot>(), std::make_shared<FleetView>()} {
+}
 
 StateTask::~StateTask() = default;
 
@@ -167,8 +167,8 @@
   this->config_revision = config_scan.revision;
   this->fleet_revision = fleet_scan.revision;
   if (this->membership.recovering) {
-    FinishRecovery(this->membership, {this->state.config->version,
-                                      this->state.fleet->version});
+    FinishRecovery(this->membership,
+                   {this->state.config->version, this->state.fleet->version});
     this->logger.Info(kComponent, "control_state_recovered",
                       {{"source", "store"},
                        {"config_version", this->state.config->version},
--- a/src/fireflythread/daemon/state_task_writes.cc
+++ b/src/fireflythread/daemon/state_task_writes.cc
@@ -34,8 +34,7 @@
   Transaction transaction;
   transaction.nonce = write.transaction.nonce + "/settle";
   transaction.conditions.push_back({table, key, write.head_row_version});
-  transaction.writes.push_back(
-      {table, key, EncodeFleetHead(write.from_head)});
+  transaction.writes.push_back({table, key, EncodeFleetHead(write.from_head)});
   return transaction;
 }
 
@@ -86,9 +85,8 @@
                 (*retry)();
                 delete retry;
               },
-              new std::function<void()>([this, write, callback] {
-                this->Settle(write, callback);
-              }));
+              new std::function<void()>(
+                  [this, write, callback] { this->Settle(write, callback); }));
           return;
         }
         // The rows are read before the entry vouches again, so that it knows
--- a/src/fireflythread/daemon/vm_list_task.h
+++ b/src/fireflythread/daemon/vm_list_task.h
@@ -10,8 +10,8 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/daemon/periodic_timer.h"
-#include "fireflythread/platform/listed_vm.h"
 #include "fireflythread/platform/fwd.h"
+#include "fireflythread/platform/listed_vm.h"
 #include "fireflythread/settings/daemon_settings.h"
 
 namespace fireflythread {
--- a/src/fireflythread/daemon/vm_prober.cc
+++ b/src/fireflythread/daemon/vm_prober.cc
@@ -16,8 +16,7 @@
   if (data == nullptr) {
     return "";
   }
-  const auto object =
-      nlohmann::json::parse(data, data + size, nullptr, false);
+  const auto object = nlohmann::json::parse(data, data + size, nullptr, false);
   if (!object.is_object()) {
     return "";
   }
@@ -75,10 +74,11 @@
     -> void {
   const std::unique_ptr<Call> call(static_cast<Call*>(data));
   GError* error = nullptr;
-  GBytes* body = soup_session_send_and_read_finish(SOUP_SESSION(source),
-                                                   result, &error);
+  GBytes* body =
+      soup_session_send_and_read_finish(SOUP_SESSION(source), result, &error);
   const bool cancelled =
-      error != nullptr && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED);
+      error != nullptr &&
+      g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED);
   if (!cancelled) {
     const bool answering =
         body != nullptr &&
--- a/src/fireflythread/gateway/trace_context.h
+++ b/src/fireflythread/gateway/trace_context.h
@@ -27,8 +27,7 @@
     -> SpanContext;
 
 /// The `traceparent` header that makes `context` the receiver's parent.
-[[nodiscard]] auto TraceparentHeader(const SpanContext& context)
-    -> std::string;
+[[nodiscard]] auto TraceparentHeader(const SpanContext& context) -> std::string;
 
 }  // namespace fireflythread
 
