--- /dev/null
+++ b/src/fireflythread/admin/admin_role.h
@@ -0,0 +1,13 @@
+#ifndef FIREFLYTHREAD_ADMIN_ADMIN_ROLE_H_
+#define FIREFLYTHREAD_ADMIN_ADMIN_ROLE_H_
+
+#include <cstdint>
+
+namespace fireflythread {
+
+/// What a token permits. kEdit includes kView.
+enum class AdminRole : std::uint8_t { kView, kEdit };
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ADMIN_ADMIN_ROLE_H_
--- /dev/null
+++ b/src/fireflythread/admin/wave_selector.h
@@ -0,0 +1,23 @@
+#ifndef FIREFLYTHREAD_ADMIN_WAVE_SELECTOR_H_
+#define FIREFLYTHREAD_ADMIN_WAVE_SELECTOR_H_
+
+#include <vector>
+
+#include "fireflythread/base/ids.h"
+
+namespace fireflythread {
+
+/// The VMs that a maintenance wave takes: those that are in any of the named
+/// zones, racks or pools, and the named VMs. Never empty in a request.
+struct WaveSelector {
+  std::vector<ZoneName> zones;
+  std::vector<RackName> racks;
+  std::vector<PoolName> pools;
+  std::vector<VmId> vms;
+
+  auto operator==(const WaveSelector&) const -> bool = default;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ADMIN_WAVE_SELECTOR_H_
--- a/src/fireflythread/telemetry/log_record.cc
+++ b/src/fireflythread/telemetry/log_record.cc
@@ -1,13 +1,12 @@
 #include "fireflythread/telemetry/log_record.h"
 
-#include <fmt/chrono.h>
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "fireflythread/telemetry/format_time.h"
+
 namespace fireflythread {
 namespace {
 
@@ -22,16 +21,6 @@
       });
 }
 
-auto FormatTime(WallTime now) -> std::string {
-  using std::chrono::milliseconds;
-  using std::chrono::seconds;
-  const auto whole = std::chrono::floor<seconds>(now);
-  const auto rest = std::chrono::floor<milliseconds>(now - whole);
-  return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
-                     fmt::gmtime(std::chrono::system_clock::to_time_t(whole)),
-                     rest.count());
-}
-
 auto FieldsToJson(const std::vector<LogField>& fields)
     -> nlohmann::ordered_json {
   auto json = nlohmann::ordered_json::object();
@@ -52,7 +41,7 @@
                    const LogIdentity& identity,
                    WallTime now) -> std::string {
   nlohmann::ordered_json line{
-      {"time", FormatTime(now)},       {"level", FormatLogLevel(record.level)},
+      {"time", FormatWallTime(now)},   {"level", FormatLogLevel(record.level)},
       {"component", record.component}, {"zone", identity.zone.value},
       {"entry", identity.entry.value}, {"event", record.event}};
   if (!record.request_id.empty()) {
