--- a/src/fireflythread/admin/admin_backend.h
+++ b/src/fireflythread/admin/admin_backend.h
@@ -24,7 +24,7 @@
 #include "fireflythread/base/time.h"
 #include "fireflythread/telemetry/span.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// What the administration API needs from the daemon. Every method with a
 /// callback runs it exactly once, either before it returns or later on the same
@@ -89,6 +89,6 @@
   [[nodiscard]] virtual auto RenderMetrics() const -> std::string = 0;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_BACKEND_H_
--- a/src/fireflythread/admin/admin_error.h
+++ b/src/fireflythread/admin/admin_error.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Why a call of the administration API gave no result.
 struct AdminError {
@@ -26,6 +26,6 @@
   std::vector<std::string> details;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_ERROR_H_
--- a/src/fireflythread/admin/admin_handler.cc
+++ b/src/fireflythread/admin/admin_handler.cc
@@ -9,7 +9,7 @@
 #include "fireflythread/admin/encode_status.h"
 #include "fireflythread/telemetry/logger.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 constexpr std::string_view kApiPrefix = "/v1/";
@@ -99,4 +99,4 @@
   StartApiCall(request, identity->name, this->backend, log_and_respond);
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/admin_handler.h
+++ b/src/fireflythread/admin/admin_handler.h
@@ -9,7 +9,7 @@
 #include "fireflythread/admin/fwd.h"
 #include "fireflythread/telemetry/fwd.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Answers the requests of the administration API: checks the token and the
 /// request, calls the backend and encodes its answer. Free of sockets.
@@ -30,6 +30,6 @@
   const Logger& logger;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_HANDLER_H_
--- a/src/fireflythread/admin/admin_request.h
+++ b/src/fireflythread/admin/admin_request.h
@@ -4,7 +4,7 @@
 #include <map>
 #include <string>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// A request to the administration API, independent of the HTTP library.
 struct AdminRequest {
@@ -20,6 +20,6 @@
   std::string body;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_REQUEST_H_
--- a/src/fireflythread/admin/admin_response.cc
+++ b/src/fireflythread/admin/admin_response.cc
@@ -5,7 +5,7 @@
 #include "fireflythread/admin/admin_error.h"
 #include "fireflythread/admin/edit_result.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 auto StatusOf(AdminError::Kind kind) -> int {
@@ -79,4 +79,4 @@
   return MakeJsonResponse(409, {{"error", error}});
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/admin_response.h
+++ b/src/fireflythread/admin/admin_response.h
@@ -9,7 +9,7 @@
 
 #include "fireflythread/admin/fwd.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// A response of the administration API, independent of the HTTP library.
 struct AdminResponse {
@@ -38,6 +38,6 @@
 [[nodiscard]] auto MakeConflictResponse(const EditConflict& conflict)
     -> AdminResponse;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_RESPONSE_H_
--- a/src/fireflythread/admin/admin_role.h
+++ b/src/fireflythread/admin/admin_role.h
@@ -3,11 +3,11 @@
 
 #include <cstdint>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// What a token permits. kEdit includes kView.
 enum class AdminRole : std::uint8_t { kView, kEdit };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_ROLE_H_
--- a/src/fireflythread/admin/admin_server.h
+++ b/src/fireflythread/admin/admin_server.h
@@ -11,7 +11,7 @@
 #include "fireflythread/admin/fwd.h"
 #include "fireflythread/telemetry/fwd.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// The listener of the administration API, `/healthz`, `/readyz` and
 /// `/metrics`, on the thread's default main context. `backend` and `logger`
@@ -41,6 +41,6 @@
   std::unique_ptr<State> state;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_SERVER_H_
--- a/src/fireflythread/admin/admin_server_options.h
+++ b/src/fireflythread/admin/admin_server_options.h
@@ -8,7 +8,7 @@
 #include "fireflythread/base/time.h"
 #include "fireflythread/settings/endpoint.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Where the administration API listens and what bounds its clients.
 struct AdminServerOptions {
@@ -24,6 +24,6 @@
   Duration receive_timeout = std::chrono::seconds(10);
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_SERVER_OPTIONS_H_
--- a/src/fireflythread/admin/admin_tokens.cc
+++ b/src/fireflythread/admin/admin_tokens.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 constexpr std::size_t kShortestToken = 16;
@@ -105,4 +105,4 @@
   return AdminTokens(std::move(tokens));
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/admin_tokens.h
+++ b/src/fireflythread/admin/admin_tokens.h
@@ -9,7 +9,7 @@
 
 #include "fireflythread/admin/admin_role.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// The bearer tokens of the administration API.
 class AdminTokens {
@@ -44,6 +44,6 @@
 [[nodiscard]] auto ParseAdminTokens(std::string_view text)
     -> std::variant<AdminTokens, std::vector<std::string>>;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ADMIN_TOKENS_H_
--- a/src/fireflythread/admin/api_call.cc
+++ b/src/fireflythread/admin/api_call.cc
@@ -12,7 +12,7 @@
 #include "fireflythread/admin/object_calls.h"
 #include "fireflythread/telemetry/trace_context.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 using internal::Respond;
@@ -271,4 +271,4 @@
   }
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/api_call.h
+++ b/src/fireflythread/admin/api_call.h
@@ -8,7 +8,7 @@
 #include "fireflythread/admin/admin_response.h"
 #include "fireflythread/admin/fwd.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Carries out a request below /v1/ whose token has been checked. `who` is the
 /// token's name. Calls `respond` exactly once, now or later.
@@ -17,6 +17,6 @@
                   AdminBackend& backend,
                   const std::function<void(AdminResponse)>& respond) -> void;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_API_CALL_H_
--- a/src/fireflythread/admin/blocked_vm.h
+++ b/src/fireflythread/admin/blocked_vm.h
@@ -5,7 +5,7 @@
 
 #include "fireflythread/base/ids.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// A VM that a wave or a move cannot take now, and the budget or cause that
 /// blocks it, e.g. "max_unavailable of profile counter in pool counter-desk".
@@ -14,6 +14,6 @@
   std::string reason;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_BLOCKED_VM_H_
--- a/src/fireflythread/admin/config_object.h
+++ b/src/fireflythread/admin/config_object.h
@@ -6,7 +6,7 @@
 
 #include "fireflythread/admin/object_kind.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// One profile, service, pool or team as the API shows it.
 struct ConfigObject {
@@ -20,6 +20,6 @@
   auto operator==(const ConfigObject&) const -> bool = default;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_CONFIG_OBJECT_H_
--- a/src/fireflythread/admin/config_version_status.h
+++ b/src/fireflythread/admin/config_version_status.h
@@ -7,7 +7,7 @@
 
 #include "fireflythread/base/ids.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Which configuration is committed and where it is in force.
 struct ConfigVersionStatus {
@@ -21,6 +21,6 @@
   std::vector<EntryId> behind;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_CONFIG_VERSION_STATUS_H_
--- a/src/fireflythread/admin/controller_status.h
+++ b/src/fireflythread/admin/controller_status.h
@@ -6,7 +6,7 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// The controller lease as the answering entry sees it.
 struct ControllerStatus {
@@ -18,6 +18,6 @@
   Duration duration{0};
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_CONTROLLER_STATUS_H_
--- a/src/fireflythread/admin/declare_request.h
+++ b/src/fireflythread/admin/declare_request.h
@@ -5,7 +5,7 @@
 
 #include "fireflythread/admin/wave_selector.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// An operator's order to take VMs for maintenance.
 struct DeclareRequest {
@@ -20,6 +20,6 @@
   std::string key;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_DECLARE_REQUEST_H_
--- a/src/fireflythread/admin/decode_request.cc
+++ b/src/fireflythread/admin/decode_request.cc
@@ -9,7 +9,7 @@
 
 #include "fireflythread/admin/vm_status.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 using Json = nlohmann::json;
@@ -260,4 +260,4 @@
   return *number;
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/decode_request.h
+++ b/src/fireflythread/admin/decode_request.h
@@ -13,7 +13,7 @@
 #include "fireflythread/admin/vm_filter.h"
 #include "fireflythread/base/time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// A value out of a request, or the error response to send instead.
 template <typename T>
@@ -51,6 +51,6 @@
                                 std::uint64_t min,
                                 std::uint64_t max) -> Decoded<std::uint64_t>;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_DECODE_REQUEST_H_
--- a/src/fireflythread/admin/edit_request.h
+++ b/src/fireflythread/admin/edit_request.h
@@ -8,7 +8,7 @@
 #include "fireflythread/admin/object_kind.h"
 #include "fireflythread/base/time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// An operator's edit of one configuration object.
 struct EditRequest {
@@ -26,6 +26,6 @@
   Duration wait{0};
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_EDIT_REQUEST_H_
--- a/src/fireflythread/admin/edit_result.h
+++ b/src/fireflythread/admin/edit_result.h
@@ -7,7 +7,7 @@
 
 #include "fireflythread/admin/admin_error.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// The edit is committed. `accepted` says that a majority of the members have
 /// applied it; otherwise it is pending.
@@ -30,6 +30,6 @@
 
 using EditResult = std::variant<EditDone, EditConflict, AdminError>;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_EDIT_RESULT_H_
--- a/src/fireflythread/admin/encode_status.cc
+++ b/src/fireflythread/admin/encode_status.cc
@@ -9,7 +9,7 @@
 #include "fireflythread/admin/vm_status.h"
 #include "fireflythread/telemetry/format_time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 using Json = nlohmann::json;
@@ -199,4 +199,4 @@
 template auto EncodeList(const char* key,
                          const std::vector<HistoryEntry>& items) -> Json;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/encode_status.h
+++ b/src/fireflythread/admin/encode_status.h
@@ -6,7 +6,7 @@
 
 #include "fireflythread/admin/fwd.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 [[nodiscard]] auto Encode(const ConfigObject& object) -> nlohmann::json;
 [[nodiscard]] auto Encode(const PoolStatus& pool) -> nlohmann::json;
@@ -39,6 +39,6 @@
                                 const std::vector<HistoryEntry>& items)
     -> nlohmann::json;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ENCODE_STATUS_H_
--- a/src/fireflythread/admin/entry_status.h
+++ b/src/fireflythread/admin/entry_status.h
@@ -8,7 +8,7 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// One member as the answering entry knows it.
 struct EntryStatus {
@@ -23,6 +23,6 @@
   bool is_self = false;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_ENTRY_STATUS_H_
--- a/src/fireflythread/admin/fleet_status.h
+++ b/src/fireflythread/admin/fleet_status.h
@@ -12,7 +12,7 @@
 #include "fireflythread/admin/wave_status.h"
 #include "fireflythread/fleet/vm_state.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// The overview that `fireflythreadctl status` shows on one screen.
 struct FleetStatus {
@@ -29,6 +29,6 @@
   std::vector<BlockedVm> blocked;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_FLEET_STATUS_H_
--- a/src/fireflythread/admin/fwd.h
+++ b/src/fireflythread/admin/fwd.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 enum class AdminRole : std::uint8_t;
 enum class ObjectKind : std::uint8_t;
@@ -35,6 +35,6 @@
 class AdminServer;
 class AdminTokens;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_FWD_H_
--- a/src/fireflythread/admin/history_entry.h
+++ b/src/fireflythread/admin/history_entry.h
@@ -7,7 +7,7 @@
 #include "fireflythread/admin/object_kind.h"
 #include "fireflythread/base/time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// One edit out of the `history` table.
 struct HistoryEntry {
@@ -24,6 +24,6 @@
   std::string new_body;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_HISTORY_ENTRY_H_
--- a/src/fireflythread/admin/history_query.h
+++ b/src/fireflythread/admin/history_query.h
@@ -7,7 +7,7 @@
 
 #include "fireflythread/admin/object_kind.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Which edits to list, newest first.
 struct HistoryQuery {
@@ -20,6 +20,6 @@
   std::string name;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_HISTORY_QUERY_H_
--- a/src/fireflythread/admin/io_load_admin_tokens.cc
+++ b/src/fireflythread/admin/io_load_admin_tokens.cc
@@ -9,7 +9,7 @@
 #include <cerrno>
 #include <system_error>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 using Result = std::variant<AdminTokens, std::vector<std::string>>;
@@ -69,4 +69,4 @@
   return result;
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/names.cc
+++ b/src/fireflythread/admin/names.cc
@@ -5,7 +5,7 @@
 #include "fireflythread/admin/vm_status.h"
 #include "fireflythread/admin/wave_state.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 constexpr std::array<ObjectKind, 4> kKinds{
@@ -54,4 +54,4 @@
   return kNames.at(static_cast<std::size_t>(state));
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/object_calls.cc
+++ b/src/fireflythread/admin/object_calls.cc
@@ -10,7 +10,7 @@
 #include "fireflythread/admin/decode_request.h"
 #include "fireflythread/admin/encode_status.h"
 
-namespace fireflythread::internal {
+namespace fireflythread::admin::internal {
 namespace {
 
 using Objects = std::vector<ConfigObject>;
@@ -159,4 +159,4 @@
                });
 }
 
-}  // namespace fireflythread::internal
+}  // namespace fireflythread::admin::internal
--- a/src/fireflythread/admin/object_calls.h
+++ b/src/fireflythread/admin/object_calls.h
@@ -9,7 +9,7 @@
 #include "fireflythread/admin/fwd.h"
 #include "fireflythread/admin/object_kind.h"
 
-namespace fireflythread::internal {
+namespace fireflythread::admin::internal {
 
 using Respond = std::function<void(AdminResponse)>;
 
@@ -31,6 +31,6 @@
                 AdminBackend& backend,
                 const Respond& respond) -> void;
 
-}  // namespace fireflythread::internal
+}  // namespace fireflythread::admin::internal
 
 #endif  // FIREFLYTHREAD_ADMIN_OBJECT_CALLS_H_
--- a/src/fireflythread/admin/object_kind.h
+++ b/src/fireflythread/admin/object_kind.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string_view>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// The kinds of configuration objects that operators edit. The number is the
 /// index of the kind's names.
@@ -21,6 +21,6 @@
 [[nodiscard]] auto ObjectKindFromCollection(std::string_view collection)
     -> std::optional<ObjectKind>;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_OBJECT_KIND_H_
--- a/src/fireflythread/admin/pool_status.h
+++ b/src/fireflythread/admin/pool_status.h
@@ -3,7 +3,7 @@
 
 #include "fireflythread/base/ids.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// One pool as it is now.
 struct PoolStatus {
@@ -21,6 +21,6 @@
   bool spare = false;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_POOL_STATUS_H_
--- a/src/fireflythread/admin/readiness.h
+++ b/src/fireflythread/admin/readiness.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Whether an entry serves callers.
 struct Readiness {
@@ -28,6 +28,6 @@
 [[nodiscard]] auto FormatReadinessState(Readiness::State state)
     -> std::string_view;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_READINESS_H_
--- a/src/fireflythread/admin/vm_filter.h
+++ b/src/fireflythread/admin/vm_filter.h
@@ -6,7 +6,7 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/fleet/vm_state.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// Which VMs to list; a field without value does not narrow the list.
 struct VmFilter {
@@ -16,6 +16,6 @@
   std::optional<VmState> state;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_VM_FILTER_H_
--- a/src/fireflythread/admin/vm_status.h
+++ b/src/fireflythread/admin/vm_status.h
@@ -6,7 +6,7 @@
 
 #include "fireflythread/fleet/vm_record.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// One VM's row and what this entry knows beside it.
 struct VmStatus {
@@ -22,6 +22,6 @@
 /// "serving", "draining", "drained", "rebooting", "verifying" or "failed".
 [[nodiscard]] auto FormatVmState(VmState state) -> std::string_view;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_VM_STATUS_H_
--- a/src/fireflythread/admin/wave_selector.h
+++ b/src/fireflythread/admin/wave_selector.h
@@ -5,7 +5,7 @@
 
 #include "fireflythread/base/ids.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// The VMs that a maintenance wave takes: those that are in any of the named
 /// zones, racks or pools, and the named VMs. Never empty in a request.
@@ -18,6 +18,6 @@
   auto operator==(const WaveSelector&) const -> bool = default;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_WAVE_SELECTOR_H_
--- a/src/fireflythread/admin/wave_state.h
+++ b/src/fireflythread/admin/wave_state.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string_view>
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 enum class WaveState : std::uint8_t {
   /// Only a plan, from a dry run.
@@ -20,6 +20,6 @@
 /// "planned", "declared", "running", "paused", "done" or "cancelled".
 [[nodiscard]] auto FormatWaveState(WaveState state) -> std::string_view;
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_WAVE_STATE_H_
--- a/src/fireflythread/admin/wave_status.h
+++ b/src/fireflythread/admin/wave_status.h
@@ -12,7 +12,7 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// A maintenance wave and how far it has come.
 struct WaveStatus {
@@ -35,6 +35,6 @@
   std::vector<WaveStep> steps;
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_WAVE_STATUS_H_
--- a/src/fireflythread/admin/wave_step.h
+++ b/src/fireflythread/admin/wave_step.h
@@ -6,7 +6,7 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 /// VMs that a wave takes together, and when, counted from its begin.
 struct WaveStep {
@@ -15,6 +15,6 @@
   Duration expected_duration{0};
 };
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
 
 #endif  // FIREFLYTHREAD_ADMIN_WAVE_STEP_H_
