--- a/src/fireflythread/daemon/state_task.h
+++ b/src/fireflythread/daemon/state_task.h
@@ -68,6 +68,9 @@
   /// True when the last poll of the store succeeded.
   [[nodiscard]] auto StoreReachable() const -> bool;
 
+  /// Reads the `config` table anew and calls back, also when that fails.
+  auto RefreshConfig(std::function<void()> done) -> void;
+
   /// Calls back once a majority has applied this configuration version, or
   /// with false when `deadline` has passed.
   auto WatchAcceptance(std::uint64_t config_version,
--- a/src/fireflythread/daemon/state_task_writes.cc
+++ b/src/fireflythread/daemon/state_task_writes.cc
@@ -143,6 +143,18 @@
   }
 }
 
+auto StateTask::RefreshConfig(std::function<void()> done) -> void {
+  this->platform.Scan(
+      TableOf(HeadKind::kConfig), 0, this->settings.platform.read_timeout,
+      [this, done = std::move(done)](auto result) {
+        const auto* scan = std::get_if<ScanResult>(&result);
+        if (scan != nullptr) {
+          (void)this->ReplaceState(scan->rows, HeadKind::kConfig);
+        }
+        done();
+      });
+}
+
 auto StateTask::WatchAcceptance(std::uint64_t config_version,
                                 TimePoint deadline,
                                 std::function<void(bool)> callback) -> void {
