--- a/src/fireflythread/control/maintenance_clock.cc
+++ b/src/fireflythread/control/maintenance_clock.cc
@@ -42,14 +42,4 @@
                      });
 }
 
-auto TimeUntilOpen(const std::vector<MaintenanceWindow>& windows, WallTime time)
-    -> Duration {
-  constexpr minutes kSearched = days(8);
-  minutes wait(0);
-  while (wait < kSearched && !IsWindowOpen(windows, time + wait)) {
-    wait += minutes(1);
-  }
-  return wait;
-}
-
 }  // namespace fireflythread
--- a/src/fireflythread/control/moves.cc
+++ b/src/fireflythread/control/moves.cc
@@ -131,9 +131,13 @@
                      });
 }
 
+constexpr int kHeadroomTier = 0;
+constexpr int kHeldTier = 1;
+constexpr int kSurplusTier = 2;
+
 /// What a pool can give to one that is short; `tier` tells better sources.
 struct Offer {
-  int tier = 0;
+  int tier = kHeadroomTier;
   int vms = 0;
 };
 
@@ -149,16 +153,19 @@
   const int surplus =
       serving - need.target - ExtraOf(context, from.name) + state.wave_out;
   if (std::min(surplus, beyond_need) > 0) {
-    return {2, std::min(surplus, beyond_need)};
+    return {kSurplusTier, std::min(surplus, beyond_need)};
   }
   if (beyond_need > 0) {
-    return {1, beyond_need};
+    return {kHeldTier, beyond_need};
   }
   const int floor = std::max({need.bare, from.min_vms, 1});
-  return {0, to.priority > from.priority ? serving - floor : 0};
+  return {kHeadroomTier, to.priority > from.priority ? serving - floor : 0};
 }
 
-auto MoveFromOtherPool(MoveContext& context, const PoolPolicy& to) -> bool {
+/// `lowest_tier` leaves out offers of worse tiers.
+auto MoveFromOtherPool(MoveContext& context,
+                       const PoolPolicy& to,
+                       int lowest_tier) -> bool {
   const PoolPolicy* best = nullptr;
   std::tuple<int, int, int> best_rank;
   for (const auto& [name, policy] : *context.policies) {
@@ -168,7 +175,8 @@
     const Offer offer = MakeOffer(context, policy, to);
     const std::tuple<int, int, int> rank = {offer.tier, -policy.priority,
                                             offer.vms};
-    if (offer.vms > 0 && (best == nullptr || rank > best_rank)) {
+    if (offer.vms > 0 && offer.tier >= lowest_tier &&
+        (best == nullptr || rank > best_rank)) {
       best = &policy;
       best_rank = rank;
     }
@@ -193,7 +201,7 @@
   int shortage = Shortage(context, policy);
   while (shortage > 0 && HasRoom(context, policy) &&
          (MoveFromSpare(context, policy, /*keep=*/0) ||
-          MoveFromOtherPool(context, policy))) {
+          MoveFromOtherPool(context, policy, kHeadroomTier))) {
     --shortage;
   }
   context.report->pools[policy.name].missing = std::max(0, shortage);
@@ -208,8 +216,15 @@
   const PoolState& state = context.summary->pools[policy.name];
   int wanted = NeedOf(context, policy.name).needed + extra - Available(state) -
                state.wave_out;
+  // A wave that could otherwise take no VM at all may borrow one VM of the
+  // reserve, or it would never end.
+  const bool stuck = context.summary->wave_out.empty() &&
+                     Available(state) <= NeedOf(context, policy.name).needed;
+  int keep_now = stuck ? 0 : keep;
   while (wanted > 0 && HasRoom(context, policy) &&
-         MoveFromSpare(context, policy, keep)) {
+         (MoveFromSpare(context, policy, keep_now) ||
+          MoveFromOtherPool(context, policy, kSurplusTier))) {
+    keep_now = keep;
     --wanted;
   }
 }
--- a/src/fireflythread/control/pool_policy.cc
+++ b/src/fireflythread/control/pool_policy.cc
@@ -1,6 +1,7 @@
 #include "fireflythread/control/pool_policy.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 
 #include "fireflythread/config/config_snapshot.h"
@@ -83,6 +84,19 @@
                      });
 }
 
+auto TimeUntilMaintenance(const PoolPolicy& policy, WallTime time) -> Duration {
+  // Windows begin on whole minutes and repeat weekly.
+  constexpr std::chrono::minutes kSearched = std::chrono::days(9);
+  if (IsMaintenanceOpen(policy, time)) {
+    return Duration::zero();
+  }
+  WallTime next = std::chrono::floor<std::chrono::minutes>(time);
+  do {
+    next += std::chrono::minutes(1);
+  } while (next - time < kSearched && !IsMaintenanceOpen(policy, next));
+  return next - time;
+}
+
 auto VmsNeeded(const PoolPolicy& policy, double slots) -> int {
   return CeilVms(slots * (1 + policy.headroom), policy.slots_per_worker);
 }
--- a/src/fireflythread/control/pool_policy.h
+++ b/src/fireflythread/control/pool_policy.h
@@ -43,6 +43,11 @@
 [[nodiscard]] auto IsMaintenanceOpen(const PoolPolicy& policy, WallTime time)
     -> bool;
 
+/// Time until the windows of all services are open, at most nine days; 0 when
+/// they are open.
+[[nodiscard]] auto TimeUntilMaintenance(const PoolPolicy& policy, WallTime time)
+    -> Duration;
+
 /// VMs that demand with headroom needs, of `slots` occupied slots.
 [[nodiscard]] auto VmsNeeded(const PoolPolicy& policy, double slots) -> int;
 
--- a/src/fireflythread/control/reboot_progress.cc
+++ b/src/fireflythread/control/reboot_progress.cc
@@ -85,11 +85,12 @@
 auto StepRebooting(const ControllerInputs& inputs,
                    ControllerMemory& memory,
                    const VmRecord& record,
+                   bool leaving,
                    FleetDraft& draft,
                    ControllerDecision& decision) -> void {
   VmTimer& timer = memory.timers[record.id];
   const VmProbe* probe = FindProbe(inputs, record.id);
-  if (probe != nullptr && HasRebooted(record, *probe)) {
+  if (leaving || (probe != nullptr && HasRebooted(record, *probe))) {
     VmRecord next = record;
     next.state = VmState::kVerifying;
     ChangeVm(draft, record, std::move(next));
--- a/src/fireflythread/control/reboot_progress.h
+++ b/src/fireflythread/control/reboot_progress.h
@@ -13,11 +13,13 @@
                  FleetDraft& draft,
                  ControllerDecision& decision) -> void;
 
-/// Orders the reboot until it is seen: the VM has stopped answering or shows
-/// another boot id. Fails the VM after the time limit.
+/// Orders the reboot until it is seen: the VM has stopped answering, shows
+/// another boot id, or the list shows it as leaving, as it does for a VM that
+/// reboots. Fails the VM after the time limit.
 auto StepRebooting(const ControllerInputs& inputs,
                    ControllerMemory& memory,
                    const VmRecord& record,
+                   bool leaving,
                    FleetDraft& draft,
                    ControllerDecision& decision) -> void;
 
--- a/src/fireflythread/control/vm_progress.cc
+++ b/src/fireflythread/control/vm_progress.cc
@@ -163,7 +163,8 @@
       StepDrained(inputs, record, listing, draft, decision);
       break;
     case VmState::kRebooting:
-      StepRebooting(inputs, memory, record, draft, decision);
+      StepRebooting(inputs, memory, record, listing == Listing::kLeaving, draft,
+                    decision);
       break;
     case VmState::kVerifying:
       StepVerifying(inputs, memory, record, listing == Listing::kLeaving, draft,
--- a/src/fireflythread/control/wave_step.cc
+++ b/src/fireflythread/control/wave_step.cc
@@ -179,10 +179,8 @@
     const auto need = plan.pools.find(name);
     allowance.needed = need == plan.pools.end() ? 0 : need->second.needed;
     if (allowance.spare) {
-      // With nothing out, one VM may go, or a wave would never end.
-      allowance.needed = std::min(
-          ReserveKeptFromWaves(policies, plan),
-          state.wave_out > 0 ? state.size : std::max(0, allowance.serving - 1));
+      allowance.needed = SpareVmsToLeave(ReserveKeptFromWaves(policies, plan),
+                                         allowance.serving, state.wave_out);
     }
     allowance.window_open = IsMaintenanceOpen(policy->second, inputs.wall_time);
     allowance.available = IsAvailable(inputs, policy->second);
@@ -190,6 +188,10 @@
   return allowances;
 }
 
+auto SpareVmsToLeave(int reserve, int serving, int wave_out) -> int {
+  return wave_out > 0 ? reserve : std::min(reserve, std::max(0, serving - 1));
+}
+
 auto FindCandidates(const ControllerInputs& inputs,
                     const FleetSummary& summary,
                     const FleetDraft& draft) -> std::vector<WaveCandidate> {
--- a/src/fireflythread/control/wave_step.h
+++ b/src/fireflythread/control/wave_step.h
@@ -40,6 +40,11 @@
                                   const FleetSummary& summary)
     -> WaveAllowances;
 
+/// Serving VMs of the spare pool that a wave must leave: the reserve, but with
+/// none out one VM may always go, or a wave would never end.
+[[nodiscard]] auto SpareVmsToLeave(int reserve, int serving, int wave_out)
+    -> int;
+
 /// The VMs that running waves could take in this step.
 [[nodiscard]] auto FindCandidates(const ControllerInputs& inputs,
                                   const FleetSummary& summary,
