--- /dev/null
+++ b/src/fireflythread/daemon/admin_task.cc
@@ -0,0 +1,322 @@
+#include "fireflythread/daemon/admin_task.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/config/codec.h"
+#include "fireflythread/config/config_snapshot.h"
+#include "fireflythread/config/plan_edit.h"
+#include "fireflythread/config/tables.h"
+#include "fireflythread/daemon/admin_task_waiters.h"
+#include "fireflythread/daemon/controller_report_codec.h"
+#include "fireflythread/daemon/controller_task.h"
+#include "fireflythread/daemon/gateway_task.h"
+#include "fireflythread/daemon/peer_message.h"
+#include "fireflythread/daemon/registration_task.h"
+#include "fireflythread/daemon/state_task.h"
+#include "fireflythread/fleet/fleet_view.h"
+#include "fireflythread/membership/freshness.h"
+#include "fireflythread/platform/platform_client.h"
+#include "fireflythread/telemetry/logger.h"
+#include "fireflythread/telemetry/metrics_registry.h"
+#include "fireflythread/telemetry/span.h"
+#include "fireflythread/telemetry/tracer.h"
+
+namespace fireflythread {
+namespace {
+
+using admin::AdminError;
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds kWaiterPeriod{50};
+constexpr std::chrono::milliseconds kReportTimeout{700};
+
+auto NotFound(const std::string& what) -> AdminError {
+  return {AdminError::Kind::kNotFound, what + " does not exist", {}};
+}
+
+auto Unavailable(const std::string& reason) -> AdminError {
+  return {AdminError::Kind::kUnavailable, reason, {}};
+}
+
+template <typename Map, typename Encode>
+auto Encoded(admin::ObjectKind kind, const Map& objects, Encode encode)
+    -> std::vector<admin::ConfigObject> {
+  std::vector<admin::ConfigObject> result;
+  result.reserve(objects.size());
+  for (const auto& [name, object] : objects) {
+    result.push_back({kind, name.value, object.version, encode(object)});
+  }
+  return result;
+}
+
+auto BodyText(const json& object, const char* field) -> std::string {
+  const auto found = object.find(field);
+  return found == object.end() || found->is_null() ? std::string()
+                                                   : found->dump();
+}
+
+auto HistoryFrom(const Row& row) -> std::optional<admin::HistoryEntry> {
+  const json object = json::parse(row.value, nullptr, false);
+  if (!object.is_object()) {
+    return std::nullopt;
+  }
+  const std::string key = object.value("object", "");
+  const std::size_t slash = key.find('/');
+  const std::optional<ConfigKind> kind =
+      ParseConfigKind(key.substr(0, std::min(slash, key.size())));
+  if (slash == std::string::npos || !kind) {
+    return std::nullopt;
+  }
+  admin::HistoryEntry entry;
+  entry.version = std::strtoull(row.key.c_str(), nullptr, 10);
+  entry.kind = static_cast<admin::ObjectKind>(*kind);
+  entry.name = key.substr(slash + 1);
+  entry.who = object.value("who", "");
+  entry.when = WallTime(
+      std::chrono::milliseconds(object.value("at_ms", std::int64_t{0})));
+  entry.from_version = object.value("from_version", std::uint64_t{0});
+  entry.old_body = BodyText(object, "old");
+  entry.new_body = BodyText(object, "new");
+  return entry;
+}
+
+}  // namespace
+
+AdminTask::AdminTask(Dependencies dependencies, std::uint64_t incarnation)
+    : deps(std::move(dependencies)),
+      editor(this->deps.settings,
+             incarnation,
+             this->deps.platform,
+             this->deps.logger,
+             this->deps.state) {}
+
+AdminTask::~AdminTask() = default;
+
+auto AdminTask::Start() -> void {
+  this->timer = std::make_unique<PeriodicTimer>(
+      kWaiterPeriod, [this] { this->CheckWaiters(); });
+}
+
+auto AdminTask::SetStopping() -> void {
+  this->stopping = true;
+}
+
+auto AdminTask::Objects(admin::ObjectKind kind) const
+    -> std::vector<admin::ConfigObject> {
+  const ConfigSnapshot& config = *this->deps.state.Current().config;
+  switch (kind) {
+    case admin::ObjectKind::kProfile:
+      return Encoded(kind, config.profiles, EncodeProfile);
+    case admin::ObjectKind::kService:
+      return Encoded(kind, config.services, EncodeService);
+    case admin::ObjectKind::kPool:
+      return Encoded(kind, config.pools, EncodePool);
+    case admin::ObjectKind::kTeam:
+      return Encoded(kind, config.teams, EncodeTeam);
+  }
+  return {};
+}
+
+auto AdminTask::ListObjects(admin::ObjectKind kind,
+                            Callback<std::vector<admin::ConfigObject>> callback)
+    -> void {
+  callback(this->Objects(kind));
+}
+
+auto AdminTask::GetObject(admin::ObjectKind kind,
+                          std::string name,
+                          Callback<admin::ConfigObject> callback) -> void {
+  for (admin::ConfigObject& object : this->Objects(kind)) {
+    if (object.name == name) {
+      callback(std::move(object));
+      return;
+    }
+  }
+  callback(NotFound(ConfigKey(static_cast<ConfigKind>(kind), name)));
+}
+
+auto AdminTask::Edit(admin::EditRequest request, EditCallback callback)
+    -> void {
+  this->editor.Edit(request, std::move(callback));
+}
+
+auto AdminTask::FindTrace(std::string trace_id,
+                          Callback<std::vector<Span>> callback) -> void {
+  std::vector<Span> spans = this->deps.tracer.Find(trace_id);
+  if (spans.empty()) {
+    callback(NotFound("trace " + trace_id));
+  } else {
+    callback(std::move(spans));
+  }
+}
+
+auto AdminTask::RenderMetrics() const -> std::string {
+  return this->deps.metrics.Render();
+}
+
+auto AdminTask::GetReadiness() const -> admin::Readiness {
+  const Membership& membership = this->deps.state.Members();
+  if (this->stopping) {
+    return {admin::Readiness::State::kStopping,
+            "finishing the requests in flight"};
+  }
+  if (membership.recovering) {
+    return {admin::Readiness::State::kStarting,
+            "neither the store nor a majority of peers has given the control "
+            "state"};
+  }
+  if (!MayServe(membership, this->deps.settings.freshness.limit,
+                ReadBootClock())) {
+    return {admin::Readiness::State::kCutOff,
+            "neither the store nor a majority of peers confirms the control "
+            "state"};
+  }
+  if (this->deps.state.Current().config->services.empty()) {
+    return {admin::Readiness::State::kStarting, "no service is configured"};
+  }
+  return {admin::Readiness::State::kServing, ""};
+}
+
+auto AdminTask::ConfigStatus(std::uint64_t version) const
+    -> admin::ConfigVersionStatus {
+  const Membership& membership = this->deps.state.Members();
+  admin::ConfigVersionStatus status;
+  status.committed = HighestKnown(membership, HeadKind::kConfig);
+  status.in_force[membership.self] = membership.applied.config;
+  for (const admin::EntryStatus& entry : this->Entries()) {
+    if (entry.state == admin::Readiness::State::kServing) {
+      status.in_force[entry.id] = entry.config_version;
+    }
+  }
+  const std::uint64_t wanted = version == 0 ? status.committed : version;
+  std::vector<std::uint64_t> versions;
+  for (const auto& [id, applied] : status.in_force) {
+    versions.push_back(applied);
+    if (applied < wanted) {
+      status.behind.push_back(id);
+    }
+  }
+  std::sort(versions.rbegin(), versions.rend());
+  const std::size_t majority = MajorityOf(membership);
+  status.accepted = versions.size() >= majority ? versions[majority - 1] : 0;
+  return status;
+}
+
+auto AdminTask::WaitForConfig(std::uint64_t version,
+                              Duration wait,
+                              Callback<admin::ConfigVersionStatus> callback)
+    -> void {
+  this->config_waiters.push_back(
+      {version, ReadBootClock() + wait, std::move(callback)});
+  this->CheckWaiters();
+}
+
+auto AdminTask::CheckWaiters() -> void {
+  const TimePoint now = ReadBootClock();
+  std::vector<std::function<void()>> ready;
+  std::erase_if(this->config_waiters, [&](ConfigWaiter& waiter) {
+    admin::ConfigVersionStatus status = this->ConfigStatus(waiter.version);
+    const bool reached =
+        status.behind.empty() && status.committed >= waiter.version;
+    if (!reached && now < waiter.deadline) {
+      return false;
+    }
+    ready.emplace_back([callback = std::move(waiter.callback),
+                        status = std::move(status)] { callback(status); });
+    return true;
+  });
+  std::erase_if(this->report_waiters, [&](auto& item) {
+    if (now < item.second.deadline) {
+      return false;
+    }
+    ready.emplace_back([callback = std::move(item.second.callback)] {
+      callback(std::nullopt);
+    });
+    return true;
+  });
+  for (const auto& call : ready) {
+    call();
+  }
+}
+
+auto AdminTask::WithReport(ReportCallback callback) -> void {
+  if (this->deps.controller.IsController()) {
+    callback(this->deps.controller.Report());
+    return;
+  }
+  const std::optional<EntryId> holder = this->deps.controller.Holder();
+  if (!holder || *holder == this->deps.settings.entry.id) {
+    callback(std::nullopt);
+    return;
+  }
+  const std::uint64_t request = ++this->report_requests;
+  this->report_waiters.emplace(
+      request,
+      ReportWaiter{ReadBootClock() + kReportTimeout, std::move(callback)});
+  peer::Envelope envelope;
+  envelope.mutable_report_request()->set_request(request);
+  this->deps.send(*holder, std::move(envelope));
+}
+
+auto AdminTask::HandlePeer(const PeerMessage& message) -> void {
+  if (message.envelope.has_report_request()) {
+    peer::Envelope envelope;
+    peer::ReportReply& reply = *envelope.mutable_report_reply();
+    reply.set_request(message.envelope.report_request().request());
+    const std::optional<ControllerReport>& report =
+        this->deps.controller.Report();
+    if (this->deps.controller.IsController() && report) {
+      reply.set_controller(true);
+      reply.set_report(EncodeControllerReport(*report));
+    }
+    this->deps.send(message.sender, std::move(envelope));
+  } else if (message.envelope.has_report_reply()) {
+    const peer::ReportReply& reply = message.envelope.report_reply();
+    auto waiter = this->report_waiters.extract(reply.request());
+    if (!waiter.empty()) {
+      waiter.mapped().callback(reply.controller()
+                                   ? DecodeControllerReport(reply.report())
+                                   : std::nullopt);
+    }
+  }
+}
+
+auto AdminTask::ListHistory(admin::HistoryQuery query,
+                            Callback<std::vector<admin::HistoryEntry>> callback)
+    -> void {
+  this->deps.platform.Scan(
+      kHistoryTable, 0, this->deps.settings.platform.read_timeout,
+      [query, callback](auto result) {
+        const auto* scan = std::get_if<ScanResult>(&result);
+        if (scan == nullptr) {
+          callback(Unavailable("the store cannot be read"));
+          return;
+        }
+        std::vector<admin::HistoryEntry> entries;
+        for (const Row& row : scan->rows) {
+          std::optional<admin::HistoryEntry> entry = HistoryFrom(row);
+          const bool wanted =
+              entry && (query.before == 0 || entry->version < query.before) &&
+              (!query.kind ||
+               (entry->kind == *query.kind && entry->name == query.name));
+          if (!wanted) {
+            continue;
+          }
+          entries.push_back(std::move(*entry));
+        }
+        std::sort(entries.begin(), entries.end(),
+                  [](const auto& left, const auto& right) {
+                    return left.version > right.version;
+                  });
+        if (entries.size() > static_cast<std::size_t>(query.limit)) {
+          entries.resize(static_cast<std::size_t>(query.limit));
+        }
+        callback(std::move(entries));
+      });
+}
+
+}  // namespace fireflythread
--- a/src/fireflythread/daemon/controller_task.cc
+++ b/src/fireflythread/daemon/controller_task.cc
@@ -94,6 +94,16 @@
   return this->lease.watched ? this->lease.watched->epoch : 0;
 }
 
+auto ControllerTask::SinceRenewal() const -> Duration {
+  const TimePoint now = ReadBootClock();
+  return this->lease.watched ? now - this->lease.watched->unchanged_since
+                             : Duration(0);
+}
+
+auto ControllerTask::Memory() const -> const ControllerMemory& {
+  return this->memory;
+}
+
 auto ControllerTask::Report() const -> const std::optional<ControllerReport>& {
   return this->report;
 }
--- a/src/fireflythread/daemon/controller_task.h
+++ b/src/fireflythread/daemon/controller_task.h
@@ -63,6 +63,9 @@
   [[nodiscard]] auto Holder() const -> std::optional<EntryId>;
   [[nodiscard]] auto IsController() const -> bool;
   [[nodiscard]] auto Epoch() const -> std::uint64_t;
+  /// Time since the lease row was last seen to change.
+  [[nodiscard]] auto SinceRenewal() const -> Duration;
+  [[nodiscard]] auto Memory() const -> const ControllerMemory&;
   /// The latest report; no value when this entry is not the controller.
   [[nodiscard]] auto Report() const -> const std::optional<ControllerReport>&;
   /// The inputs of the next step, for planning a wave without changes.
