Add the scheduler of long tasks

A lost worker's task is leased anew only when its lease has ended, counted from the last renewal or, for a new controller, from its first sight. Drains wait for long tasks to be checkpointed, for a bounded time.

--- a/src/fireflythread/control/controller_inputs.h
+++ b/src/fireflythread/control/controller_inputs.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "fireflythread/base/ids.h"
@@ -37,6 +38,9 @@
   /// Probes of the VMs that are not in kServing, at the least.
   std::map<VmId, VmProbe> probes;
   std::map<VmId, WorkerFault> faults;
+  /// VMs that hold long tasks; see VmsWithTasks. Their drains wait until the
+  /// tasks are checkpointed, at most `limits.task_drain`.
+  std::set<VmId> task_vms;
   /// The number in the `lease/controller_epoch` row, used as fencing token,
   /// and the row's version, a condition of every write.
   std::uint64_t epoch = 0;
--- a/src/fireflythread/control/controller_limits.h
+++ b/src/fireflythread/control/controller_limits.h
@@ -17,6 +17,8 @@
   Duration verify = std::chrono::seconds(1);
   /// A VM missing from the VM list for this long is removed. The list lags.
   Duration gone = std::chrono::seconds(5);
+  /// How long a drain waits for long tasks to be checkpointed and moved.
+  Duration task_drain = std::chrono::seconds(60);
   /// A command is repeated after this time while its effect is not seen.
   Duration command_interval = std::chrono::seconds(2);
   /// How long a pool keeps VMs for a peak that has passed, at equal weights of
--- a/src/fireflythread/control/controller_memory.h
+++ b/src/fireflythread/control/controller_memory.h
@@ -12,7 +12,8 @@
 
 namespace fireflythread {
 
-/// Since when a VM's row has had its generation, as this controller saw it.
+/// Since when the row of a VM that is not serving has had its generation, as
+/// this controller saw it.
 struct VmTimer {
   std::uint64_t generation = 0;
   TimePoint since;
--- a/src/fireflythread/control/vm_progress.cc
+++ b/src/fireflythread/control/vm_progress.cc
@@ -78,6 +78,14 @@
   ChangeVm(draft, record, std::move(next));
 }
 
+auto WaitsForTasks(const ControllerInputs& inputs,
+                   const ControllerMemory& memory,
+                   const VmRecord& record) -> bool {
+  const auto timer = memory.timers.find(record.id);
+  return inputs.task_vms.contains(record.id) && timer != memory.timers.end() &&
+         inputs.now - timer->second.since < inputs.limits.task_drain;
+}
+
 auto StepDraining(const ControllerInputs& inputs,
                   const ControllerMemory& memory,
                   const VmRecord& record,
@@ -98,6 +106,10 @@
         {record.id, "waits for " + JoinEntries(holding)});
     return;
   }
+  if (WaitsForTasks(inputs, memory, record)) {
+    decision.report.draining.push_back({record.id, "waits for long tasks"});
+    return;
+  }
   next.state = VmState::kDrained;
   ChangeVm(draft, record, std::move(next));
 }
@@ -180,8 +192,7 @@
 auto UpdateTimer(const ControllerInputs& inputs,
                  ControllerMemory& memory,
                  const VmRecord& record) -> void {
-  if (record.state != VmState::kRebooting &&
-      record.state != VmState::kVerifying) {
+  if (record.state == VmState::kServing || record.state == VmState::kFailed) {
     memory.timers.erase(record.id);
     return;
   }
--- /dev/null
+++ b/src/fireflythread/tasks/task_inputs.h
@@ -0,0 +1,40 @@
+#ifndef FIREFLYTHREAD_TASKS_TASK_INPUTS_H_
+#define FIREFLYTHREAD_TASKS_TASK_INPUTS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/config/fwd.h"
+#include "fireflythread/fleet/fwd.h"
+#include "fireflythread/platform/worker_task_report.h"
+#include "fireflythread/tasks/task_limits.h"
+#include "fireflythread/tasks/task_record.h"
+
+namespace fireflythread {
+
+/// All that the controller decides on for long tasks. The pointers are never
+/// null and stay valid during the call.
+struct TaskInputs {
+  const ConfigSnapshot* config = nullptr;
+  const FleetView* fleet = nullptr;
+  /// Rows that are not final, at the least.
+  const std::map<TaskId, TaskRecord>* tasks = nullptr;
+  /// The last report of every task; they lag. No value while the platform does
+  /// not answer.
+  std::optional<std::vector<WorkerTaskReport>> reports;
+  /// VMs that take no work although their row says serving; see FindLostVms.
+  std::set<VmId> lost;
+  std::uint64_t epoch = 0;
+  std::uint64_t epoch_row_version = 0;
+  TaskLimits limits;
+  TimePoint now;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_TASKS_TASK_INPUTS_H_
--- /dev/null
+++ b/src/fireflythread/tasks/task_limits.h
@@ -0,0 +1,38 @@
+#ifndef FIREFLYTHREAD_TASKS_TASK_LIMITS_H_
+#define FIREFLYTHREAD_TASKS_TASK_LIMITS_H_
+
+#include <chrono>
+
+#include "fireflythread/base/time.h"
+
+namespace fireflythread {
+
+/// Limits of long tasks.
+struct TaskLimits {
+  /// A worker stops a task that is not renewed for this long.
+  Duration lease = std::chrono::seconds(10);
+  Duration renew_interval = std::chrono::seconds(3);
+  /// A command is repeated after this time while its effect is not seen.
+  Duration command_interval = std::chrono::seconds(2);
+  /// A worker that reports nothing of a lease for this long has failed the
+  /// task.
+  Duration start = std::chrono::seconds(30);
+  /// Share of a worker's slots that long tasks may occupy; at least one slot.
+  double slot_share = 0.25;
+  /// A task that this many different workers failed never runs.
+  int workers_before_never_runs = 3;
+  /// A worker that fails this many tasks within `failure_span`, and finishes
+  /// none, is reported and gets no tasks for `failure_pause`.
+  int failures_before_report = 3;
+  Duration failure_span = std::chrono::seconds(60);
+  Duration failure_pause = std::chrono::seconds(300);
+  /// Rows in one transaction and transactions in one step; they bound what a
+  /// burst of cancellations costs. A row that an entry changes at the same time
+  /// makes only its own transaction conflict.
+  int rows_per_transaction = 16;
+  int transactions_per_step = 4;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_TASKS_TASK_LIMITS_H_
--- /dev/null
+++ b/src/fireflythread/tasks/task_step.cc
@@ -0,0 +1,211 @@
+#include "fireflythread/tasks/task_step.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "fireflythread/fleet/fleet_view.h"
+#include "fireflythread/platform/worker_task_report.h"
+#include "fireflythread/tasks/task_decision.h"
+#include "fireflythread/tasks/task_inputs.h"
+#include "fireflythread/tasks/task_memory.h"
+
+namespace fireflythread {
+namespace {
+
+enum class WorkerCondition { kServing, kDraining, kLost };
+
+auto FindCondition(const TaskInputs& inputs, const VmId& vm)
+    -> WorkerCondition {
+  const auto record = inputs.fleet->vms.find(vm);
+  if (record == inputs.fleet->vms.end()) {
+    return WorkerCondition::kLost;
+  }
+  switch (record->second.state) {
+    case VmState::kServing:
+      return inputs.lost.contains(vm) ? WorkerCondition::kDraining
+                                      : WorkerCondition::kServing;
+    case VmState::kDraining:
+    case VmState::kDrained:
+      return WorkerCondition::kDraining;
+    case VmState::kRebooting:
+    case VmState::kVerifying:
+    case VmState::kFailed:
+      return WorkerCondition::kLost;
+  }
+  return WorkerCondition::kLost;
+}
+
+auto TimerOf(const TaskInputs& inputs,
+             const TaskRecord& task,
+             TaskMemory& memory) -> TaskTimer& {
+  TaskTimer& timer = memory.timers[task.id];
+  if (timer.fence != task.fence) {
+    timer = {task.fence, inputs.now, std::nullopt, std::nullopt};
+  }
+  return timer;
+}
+
+/// No worker goes on without a renewal for longer than its lease.
+auto HasLeaseEnded(const TaskInputs& inputs,
+                   const TaskRecord& task,
+                   const TaskTimer& timer) -> bool {
+  const Duration lease = std::max<Duration>(
+      inputs.limits.lease, std::chrono::milliseconds(task.lease_ms));
+  return inputs.now - timer.renewed >= lease;
+}
+
+auto SendCommand(const TaskInputs& inputs,
+                 const TaskRecord& task,
+                 TaskTimer& timer,
+                 WorkerTaskCommandKind kind,
+                 TaskDecision& decision) -> void {
+  const Duration interval = kind == WorkerTaskCommandKind::kRenew
+                                ? inputs.limits.renew_interval
+                                : inputs.limits.command_interval;
+  if (timer.last_command.has_value() &&
+      inputs.now - *timer.last_command < interval) {
+    return;
+  }
+  timer.last_command = inputs.now;
+  WorkerTaskCommand command;
+  command.vm = task.worker;
+  command.task = task.id;
+  command.kind = kind;
+  command.fence = task.fence;
+  command.lease = std::chrono::milliseconds(task.lease_ms);
+  if (kind == WorkerTaskCommandKind::kRun) {
+    command.body = task.body;
+    command.checkpoint = task.checkpoint;
+  }
+  if (kind == WorkerTaskCommandKind::kRun ||
+      kind == WorkerTaskCommandKind::kRenew) {
+    timer.renewed = inputs.now;
+  }
+  decision.commands.push_back(std::move(command));
+}
+
+/// Takes the task from its worker; the next placement raises the fence.
+auto Requeue(TaskRecord task) -> TaskRecord {
+  task.state = task.state == TaskState::kCancelling ? TaskState::kCancelled
+                                                    : TaskState::kQueued;
+  task.worker = VmId();
+  return task;
+}
+
+auto AfterFailure(const TaskInputs& inputs, TaskRecord task, TaskMemory& memory)
+    -> TaskRecord {
+  NoteTaskFailure(memory.failures[task.worker], task.id, inputs.limits,
+                  inputs.now);
+  if (std::find(task.failed_on.begin(), task.failed_on.end(), task.worker) ==
+      task.failed_on.end()) {
+    task.failed_on.push_back(task.worker);
+  }
+  TaskRecord next = Requeue(std::move(task));
+  if (next.state == TaskState::kQueued &&
+      static_cast<int>(next.failed_on.size()) >=
+          inputs.limits.workers_before_never_runs) {
+    next.state = TaskState::kNeverRuns;
+    next.reason = "failed on " + std::to_string(next.failed_on.size()) +
+                  " different workers";
+  }
+  return next;
+}
+
+/// The record after a report that ends the lease; no value when the task still
+/// runs.
+auto AfterReport(const TaskInputs& inputs,
+                 const TaskRecord& task,
+                 const WorkerTaskReport& report,
+                 TaskMemory& memory) -> std::optional<TaskRecord> {
+  TaskRecord next = task;
+  if (!report.checkpoint.empty()) {
+    next.checkpoint = report.checkpoint;
+  }
+  switch (report.state) {
+    case WorkerTaskState::kRunning:
+      return std::nullopt;
+    case WorkerTaskState::kDone:
+      NoteTaskSuccess(memory.failures[task.worker]);
+      next = Requeue(std::move(next));
+      next.worker = task.worker;
+      if (next.state == TaskState::kQueued) {
+        next.state = TaskState::kDone;
+        next.result = report.result;
+      }
+      return next;
+    case WorkerTaskState::kFailed:
+      return AfterFailure(inputs, std::move(next), memory);
+    case WorkerTaskState::kCheckpointed:
+      if (task.state == TaskState::kCancelling) {
+        // Suspended at the worker; it has still to be stopped.
+        return std::nullopt;
+      }
+      return Requeue(std::move(next));
+    case WorkerTaskState::kStopped:
+    case WorkerTaskState::kLeaseExpired:
+      return Requeue(std::move(next));
+  }
+  return std::nullopt;
+}
+
+/// Whether the worker has shown nothing of the lease for too long.
+auto IsUnreported(const TaskInputs& inputs,
+                  const WorkerTaskReport* report,
+                  TaskTimer& timer) -> bool {
+  if (report != nullptr || !inputs.reports.has_value()) {
+    timer.unreported_since.reset();
+    return false;
+  }
+  timer.unreported_since = timer.unreported_since.value_or(inputs.now);
+  return inputs.now - *timer.unreported_since >= inputs.limits.start;
+}
+
+auto CommandFor(const TaskRecord& task, bool started) -> WorkerTaskCommandKind {
+  if (task.state == TaskState::kCancelling) {
+    return WorkerTaskCommandKind::kStop;
+  }
+  if (task.state == TaskState::kCheckpointing) {
+    return WorkerTaskCommandKind::kCheckpoint;
+  }
+  return started ? WorkerTaskCommandKind::kRenew : WorkerTaskCommandKind::kRun;
+}
+
+}  // namespace
+
+auto StepLeasedTask(const TaskInputs& inputs,
+                    const TaskRecord& task,
+                    const WorkerTaskReport* report,
+                    TaskMemory& memory,
+                    TaskDecision& decision) -> std::optional<TaskRecord> {
+  TaskTimer& timer = TimerOf(inputs, task, memory);
+  if (report != nullptr) {
+    std::optional<TaskRecord> next = AfterReport(inputs, task, *report, memory);
+    if (next.has_value()) {
+      return next;
+    }
+  }
+  const WorkerCondition condition = FindCondition(inputs, task.worker);
+  const bool unreported = IsUnreported(inputs, report, timer);
+  const bool lost = condition == WorkerCondition::kLost || unreported;
+  if (lost || task.state != TaskState::kRunning) {
+    // Not renewed any more: the worker must finish this or lose the lease.
+    if (HasLeaseEnded(inputs, task, timer)) {
+      return unreported ? AfterFailure(inputs, task, memory) : Requeue(task);
+    }
+  }
+  if (lost) {
+    return std::nullopt;
+  }
+  if (condition == WorkerCondition::kDraining &&
+      task.state == TaskState::kRunning) {
+    TaskRecord next = task;
+    next.state = TaskState::kCheckpointing;
+    return next;
+  }
+  SendCommand(inputs, task, timer, CommandFor(task, report != nullptr),
+              decision);
+  return std::nullopt;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/tasks/worker_failures.cc
@@ -0,0 +1,26 @@
+#include "fireflythread/tasks/worker_failures.h"
+
+namespace fireflythread {
+
+auto NoteTaskFailure(WorkerFailures& worker,
+                     const TaskId& task,
+                     const TaskLimits& limits,
+                     TimePoint now) -> void {
+  std::erase_if(worker.failed, [&](const auto& failure) {
+    return now - failure.second > limits.failure_span;
+  });
+  worker.failed[task] = now;
+  if (static_cast<int>(worker.failed.size()) >= limits.failures_before_report) {
+    worker.paused_until = now + limits.failure_pause;
+  }
+}
+
+auto NoteTaskSuccess(WorkerFailures& worker) -> void {
+  worker = {};
+}
+
+auto IsPaused(const WorkerFailures& worker, TimePoint now) -> bool {
+  return worker.paused_until.has_value() && now < *worker.paused_until;
+}
+
+}  // namespace fireflythread
