--- a/src/fireflythread/admin/io_load_admin_tokens.cc
+++ b/src/fireflythread/admin/io_load_admin_tokens.cc
@@ -50,7 +50,7 @@
   Result result = ParseAdminTokens(ReadAll(descriptor));
   if (auto* faults = std::get_if<std::vector<std::string>>(&result)) {
     for (std::string& fault : *faults) {
-      fault = path + ": " + fault;
+      fault.insert(0, path + ": ");
     }
   }
   return result;
