--- a/src/fireflythread/platform/io_http_platform_client.cc
+++ b/src/fireflythread/platform/io_http_platform_client.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <string_view>
 #include <utility>
 
 #include "fireflythread/base/assert.h"
@@ -133,6 +134,12 @@
   SoupMessage* message = soup_message_new(request.method, uri.c_str());
   FIREFLYTHREAD_ASSERT(message != nullptr, "the platform's address is a URI");
   soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
+  // libsoup opens a new connection for each message that it may not resend;
+  // without this header it would keep them all.
+  if (std::string_view(request.method) != "GET") {
+    soup_message_headers_replace(soup_message_get_request_headers(message),
+                                 "Connection", "close");
+  }
   if (!request.body->empty()) {
     GBytes* bytes = g_bytes_new(request.body->data(), request.body->size());
     soup_message_set_request_body_from_bytes(message, "application/json",
--- a/standin/backend/backend_faults.cc
+++ b/standin/backend/backend_faults.cc
@@ -4,6 +4,7 @@
 
 auto ApplyFaults(const nlohmann::json& json, BackendFaults& faults) -> void {
   faults.fail = json.value("fail", faults.fail);
+  faults.unhealthy = json.value("unhealthy", faults.unhealthy);
   faults.frozen = json.value("frozen", faults.frozen);
   faults.silence_connections =
       json.value("silence_connections", faults.silence_connections);
--- a/standin/backend/backend_faults.h
+++ b/standin/backend/backend_faults.h
@@ -10,6 +10,8 @@
 struct BackendFaults {
   /// Answers every request with 500 at once, without running it to its end.
   bool fail = false;
+  /// The health probe gets 503. `fail` alone leaves the probe answering 200.
+  bool unhealthy = false;
   /// Accepts connections and requests and does nothing. The requests run when
   /// the fault ends, as those of a paused process do.
   bool frozen = false;
--- a/standin/backend/worker.cc
+++ b/standin/backend/worker.cc
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "fireflythread/base/io_clock.h"
 #include "standin/common/digest.h"
 #include "standin/common/host_port.h"
 #include "standin/common/main_loop.h"
@@ -45,6 +46,7 @@
       listener(HostOf(this->entry.address),
                PortOf(this->entry.address),
                [this](const Exchange& exchange) { this->Handle(exchange); }) {
+  this->NewBootId();
   this->listener.SetMaxConnections(this->limits.connections);
 }
 
@@ -79,10 +81,9 @@
     exchange->GoSilent();
     return;
   }
-  const unsigned status =
-      this->draining || this->faults.fail ? kUnavailable : kOk;
-  exchange->ReplyJson(status,
-                      {{"running", this->running.size()},
+  exchange->ReplyJson(this->faults.unhealthy ? kUnavailable : kOk,
+                      {{"boot", this->boot},
+                       {"running", this->running.size()},
                        {"connections", this->listener.Connections()},
                        {"draining", this->draining}},
                       {{"X-In-Flight", std::to_string(this->running.size())}});
@@ -200,7 +201,15 @@
   this->held.clear();
 }
 
+auto Worker::NewBootId() -> void {
+  this->boot = fmt::format("{}-{}", this->entry.id,
+                           ReadBootClock().time_since_epoch().count());
+}
+
 auto Worker::Start() -> void {
+  if (!this->listener.IsOpen()) {
+    this->NewBootId();
+  }
   this->draining = false;
   this->listener.Open();
 }
--- a/standin/backend/worker.h
+++ b/standin/backend/worker.h
@@ -65,7 +65,11 @@
   [[nodiscard]] auto AnswerBody(const HttpExchange& exchange) const
       -> std::string;
 
+  auto NewBootId() -> void;
+
   VmEntry entry;
+  /// Differs after every start of the VM.
+  std::string boot;
   Limits limits;
   Ledger& ledger;
   const ServiceTime& times;
--- a/standin/common/http_listener.cc
+++ b/standin/common/http_listener.cc
@@ -1,8 +1,10 @@
 #include "standin/common/http_listener.h"
 
 #include <fmt/format.h>
+#include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -44,13 +46,26 @@
   // own, so it gets one that nothing uses.
   soup_server_listen_local(this->server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY,
                            nullptr);
+  g_signal_connect(
+      this->server, "request-read",
+      G_CALLBACK(+[](SoupServer*, SoupServerMessage* message,
+                     HttpListener* self) -> void {
+        self->SetBusy(message, true);
+        const auto idle =
+            +[](SoupServerMessage* ended, HttpListener* listener) -> void {
+          listener->SetBusy(ended, false);
+        };
+        g_signal_connect(message, "finished", G_CALLBACK(idle), self);
+        g_signal_connect(message, "disconnected", G_CALLBACK(idle), self);
+      }),
+      this);
   this->Open();
 }
 
 HttpListener::~HttpListener() {
   this->Shut();
-  for (const auto& [connection, client_port] : this->connections) {
-    g_object_weak_unref(connection, Forget, this);
+  while (!this->connections.empty()) {
+    this->CloseConnection(this->connections.begin()->first);
   }
   soup_server_disconnect(this->server);
   g_object_unref(this->server);
@@ -112,7 +127,8 @@
                         TCP_NODELAY, 1, nullptr);
     const int client_port = AddressPort(remote);
     this->silent_ports.erase(client_port);
-    this->connections[G_OBJECT(connection)] = client_port;
+    this->connections[G_OBJECT(connection)] = {.client_port = client_port};
+    this->WatchHangup(G_OBJECT(connection));
     this->peak = std::max(this->peak, open + 1);
     g_object_weak_ref(G_OBJECT(connection), Forget, this);
     soup_server_accept_iostream(this->server, G_IO_STREAM(connection), local,
@@ -126,11 +142,62 @@
   auto* self = static_cast<HttpListener*>(data);
   const auto found = self->connections.find(connection);
   if (found != self->connections.end()) {
-    self->silent_ports.erase(found->second);
+    self->silent_ports.erase(found->second.client_port);
+    g_source_destroy(found->second.watch);
+    g_source_unref(found->second.watch);
     self->connections.erase(found);
   }
 }
 
+auto HttpListener::SetBusy(SoupServerMessage* message, bool busy) -> void {
+  GSocketAddress* remote = soup_server_message_get_remote_address(message);
+  const int client_port = remote == nullptr ? 0 : AddressPort(remote);
+  for (auto& [object, connection] : this->connections) {
+    if (connection.client_port == client_port) {
+      connection.busy = busy;
+      if (!busy && connection.client_closed) {
+        this->CloseConnection(object);
+      }
+      return;
+    }
+  }
+}
+
+auto HttpListener::WatchHangup(GObject* object) -> void {
+  // libsoup 3.2 does not close its own end when the client closes a connection
+  // that had a request before. The worker of a request that still runs notices
+  // the closed connection only when it answers.
+  GSource* watch = g_unix_fd_source_new(
+      g_socket_get_fd(
+          g_socket_connection_get_socket(G_SOCKET_CONNECTION(object))),
+      static_cast<GIOCondition>(POLLRDHUP));
+  struct Hangup {
+    HttpListener* listener;
+    GObject* object;
+  };
+  const auto handle = +[](gint, GIOCondition, gpointer data) -> gboolean {
+    const Hangup hangup = *static_cast<Hangup*>(data);
+    Connection& connection = hangup.listener->connections.at(hangup.object);
+    connection.client_closed = true;
+    g_source_destroy(connection.watch);
+    if (!connection.busy) {
+      hangup.listener->CloseConnection(hangup.object);
+    }
+    return G_SOURCE_REMOVE;
+  };
+  g_source_set_callback(
+      watch, G_SOURCE_FUNC(handle), new Hangup{this, object},
+      +[](gpointer data) -> void { delete static_cast<Hangup*>(data); });
+  g_source_attach(watch, nullptr);
+  this->connections.at(object).watch = watch;
+}
+
+auto HttpListener::CloseConnection(GObject* object) -> void {
+  g_object_weak_unref(object, Forget, this);
+  Forget(this, object);
+  g_io_stream_close(G_IO_STREAM(object), nullptr, nullptr);
+}
+
 auto HttpListener::Shut() -> void {
   if (this->service != nullptr) {
     g_signal_handlers_disconnect_by_data(this->service, this);
@@ -138,17 +205,17 @@
     g_socket_listener_close(G_SOCKET_LISTENER(this->service));
     g_clear_object(&this->service);
   }
-  for (const auto& [connection, client_port] : this->connections) {
+  for (const auto& [object, connection] : this->connections) {
     // The HTTP server sees the end of the stream and releases the connection.
     g_socket_shutdown(
-        g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection)), TRUE,
-        TRUE, nullptr);
+        g_socket_connection_get_socket(G_SOCKET_CONNECTION(object)), TRUE, TRUE,
+        nullptr);
   }
 }
 
 auto HttpListener::SilenceEstablished() -> void {
-  for (const auto& [connection, client_port] : this->connections) {
-    this->silent_ports.insert(client_port);
+  for (const auto& [object, connection] : this->connections) {
+    this->silent_ports.insert(connection.client_port);
   }
 }
 
--- a/standin/common/http_listener.h
+++ b/standin/common/http_listener.h
@@ -45,7 +45,18 @@
   [[nodiscard]] auto IsSilent(const HttpExchange& exchange) const -> bool;
 
  private:
+  struct Connection {
+    int client_port = 0;
+    /// True between the arrival of a request and the end of its answer.
+    bool busy = false;
+    bool client_closed = false;
+    GSource* watch = nullptr;
+  };
+
   auto Accept(GSocketConnection* connection) -> void;
+  auto SetBusy(SoupServerMessage* message, bool busy) -> void;
+  auto WatchHangup(GObject* object) -> void;
+  auto CloseConnection(GObject* object) -> void;
   static auto Forget(gpointer data, GObject* connection) -> void;
 
   std::string host;
@@ -53,8 +64,7 @@
   Handler handler;
   SoupServer* server;
   GSocketService* service = nullptr;
-  /// Open connections and their clients' ports.
-  std::map<GObject*, int> connections;
+  std::map<GObject*, Connection> connections;
   std::set<int> silent_ports;
   int max_connections = 0;
   int peak = 0;
