--- a/standin/caller/load_run.cc
+++ b/standin/caller/load_run.cc
@@ -83,8 +83,8 @@
   ++this->outstanding;
   Call::Send(this->session, this->settings.entries[plan.entry], plan,
              this->settings.call, due,
-             [this, due, attempts_left](CallRecord record) {
-               this->HandleEnd(std::move(record), due, attempts_left);
+             [this, due, attempts_left](const CallRecord& record) {
+               this->HandleEnd(record, due, attempts_left);
              });
 }
 
@@ -101,7 +101,7 @@
   this->Send(repeat, ReadBootClock(), this->settings.connect_attempts);
 }
 
-auto LoadRun::HandleEnd(CallRecord record,
+auto LoadRun::HandleEnd(const CallRecord& record,
                         TimePoint due,
                         std::size_t attempts_left) -> void {
   --this->outstanding;
--- a/standin/caller/load_run.h
+++ b/standin/caller/load_run.h
@@ -58,8 +58,9 @@
   auto Send(const CallPlan& plan, TimePoint due, std::size_t attempts_left)
       -> void;
   auto SendRepeat(const CallPlan& plan) -> void;
-  auto HandleEnd(CallRecord record, TimePoint due, std::size_t attempts_left)
-      -> void;
+  auto HandleEnd(const CallRecord& record,
+                 TimePoint due,
+                 std::size_t attempts_left) -> void;
 
   LoadRunSettings settings;
   std::ostream* lines;
