Take a draining VM's health answer as healthy

Cause: a wave stopped in the verifying state: a draining worker answers its health probe with 503, which was read as not answering, so the controller took the VM for rebooted before the reboot and never sent the undrain command.

--- a/src/fireflythread/daemon/config_editor.cc
+++ b/src/fireflythread/daemon/config_editor.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <nlohmann/json.hpp>
 #include <utility>
 #include <variant>
 
@@ -46,6 +47,22 @@
   return error;
 }
 
+/// The API shows an object's name and version beside its fields and may send
+/// them back; the row's value holds the fields only.
+auto WithoutIdentity(const std::optional<std::string>& body)
+    -> std::optional<std::string> {
+  if (!body) {
+    return std::nullopt;
+  }
+  nlohmann::json object = nlohmann::json::parse(*body, nullptr, false);
+  if (!object.is_object()) {
+    return body;
+  }
+  object.erase("name");
+  object.erase("version");
+  return object.dump();
+}
+
 auto BodyOf(const ConfigSnapshot& snapshot, const std::string& key)
     -> std::string {
   for (const Row& row : SnapshotRows(snapshot)) {
@@ -84,7 +101,7 @@
   auto attempt = std::make_shared<Attempt>();
   attempt->edit.kind = static_cast<ConfigKind>(request.kind);
   attempt->edit.name = request.name;
-  attempt->edit.value = request.body;
+  attempt->edit.value = WithoutIdentity(request.body);
   attempt->edit.from_version = request.expected_version;
   attempt->edit.who = request.who;
   attempt->edit.at = std::chrono::system_clock::now();
--- a/src/fireflythread/daemon/daemon.cc
+++ b/src/fireflythread/daemon/daemon.cc
@@ -1,5 +1,7 @@
 #include "fireflythread/daemon/daemon.h"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <set>
 #include <utility>
@@ -167,11 +169,12 @@
   this->admin->Start();
   this->metrics_timer = std::make_unique<PeriodicTimer>(
       kMetricsPeriod, [this] { this->UpdateMetrics(); });
-  this->logger.Info(kComponent, "daemon_started",
-                    {{"caller_port", std::get<BoundPort>(started).port},
-                     {"admin_port", this->admin_server->Port()},
-                     {"peer_address", this->peers->ListenAddress()},
-                     {"incarnation", this->incarnation}});
+  this->logger.Info(
+      kComponent, "daemon_started",
+      {{"caller_port", std::get<BoundPort>(started).port},
+       {"admin_port", this->admin_server->Port()},
+       {"peer_address", this->peers->ListenAddress()},
+       {"incarnation", fmt::format("{:016x}", this->incarnation)}});
   return std::nullopt;
 }
 
--- a/src/fireflythread/daemon/vm_prober.cc
+++ b/src/fireflythread/daemon/vm_prober.cc
@@ -10,19 +10,32 @@
 
 constexpr guint kProbeTimeoutSeconds = 1;
 
-auto BootOf(GBytes* body) -> std::string {
+/// What a health answer says of a VM.
+struct Health {
+  /// A VM that drains answers 503 but is healthy.
+  bool draining = false;
+  std::string boot;
+};
+
+auto ParseHealth(GBytes* body) -> Health {
   gsize size = 0;
   const auto* data = static_cast<const char*>(g_bytes_get_data(body, &size));
   if (data == nullptr) {
-    return "";
+    return {};
   }
   const auto object = nlohmann::json::parse(data, data + size, nullptr, false);
   if (!object.is_object()) {
-    return "";
+    return {};
   }
+  Health health;
   const auto boot = object.find("boot");
-  return boot != object.end() && boot->is_string() ? boot->get<std::string>()
-                                                   : "";
+  if (boot != object.end() && boot->is_string()) {
+    health.boot = boot->get<std::string>();
+  }
+  const auto draining = object.find("draining");
+  health.draining = draining != object.end() && draining->is_boolean() &&
+                    draining->get<bool>();
+  return health;
 }
 
 }  // namespace
@@ -80,11 +93,13 @@
       error != nullptr &&
       g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CANCELLED);
   if (!cancelled) {
+    const Health health = body != nullptr ? ParseHealth(body) : Health();
     const bool answering =
         body != nullptr &&
-        soup_message_get_status(call->message) == SOUP_STATUS_OK;
+        (soup_message_get_status(call->message) == SOUP_STATUS_OK ||
+         health.draining);
     call->prober->outstanding[call->vm] = false;
-    call->prober->Record(call->vm, answering, answering ? BootOf(body) : "");
+    call->prober->Record(call->vm, answering, health.boot);
   }
   g_clear_error(&error);
   if (body != nullptr) {
