--- a/src/fireflythread/admin/admin_server.cc
+++ b/src/fireflythread/admin/admin_server.cc
@@ -13,7 +13,7 @@
 #include "fireflythread/admin/soup_exchange.h"
 #include "fireflythread/telemetry/logger.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 using internal::GPtr;
@@ -343,4 +343,4 @@
   return this->state->port;
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/src/fireflythread/admin/connection_guard.cc
+++ b/src/fireflythread/admin/connection_guard.cc
@@ -4,7 +4,7 @@
 
 #include "fireflythread/admin/g_ptr.h"
 
-namespace fireflythread::internal {
+namespace fireflythread::admin::internal {
 namespace {
 
 // Connections above the limit that still get an answer. Few, since each holds
@@ -134,4 +134,4 @@
   return G_SOURCE_REMOVE;
 }
 
-}  // namespace fireflythread::internal
+}  // namespace fireflythread::admin::internal
--- a/src/fireflythread/admin/connection_guard.h
+++ b/src/fireflythread/admin/connection_guard.h
@@ -8,7 +8,7 @@
 
 #include "fireflythread/base/time.h"
 
-namespace fireflythread::internal {
+namespace fireflythread::admin::internal {
 
 /// Counts the open connections of a listener and closes those whose client
 /// takes too long to send its request or to read the response. libsoup limits
@@ -58,6 +58,6 @@
   std::map<GSocketAddress*, std::unique_ptr<Connection>> connections;
 };
 
-}  // namespace fireflythread::internal
+}  // namespace fireflythread::admin::internal
 
 #endif  // FIREFLYTHREAD_ADMIN_CONNECTION_GUARD_H_
--- a/src/fireflythread/admin/g_ptr.h
+++ b/src/fireflythread/admin/g_ptr.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-namespace fireflythread::internal {
+namespace fireflythread::admin::internal {
 
 struct UnrefObject {
   auto operator()(gpointer object) const -> void { g_object_unref(object); }
@@ -21,6 +21,6 @@
   return GPtr<T>(static_cast<T*>(g_object_ref(object)));
 }
 
-}  // namespace fireflythread::internal
+}  // namespace fireflythread::admin::internal
 
 #endif  // FIREFLYTHREAD_ADMIN_G_PTR_H_
--- a/src/fireflythread/admin/soup_exchange.cc
+++ b/src/fireflythread/admin/soup_exchange.cc
@@ -3,7 +3,7 @@
 #include <cstring>
 #include <memory>
 
-namespace fireflythread::internal {
+namespace fireflythread::admin::internal {
 namespace {
 
 struct FreeText {
@@ -96,4 +96,4 @@
   soup_message_body_truncate(body);
 }
 
-}  // namespace fireflythread::internal
+}  // namespace fireflythread::admin::internal
--- a/src/fireflythread/admin/soup_exchange.h
+++ b/src/fireflythread/admin/soup_exchange.h
@@ -8,7 +8,7 @@
 #include "fireflythread/admin/admin_request.h"
 #include "fireflythread/admin/admin_response.h"
 
-namespace fireflythread::internal {
+namespace fireflythread::admin::internal {
 
 /// The size of a request's line and headers in bytes.
 [[nodiscard]] auto HeaderSize(SoupServerMessage* message) -> std::int64_t;
@@ -25,6 +25,6 @@
 /// Stops libsoup from keeping the request's body in memory.
 auto DiscardBody(SoupServerMessage* message) -> void;
 
-}  // namespace fireflythread::internal
+}  // namespace fireflythread::admin::internal
 
 #endif  // FIREFLYTHREAD_ADMIN_SOUP_EXCHANGE_H_
--- a/test/fireflythread/admin/admin_handler_test.cc
+++ b/test/fireflythread/admin/admin_handler_test.cc
@@ -9,7 +9,7 @@
 #include "test/fireflythread/admin/fake_backend.h"
 #include "test/fireflythread/admin/server_fixture.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 using Json = nlohmann::json;
@@ -213,4 +213,4 @@
   CHECK(holds);
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/test/fireflythread/admin/admin_server_test.cc
+++ b/test/fireflythread/admin/admin_server_test.cc
@@ -8,7 +8,7 @@
 
 #include "test/fireflythread/admin/server_fixture.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 
 using namespace std::chrono_literals;
 using Catch::Contains;
@@ -170,4 +170,4 @@
   CHECK_THAT(third.Start().value_or(""), Contains("/nonexistent.crt"));
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/test/fireflythread/admin/admin_tokens_test.cc
+++ b/test/fireflythread/admin/admin_tokens_test.cc
@@ -10,7 +10,7 @@
 
 #include "fireflythread/admin/io_load_admin_tokens.h"
 
-namespace fireflythread {
+namespace fireflythread::admin {
 namespace {
 
 using Faults = std::vector<std::string>;
@@ -69,4 +69,4 @@
   CHECK(std::holds_alternative<Faults>(LoadAdminTokens(path)));
 }
 
-}  // namespace fireflythread
+}  // namespace fireflythread::admin
--- a/test/fireflythread/admin/fake_backend.h
+++ b/test/fireflythread/admin/fake_backend.h
@@ -9,7 +9,7 @@
 
 #include "fireflythread/admin/admin_backend.h"
 
-namespace fireflythread::test {
+namespace fireflythread::admin::test {
 
 /// Keeps objects in memory with versions and records the calls. Answers at
 /// once, unless `hold` is set; then Release() answers.
@@ -171,6 +171,6 @@
   std::vector<std::function<void()>> held;
 };
 
-}  // namespace fireflythread::test
+}  // namespace fireflythread::admin::test
 
 #endif  // TEST_FIREFLYTHREAD_ADMIN_FAKE_BACKEND_H_
--- a/test/fireflythread/admin/server_fixture.h
+++ b/test/fireflythread/admin/server_fixture.h
@@ -17,7 +17,7 @@
 #include "fireflythread/telemetry/logger.h"
 #include "test/fireflythread/admin/fake_backend.h"
 
-namespace fireflythread::test {
+namespace fireflythread::admin::test {
 
 inline constexpr char kViewToken[] = "view-token-0123456789";
 inline constexpr char kEditToken[] = "edit-token-0123456789";
@@ -129,6 +129,6 @@
   AdminServer server;
 };
 
-}  // namespace fireflythread::test
+}  // namespace fireflythread::admin::test
 
 #endif  // TEST_FIREFLYTHREAD_ADMIN_SERVER_FIXTURE_H_
