--- a/src/fireflythread/gateway/control_state.cc
+++ b/src/fireflythread/gateway/control_state.cc
@@ -45,7 +45,7 @@
   }
 }
 
-auto RefreshPool(GatewayState& state, PoolState& pool) -> void {
+auto RefreshPool(GatewayState& state, GatewayPool& pool) -> void {
   std::map<VmId, int> slots;
   std::set<VmId> serving;
   pool.largest_cores = 0;
--- a/src/fireflythread/gateway/dispatcher.h
+++ b/src/fireflythread/gateway/dispatcher.h
@@ -50,19 +50,19 @@
   auto AnswerRepeat(const Request& request, const IdempotencyRecord& record)
       -> void;
   auto Enqueue(const Request& request) -> void;
-  [[nodiscard]] auto LoadOf(PoolState& pool, TimePoint now) const -> PoolLoad;
+  [[nodiscard]] auto LoadOf(GatewayPool& pool, TimePoint now) const -> PoolLoad;
 
   // Queue and attempts, in dispatcher_send.cc.
-  auto Dispatch(PoolState& pool) -> void;
-  auto ShedHopeless(PoolState& pool, TimePoint now) -> void;
+  auto Dispatch(GatewayPool& pool) -> void;
+  auto ShedHopeless(GatewayPool& pool, TimePoint now) -> void;
   auto PlanTick() -> void;
   auto Tick() -> void;
   auto LeaveQueue(const Request& request, const std::string& refused) -> void;
-  [[nodiscard]] auto ChooseVm(PoolState& pool,
+  [[nodiscard]] auto ChooseVm(GatewayPool& pool,
                               const RequestState* request,
                               TimePoint now) -> std::optional<VmId>;
   auto SendAttempt(const Request& request,
-                   PoolState& pool,
+                   GatewayPool& pool,
                    const VmId& vm,
                    bool hedge) -> void;
   auto PlanHedge(const Request& request, Duration delay) -> void;
@@ -73,19 +73,19 @@
   auto OnAttemptDone(const Request& request,
                      const AttemptState& attempt,
                      AttemptReport report) -> void;
-  auto FreeSlot(PoolState& pool,
+  auto FreeSlot(GatewayPool& pool,
                 const AttemptState& attempt,
                 AttemptResult result,
                 TimePoint now) -> void;
-  auto JudgeWorker(PoolState& pool,
+  auto JudgeWorker(GatewayPool& pool,
                    const AttemptState& attempt,
                    const AttemptReport& report,
                    TimePoint now) -> void;
-  auto ReportHealth(const PoolState& pool,
+  auto ReportHealth(const GatewayPool& pool,
                     const std::optional<HealthChange>& change) const -> void;
   auto OnProbeDone(const VmId& vm, bool good) -> void;
   auto ContinueAfterFailure(const Request& request,
-                            PoolState& pool,
+                            GatewayPool& pool,
                             const AttemptReport& report) -> void;
   auto Refuse(const Request& request,
               RefusalReason reason,
--- a/src/fireflythread/gateway/dispatcher_accept.cc
+++ b/src/fireflythread/gateway/dispatcher_accept.cc
@@ -176,14 +176,14 @@
       });
 }
 
-auto Dispatcher::LoadOf(PoolState& pool, TimePoint now) const -> PoolLoad {
+auto Dispatcher::LoadOf(GatewayPool& pool, TimePoint now) const -> PoolLoad {
   return {pool.slots.UsableSlots(now), pool.slots.BusySlots(now),
           pool.hold_time.mean};
 }
 
 auto Dispatcher::Enqueue(const Request& request) -> void {
   const auto found = this->state.pools.find(request->pool);
-  PoolState& pool = found->second;
+  GatewayPool& pool = found->second;
   const TimePoint now = ReadBootClock();
   DemandMeter::Service& demand = this->meter.Of(request->request.service);
   request->queued = {
--- a/src/fireflythread/gateway/dispatcher_result.cc
+++ b/src/fireflythread/gateway/dispatcher_result.cc
@@ -35,7 +35,7 @@
                                const AttemptState& attempt,
                                AttemptReport report) -> void {
   const TimePoint now = ReadBootClock();
-  PoolState& pool = this->state.pools.find(attempt.pool)->second;
+  GatewayPool& pool = this->state.pools.find(attempt.pool)->second;
   --request->live_attempts;
   --this->meter.Of(request->request.service).in_flight;
   this->FreeSlot(pool, attempt, report.result, now);
@@ -63,7 +63,7 @@
   this->CheckIdle();
 }
 
-auto Dispatcher::FreeSlot(PoolState& pool,
+auto Dispatcher::FreeSlot(GatewayPool& pool,
                           const AttemptState& attempt,
                           AttemptResult result,
                           TimePoint now) -> void {
@@ -85,7 +85,7 @@
   }
 }
 
-auto Dispatcher::JudgeWorker(PoolState& pool,
+auto Dispatcher::JudgeWorker(GatewayPool& pool,
                              const AttemptState& attempt,
                              const AttemptReport& report,
                              TimePoint now) -> void {
@@ -122,7 +122,7 @@
   }
 }
 
-auto Dispatcher::ReportHealth(const PoolState& pool,
+auto Dispatcher::ReportHealth(const GatewayPool& pool,
                               const std::optional<HealthChange>& change) const
     -> void {
   if (change) {
@@ -141,7 +141,7 @@
 }
 
 auto Dispatcher::ContinueAfterFailure(const Request& request,
-                                      PoolState& pool,
+                                      GatewayPool& pool,
                                       const AttemptReport& report) -> void {
   if (request->live_attempts > 0) {
     return;
--- a/src/fireflythread/gateway/dispatcher_send.cc
+++ b/src/fireflythread/gateway/dispatcher_send.cc
@@ -22,7 +22,7 @@
 /// Workers of the pool that can take one more request. Fills `vms` with the
 /// worker of each candidate.
 auto BuildCandidates(GatewayState& state,
-                     PoolState& pool,
+                     GatewayPool& pool,
                      const RequestState* request,
                      TimePoint now,
                      std::vector<const VmId*>& vms)
@@ -56,7 +56,7 @@
   }
 }
 
-auto Dispatcher::ChooseVm(PoolState& pool,
+auto Dispatcher::ChooseVm(GatewayPool& pool,
                           const RequestState* request,
                           TimePoint now) -> std::optional<VmId> {
   std::vector<const VmId*> vms;
@@ -69,7 +69,7 @@
   return *vms[*chosen];
 }
 
-auto Dispatcher::Dispatch(PoolState& pool) -> void {
+auto Dispatcher::Dispatch(GatewayPool& pool) -> void {
   const TimePoint now = ReadBootClock();
   this->ShedHopeless(pool, now);
   while (pool.queue.Size() > 0 && this->ChooseVm(pool, nullptr, now)) {
@@ -100,7 +100,7 @@
   }
 }
 
-auto Dispatcher::ShedHopeless(PoolState& pool, TimePoint now) -> void {
+auto Dispatcher::ShedHopeless(GatewayPool& pool, TimePoint now) -> void {
   for (const QueuedRequest& queued : pool.queue.TakeHopeless(now)) {
     const auto found = this->open.find(queued.id);
     if (found == this->open.end()) {
@@ -156,7 +156,7 @@
 }
 
 auto Dispatcher::SendAttempt(const Request& request,
-                             PoolState& pool,
+                             GatewayPool& pool,
                              const VmId& vm,
                              bool hedge) -> void {
   WorkerState& worker = this->state.workers.find(vm)->second;
--- a/src/fireflythread/gateway/pool_state.h
+++ b/src/fireflythread/gateway/gateway_pool.h
@@ -1,5 +1,5 @@
-#ifndef FIREFLYTHREAD_GATEWAY_POOL_STATE_H_
-#define FIREFLYTHREAD_GATEWAY_POOL_STATE_H_
+#ifndef FIREFLYTHREAD_GATEWAY_GATEWAY_POOL_H_
+#define FIREFLYTHREAD_GATEWAY_GATEWAY_POOL_H_
 
 #include <vector>
 
@@ -15,8 +15,8 @@
 namespace fireflythread {
 
 /// What this entry keeps of one pool.
-struct PoolState {
-  PoolState(const PoolName& pool_name, const GatewaySettings& settings)
+struct GatewayPool {
+  GatewayPool(const PoolName& pool_name, const GatewaySettings& settings)
       : name(pool_name),
         queue(AdmissionLimits{.max_queued = settings.max_queued}),
         slots(settings.self, settings.members, settings.longest_request) {}
@@ -37,4 +37,4 @@
 
 }  // namespace fireflythread
 
-#endif  // FIREFLYTHREAD_GATEWAY_POOL_STATE_H_
+#endif  // FIREFLYTHREAD_GATEWAY_GATEWAY_POOL_H_
--- a/src/fireflythread/gateway/gateway_state.h
+++ b/src/fireflythread/gateway/gateway_state.h
@@ -12,8 +12,8 @@
 #include "fireflythread/config/config_snapshot.h"
 #include "fireflythread/fleet/fleet_view.h"
 #include "fireflythread/gateway/gateway_observer.h"
+#include "fireflythread/gateway/gateway_pool.h"
 #include "fireflythread/gateway/gateway_settings.h"
-#include "fireflythread/gateway/pool_state.h"
 #include "fireflythread/gateway/timer_queue.h"
 #include "fireflythread/gateway/worker_state.h"
 
@@ -41,7 +41,7 @@
   /// Own slots count as busy until then.
   TimePoint predecessor_until = TimePoint::min();
   bool shutting_down = false;
-  std::map<PoolName, PoolState> pools;
+  std::map<PoolName, GatewayPool> pools;
   std::map<VmId, WorkerState> workers;
 };
 
--- a/src/fireflythread/gateway/loan_desk.cc
+++ b/src/fireflythread/gateway/loan_desk.cc
@@ -15,7 +15,8 @@
 
 LoanDesk::LoanDesk(GatewayState& gateway_state) : state(gateway_state) {}
 
-auto LoanDesk::SlotsNeeded(const PoolState& pool, TimePoint now) const -> int {
+auto LoanDesk::SlotsNeeded(const GatewayPool& pool, TimePoint now) const
+    -> int {
   const int busy = pool.slots.BusySlots(now);
   const auto queued = static_cast<int>(pool.queue.Size());
   const int own = now < this->state.predecessor_until
@@ -56,7 +57,7 @@
       [&](const auto& entry) { return entry.second.pool == pool; });
 }
 
-auto LoanDesk::AskPeers(const PoolState& pool,
+auto LoanDesk::AskPeers(const GatewayPool& pool,
                         int needed,
                         TimePoint now,
                         std::vector<LoanMessage>& messages) -> void {
--- a/src/fireflythread/gateway/loan_desk.h
+++ b/src/fireflythread/gateway/loan_desk.h
@@ -42,12 +42,12 @@
   };
 
   /// Slots of the pool that this entry needs beyond its own.
-  [[nodiscard]] auto SlotsNeeded(const PoolState& pool, TimePoint now) const
+  [[nodiscard]] auto SlotsNeeded(const GatewayPool& pool, TimePoint now) const
       -> int;
   /// A reply under way may renew a loan, so nothing is given back meanwhile:
   /// the lender would take the slot for free while it is used here.
   [[nodiscard]] auto IsWaitingForReply(const PoolName& pool) const -> bool;
-  auto AskPeers(const PoolState& pool,
+  auto AskPeers(const GatewayPool& pool,
                 int needed,
                 TimePoint now,
                 std::vector<LoanMessage>& messages) -> void;
