--- a/bench/worker_choice_main.cc
+++ b/bench/worker_choice_main.cc
@@ -40,7 +40,7 @@
 constexpr Duration kHop = milliseconds(1);
 constexpr Duration kLongest = seconds(30);
 constexpr Duration kLoanTime = seconds(1);
-constexpr Duration kAskInterval = milliseconds(100);
+constexpr Duration kAskInterval = milliseconds(200);
 constexpr int kFirstAttempts = 3;
 /// Of what the pool can serve.
 constexpr double kLoad = 0.7;
