Leave ejected workers out of the slots that an entry counts and lends

Cause: slots on an ejected worker counted as own, so that an entry borrowed too few, lent useless ones and admitted more than it could serve.

--- a/bench/worker_choice_main.cc
+++ b/bench/worker_choice_main.cc
@@ -268,6 +268,7 @@
           std::ignore = entry.health.RecordProbe(vm, true, now);
         }
         if (this->method == ChoiceMethod::kSlotShares) {
+          entry.slots->SetAvoided(entry.health.Ejected());
           this->Borrow(entry, now);
         }
         this->Dispatch(entry);
--- a/src/fireflythread/gateway/dispatcher.h
+++ b/src/fireflythread/gateway/dispatcher.h
@@ -81,7 +81,7 @@
                    const AttemptState& attempt,
                    const AttemptReport& report,
                    TimePoint now) -> void;
-  auto ReportHealth(const GatewayPool& pool,
+  auto ReportHealth(GatewayPool& pool,
                     const std::optional<HealthChange>& change) const -> void;
   auto OnProbeDone(const VmId& vm, bool good) -> void;
   auto ContinueAfterFailure(const Request& request,
--- a/src/fireflythread/gateway/dispatcher_result.cc
+++ b/src/fireflythread/gateway/dispatcher_result.cc
@@ -122,10 +122,11 @@
   }
 }
 
-auto Dispatcher::ReportHealth(const GatewayPool& pool,
+auto Dispatcher::ReportHealth(GatewayPool& pool,
                               const std::optional<HealthChange>& change) const
     -> void {
   if (change) {
+    pool.slots.SetAvoided(pool.health.Ejected());
     Notify(change->ejected ? this->state.observer.worker_ejected
                            : this->state.observer.worker_readmitted,
            WorkerChange{change->vm, pool.name, change->reason});
--- a/src/fireflythread/routing/pool_health.cc
+++ b/src/fireflythread/routing/pool_health.cc
@@ -192,4 +192,14 @@
                     [](const auto& entry) { return entry.second.ejected; }));
 }
 
+auto PoolHealth::Ejected() const -> std::set<VmId> {
+  std::set<VmId> ejected;
+  for (const auto& [vm, worker] : this->workers) {
+    if (worker.ejected) {
+      ejected.insert(vm);
+    }
+  }
+  return ejected;
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/routing/pool_health.h
+++ b/src/fireflythread/routing/pool_health.h
@@ -72,6 +72,7 @@
   /// Why it is ejected; empty otherwise.
   [[nodiscard]] auto Reason(const VmId& vm) const -> std::string;
   [[nodiscard]] auto EjectedCount() const -> int;
+  [[nodiscard]] auto Ejected() const -> std::set<VmId>;
 
  private:
   struct Worker {
--- a/src/fireflythread/routing/slot_table.cc
+++ b/src/fireflythread/routing/slot_table.cc
@@ -49,6 +49,10 @@
   this->slots.emplace(vm, std::move(added));
 }
 
+auto SlotTable::SetAvoided(std::set<VmId> vms) -> void {
+  this->avoided = std::move(vms);
+}
+
 auto SlotTable::BlockOwnUntil(TimePoint until) -> void {
   this->own_blocked_until = until;
 }
@@ -81,6 +85,9 @@
 auto SlotTable::UsableSlots(TimePoint now) const -> int {
   int count = 0;
   for (const auto& [vm, all] : this->slots) {
+    if (this->avoided.contains(vm)) {
+      continue;
+    }
     count += static_cast<int>(std::count_if(
         all.begin(), all.end(),
         [&](const Slot& slot) { return this->IsUsable(slot, now); }));
@@ -91,6 +98,9 @@
 auto SlotTable::OwnSlots() const -> int {
   int count = 0;
   for (const auto& [vm, all] : this->slots) {
+    if (this->avoided.contains(vm)) {
+      continue;
+    }
     count += static_cast<int>(std::count_if(
         all.begin(), all.end(), [](const Slot& slot) { return slot.own; }));
   }
@@ -147,6 +157,11 @@
   }
 }
 
+auto SlotTable::MayLend(const VmId& vm, const Slot& slot, TimePoint now) const
+    -> bool {
+  return slot.own && this->IsFree(slot, now) && !this->avoided.contains(vm);
+}
+
 auto SlotTable::Lend(const EntryId& to,
                      int count,
                      int keep,
@@ -167,7 +182,7 @@
           slot.own && slot.lent_to == to && now < slot.lent_until;
       if (renewed && static_cast<int>(loans.size()) < count) {
         lend(vm, i, slot);
-      } else if (slot.own && this->IsFree(slot, now)) {
+      } else if (this->MayLend(vm, slot, now)) {
         ++spare;
       }
     }
@@ -178,7 +193,7 @@
     for (auto& [vm, all] : this->slots) {
       any_worker_has_slot = any_worker_has_slot || i < all.size();
       if (spare > 0 && static_cast<int>(loans.size()) < count &&
-          i < all.size() && all[i].own && this->IsFree(all[i], now)) {
+          i < all.size() && this->MayLend(vm, all[i], now)) {
         lend(vm, i, all[i]);
         --spare;
       }
--- a/src/fireflythread/routing/slot_table.h
+++ b/src/fireflythread/routing/slot_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -27,6 +28,10 @@
   /// its slots is busy.
   auto SetWorkers(const std::map<VmId, int>& workers) -> void;
 
+  /// Workers that are ejected: their slots are neither counted as own or
+  /// usable nor lent, but keep their state.
+  auto SetAvoided(std::set<VmId> vms) -> void;
+
   /// Treats all own slots as busy until then, because an earlier process of
   /// this entry may still have requests on them.
   auto BlockOwnUntil(TimePoint until) -> void;
@@ -87,6 +92,9 @@
   [[nodiscard]] auto IsUsable(const Slot& slot, TimePoint now) const -> bool;
   [[nodiscard]] static auto IsBusy(const Slot& slot, TimePoint now) -> bool;
   [[nodiscard]] auto IsFree(const Slot& slot, TimePoint now) const -> bool;
+  [[nodiscard]] auto MayLend(const VmId& vm,
+                             const Slot& slot,
+                             TimePoint now) const -> bool;
   [[nodiscard]] auto Find(const SlotLoan& loan) -> Slot*;
   auto AddWorker(const VmId& vm, int slots) -> void;
 
@@ -95,6 +103,7 @@
   Duration longest_request;
   TimePoint own_blocked_until = TimePoint::min();
   std::map<VmId, Slots> slots;
+  std::set<VmId> avoided;
   /// Workers no longer in the pool with slots that are still busy.
   std::map<VmId, Slots> removed;
 };
