--- a/bench/common/http_load.cc
+++ b/bench/common/http_load.cc
@@ -159,6 +159,7 @@
   std::vector<std::chrono::nanoseconds> all;
   std::mutex mutex;
   std::vector<std::thread> threads;
+  threads.reserve(static_cast<std::size_t>(connections));
   for (int i = 0; i < connections; ++i) {
     threads.emplace_back([&] {
       std::vector<std::chrono::nanoseconds> times;
--- a/bench/gateway_overhead_main.cc
+++ b/bench/gateway_overhead_main.cc
@@ -5,9 +5,9 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 #include <glib.h>
-#include <time.h>
 
 #include <algorithm>
+#include <ctime>
 #include <functional>
 #include <future>
 #include <memory>
--- a/bench/worker_choice_main.cc
+++ b/bench/worker_choice_main.cc
@@ -90,6 +90,7 @@
   ChoiceRun(ChoiceMethod choice_method, Case run_case)
       : method(choice_method), config(std::move(run_case)), random(FLAGS_seed) {
     std::vector<EntryId> members;
+    members.reserve(kEntries);
     for (int i = 0; i < kEntries; ++i) {
       members.emplace_back(fmt::format("entry-{}", i));
     }
--- a/src/fireflythread/gateway/dispatcher.h
+++ b/src/fireflythread/gateway/dispatcher.h
@@ -23,7 +23,9 @@
 /// answer.
 class Dispatcher {
  public:
-  Dispatcher(GatewayState& state, PlatformClient& platform);
+  Dispatcher(GatewayState& state,
+             PlatformClient& platform,
+             BatchWriter& writer);
 
   /// Takes a request with well-formed headers.
   auto Accept(CallerRequest request, std::shared_ptr<CallerExchange> exchange)
--- a/src/fireflythread/gateway/dispatcher_accept.cc
+++ b/src/fireflythread/gateway/dispatcher_accept.cc
@@ -31,9 +31,12 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(GatewayState& gateway_state, PlatformClient& platform)
+Dispatcher::Dispatcher(GatewayState& gateway_state,
+                       PlatformClient& platform,
+                       BatchWriter& writer)
     : state(gateway_state),
       records(platform,
+              writer,
               gateway_state.timers,
               gateway_state.settings.store_timeout),
       prober(
--- a/src/fireflythread/gateway/record_store.cc
+++ b/src/fireflythread/gateway/record_store.cc
@@ -30,9 +30,13 @@
 }  // namespace
 
 RecordStore::RecordStore(PlatformClient& platform_client,
+                         BatchWriter& batch_writer,
                          TimerQueue& timer_queue,
                          Duration timeout)
-    : platform(platform_client), timers(timer_queue), store_timeout(timeout) {}
+    : platform(platform_client),
+      writer(batch_writer),
+      timers(timer_queue),
+      store_timeout(timeout) {}
 
 template <typename Function>
 auto RecordStore::WhileAlive(Function function) const {
@@ -48,49 +52,6 @@
   std::ignore = this->timers.RunAt(ReadBootClock() + wait, std::move(work));
 }
 
-auto RecordStore::Submit(Transaction transaction, OutcomeCallback callback)
-    -> void {
-  this->waiting.push_back({std::move(transaction), std::move(callback)});
-  if (this->waiting.size() >= kMaxBatch) {
-    this->Flush();
-  } else if (!this->flush_planned) {
-    this->flush_planned = true;
-    this->Later(kBatchWait, [this] {
-      this->flush_planned = false;
-      this->Flush();
-    });
-  }
-}
-
-auto RecordStore::Flush() -> void {
-  if (this->waiting.empty() || this->outstanding >= kMaxOutstanding) {
-    return;
-  }
-  const auto count =
-      static_cast<std::ptrdiff_t>(std::min(kMaxBatch, this->waiting.size()));
-  std::vector<Transaction> transactions;
-  std::vector<OutcomeCallback> callbacks;
-  for (auto it = this->waiting.begin(); it != this->waiting.begin() + count;
-       ++it) {
-    transactions.push_back(std::move(it->transaction));
-    callbacks.push_back(std::move(it->callback));
-  }
-  this->waiting.erase(this->waiting.begin(), this->waiting.begin() + count);
-  ++this->outstanding;
-  this->platform.CommitBatch(
-      std::move(transactions), this->store_timeout,
-      this->WhileAlive([this, callbacks](
-                           const std::vector<TransactionOutcome>& outcomes) {
-        --this->outstanding;
-        for (std::size_t i = 0; i < callbacks.size(); ++i) {
-          callbacks[i](i < outcomes.size()
-                           ? outcomes[i]
-                           : TransactionOutcome(CommitUnknown{"no outcome"}));
-        }
-        this->Flush();
-      }));
-}
-
 auto RecordStore::Claim(const std::string& row_key,
                         const IdempotencyRecord& claim,
                         ClaimCallback callback) -> void {
@@ -99,11 +60,11 @@
     callback(ClaimTaken{found->second});
     return;
   }
-  if (this->waiting.size() >= kMaxWaiting) {
+  if (this->writer.Waiting() >= kMaxWaiting) {
     callback(ClaimNotRecorded{"too many claims wait for the store"});
     return;
   }
-  this->Submit(
+  this->writer.Submit(
       RecordTransaction(row_key, claim, 0),
       [this, row_key, claim, callback](const TransactionOutcome& outcome) {
         this->ContinueClaim(row_key, claim, JudgeClaim(outcome, claim), true,
@@ -123,7 +84,7 @@
   } else if (const auto* not_recorded = std::get_if<ClaimNotRecorded>(&step)) {
     callback(*not_recorded);
   } else if (const auto* anew = std::get_if<ClaimAnew>(&step)) {
-    this->Submit(
+    this->writer.Submit(
         RecordTransaction(row_key, claim, anew->version),
         [this, row_key, claim, callback](const TransactionOutcome& outcome) {
           ClaimStep next = JudgeClaim(outcome, claim);
@@ -181,12 +142,13 @@
   if (!transaction) {
     return;
   }
-  this->Submit(std::move(*transaction),
-               [this, row_key, claim, wait](const TransactionOutcome& outcome) {
-                 if (!std::holds_alternative<Committed>(outcome)) {
-                   this->CleanUp(row_key, claim, NextWait(wait));
-                 }
-               });
+  this->writer.Submit(
+      std::move(*transaction),
+      [this, row_key, claim, wait](const TransactionOutcome& outcome) {
+        if (!std::holds_alternative<Committed>(outcome)) {
+          this->CleanUp(row_key, claim, NextWait(wait));
+        }
+      });
 }
 
 auto RecordStore::Finish(HeldClaim claim) -> void {
@@ -212,19 +174,20 @@
 }
 
 auto RecordStore::WriteEnd(const HeldClaim& claim, Duration wait) -> void {
-  this->Submit(RecordTransaction(claim.row_key, claim.record, claim.version),
-               [this, claim, wait](const TransactionOutcome& outcome) {
-                 // Only this claim's holder writes at its version, so a
-                 // conflict says that an earlier write of the same end arrived.
-                 if (std::holds_alternative<Committed>(outcome) ||
-                     std::holds_alternative<Conflict>(outcome)) {
-                   this->EndWritten(claim.row_key);
-                 } else {
-                   this->Later(wait, [this, claim, wait] {
-                     this->WriteEnd(claim, NextWait(wait));
-                   });
-                 }
-               });
+  this->writer.Submit(
+      RecordTransaction(claim.row_key, claim.record, claim.version),
+      [this, claim, wait](const TransactionOutcome& outcome) {
+        // Only this claim's holder writes at its version, so a
+        // conflict says that an earlier write of the same end arrived.
+        if (std::holds_alternative<Committed>(outcome) ||
+            std::holds_alternative<Conflict>(outcome)) {
+          this->EndWritten(claim.row_key);
+        } else {
+          this->Later(wait, [this, claim, wait] {
+            this->WriteEnd(claim, NextWait(wait));
+          });
+        }
+      });
 }
 
 auto RecordStore::EndWritten(const std::string& row_key) -> void {
--- a/src/fireflythread/gateway/record_store.h
+++ b/src/fireflythread/gateway/record_store.h
@@ -8,34 +8,30 @@
 #include <optional>
 #include <string>
 #include <variant>
-#include <vector>
 
 #include "fireflythread/base/time.h"
+#include "fireflythread/gateway/batch_writer.h"
 #include "fireflythread/gateway/request_state.h"
 #include "fireflythread/gateway/timer_queue.h"
 #include "fireflythread/platform/platform_client.h"
-#include "fireflythread/platform/transaction.h"
 #include "fireflythread/retry/record_steps.h"
 
 namespace fireflythread {
 
-/// Writes idempotency records to the platform's table, several in one batch.
-/// The platform's store takes several hundred writes a second.
+/// Writes idempotency records to the platform's table.
 class RecordStore {
  public:
   using ClaimResult = std::variant<ClaimHeld, ClaimTaken, ClaimNotRecorded>;
   using ClaimCallback = std::function<void(const ClaimResult&)>;
   using BodyCallback = std::function<void(const std::optional<std::string>&)>;
 
-  static constexpr std::size_t kMaxBatch = 64;
-  static constexpr Duration kBatchWait = std::chrono::milliseconds(2);
-  /// Batches on their way at once, and claims that may wait for one.
-  static constexpr int kMaxOutstanding = 4;
+  /// Transactions that may wait before further claims are turned away.
   static constexpr std::size_t kMaxWaiting = 512;
   /// Longer answers are kept in the object store.
   static constexpr std::size_t kMaxInlineBody = std::size_t{32} * 1024;
 
   RecordStore(PlatformClient& platform,
+              BatchWriter& writer,
               TimerQueue& timers,
               Duration store_timeout);
 
@@ -59,14 +55,6 @@
       -> void;
 
  private:
-  using OutcomeCallback = std::function<void(const TransactionOutcome&)>;
-  struct Waiting {
-    Transaction transaction;
-    OutcomeCallback callback;
-  };
-
-  auto Submit(Transaction transaction, OutcomeCallback callback) -> void;
-  auto Flush() -> void;
   auto ContinueClaim(const std::string& row_key,
                      const IdempotencyRecord& claim,
                      const ClaimStep& step,
@@ -91,11 +79,9 @@
   auto Later(Duration wait, std::function<void()> work) -> void;
 
   PlatformClient& platform;
+  BatchWriter& writer;
   TimerQueue& timers;
   Duration store_timeout;
-  std::vector<Waiting> waiting;
-  bool flush_planned = false;
-  int outstanding = 0;
   /// Ends of requests that are not yet written.
   std::map<std::string, IdempotencyRecord> unwritten;
   std::function<void()> on_written;
--- a/src/fireflythread/gateway/request_path.cc
+++ b/src/fireflythread/gateway/request_path.cc
@@ -13,13 +13,19 @@
                          PlatformClient& platform,
                          GatewayObserver observer)
     : state(std::move(settings), std::move(observer)),
-      dispatcher(this->state, platform),
+      writer(platform, this->state.timers, this->state.settings.store_timeout),
+      tasks(this->state, platform, this->writer),
+      dispatcher(this->state, platform, this->writer),
       loans(this->state),
       listener(
           this->state.settings.max_request_bytes,
           [this](CallerRequest request,
                  std::shared_ptr<CallerExchange> exchange) {
-            this->dispatcher.Accept(std::move(request), std::move(exchange));
+            if (IsTaskRequest(request)) {
+              this->tasks.Accept(std::move(request), std::move(exchange));
+            } else {
+              this->dispatcher.Accept(std::move(request), std::move(exchange));
+            }
           },
           [this](const Refusal& refusal) { this->OnRefused(refusal); }) {}
 
--- a/src/fireflythread/gateway/request_path.h
+++ b/src/fireflythread/gateway/request_path.h
@@ -5,11 +5,13 @@
 #include <memory>
 #include <set>
 
+#include "fireflythread/gateway/batch_writer.h"
 #include "fireflythread/gateway/caller_listener.h"
 #include "fireflythread/gateway/demand_snapshot.h"
 #include "fireflythread/gateway/dispatcher.h"
 #include "fireflythread/gateway/gateway_state.h"
 #include "fireflythread/gateway/loan_desk.h"
+#include "fireflythread/gateway/task_desk.h"
 
 namespace fireflythread {
 
@@ -40,6 +42,8 @@
   auto WaitForLentSlots(std::function<void()> callback) -> void;
 
   GatewayState state;
+  BatchWriter writer;
+  TaskDesk tasks;
   Dispatcher dispatcher;
   LoanDesk loans;
   CallerListener listener;
--- a/test/fireflythread/gateway/attempts_test.cc
+++ b/test/fireflythread/gateway/attempts_test.cc
@@ -52,6 +52,7 @@
   fixture.AddWorker("vm-1", backend.Address());
   for (int round = 0; round < 5; ++round) {
     std::vector<std::shared_ptr<std::optional<CallerAnswer>>> answers;
+    answers.reserve(20);
     for (int i = 0; i < 20; ++i) {
       answers.push_back(
           fixture.Begin("POST", "/s/orders/n", {{"Idempotent", "true"}}, "x"));
--- a/test/fireflythread/gateway/response_reader_test.cc
+++ b/test/fireflythread/gateway/response_reader_test.cc
@@ -54,8 +54,8 @@
   for (const std::string_view bytes : {
            "HTTP/1.1 200 OK\r\n\r\n",
            "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
-           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: "
-           "chunked\r\n\r\n",
+           "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"  // NOLINT: one text
+           "Transfer-Encoding: chunked\r\n\r\n",
            "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
            "HTTP/1.1 200 OK\r\nContent-Length: 3, 3\r\n\r\n",
            "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n",
