--- a/standin/platform/platform_main.cc
+++ b/standin/platform/platform_main.cc
@@ -47,6 +47,11 @@
         }));
     ports.push_back(listeners.back()->Port());
   }
+  service.OnSilenceEstablished([&listeners] {
+    for (const auto& listener : listeners) {
+      listener->SilenceEstablished();
+    }
+  });
   const standin::HttpListener control(
       FLAGS_host, FLAGS_control_port,
       [&service](const std::shared_ptr<standin::HttpExchange>& exchange) {
--- a/standin/platform/platform_service.cc
+++ b/standin/platform/platform_service.cc
@@ -287,6 +287,9 @@
   ApplyFaults(json, this->faults);
   this->vms.SetRebootTime(this->faults.reboot_time);
   this->tasks.SetFailingVms(this->faults.failing_workers);
+  if (json.value("silence_established", false)) {
+    this->silence_established();
+  }
   const std::chrono::milliseconds grace(json.value("leave_grace_ms", 10000));
   for (const Json& id : json.value("leave", Json::array())) {
     this->vms.Leave(id, grace);
--- a/standin/platform/platform_service.h
+++ b/standin/platform/platform_service.h
@@ -2,10 +2,12 @@
 #define STANDIN_PLATFORM_PLATFORM_SERVICE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "standin/common/http_exchange.h"
@@ -29,6 +31,10 @@
   /// A request to the control listener.
   auto HandleControl(const Exchange& exchange) -> void;
   auto SetFaults(const nlohmann::json& json) -> void;
+  /// `action` silences all connections of the API that are open now.
+  auto OnSilenceEstablished(std::function<void()> action) -> void {
+    this->silence_established = std::move(action);
+  }
   /// Lets the long tasks go on; called at regular intervals.
   auto Advance() -> void { this->tasks.Advance(); }
 
@@ -51,6 +57,7 @@
   TaskBoard tasks;
   VmRegistry vms;
   PlatformFaults faults;
+  std::function<void()> silence_established = [] {};
   /// Requests by kind and transactions by outcome, for tests.
   std::map<std::string, std::uint64_t> counts;
 };
