--- a/src/fireflythread/daemon/admin_task_waves.cc
+++ b/src/fireflythread/daemon/admin_task_waves.cc
@@ -167,18 +167,17 @@
           return;
         }
         // After a conflict or a lost answer the row says what stands.
-        this->GetWave(
-            record.id, [outcome, callback](auto result) {
-              const bool lost = std::holds_alternative<CommitUnknown>(outcome);
-              if (lost && std::holds_alternative<AdminError>(result)) {
-                callback(AdminError{
-                    AdminError::Kind::kUnknownResult,
-                    "the store did not say whether the wave was written",
-                    {}});
-                return;
-              }
-              callback(std::move(result));
-            });
+        this->GetWave(record.id, [outcome, callback](auto result) {
+          const bool lost = std::holds_alternative<CommitUnknown>(outcome);
+          if (lost && std::holds_alternative<AdminError>(result)) {
+            callback(
+                AdminError{AdminError::Kind::kUnknownResult,
+                           "the store did not say whether the wave was written",
+                           {}});
+            return;
+          }
+          callback(std::move(result));
+        });
       });
 }
 
--- a/src/fireflythread/gateway/demand_meter.cc
+++ b/src/fireflythread/gateway/demand_meter.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-auto DemandMeter::TakeReport(TimePoint now) -> std::vector<ServiceDemand> {
+auto DemandMeter::TakeReport(TimePoint now) -> std::vector<EntryServiceDemand> {
   const double seconds =
       this->reported_at == TimePoint::min()
           ? kFirstInterval
@@ -20,9 +20,9 @@
                 kShortestInterval,
                 std::chrono::duration<double>(now - this->reported_at).count());
   this->reported_at = now;
-  std::vector<ServiceDemand> report;
+  std::vector<EntryServiceDemand> report;
   for (auto& [name, service] : this->services) {
-    ServiceDemand demand;
+    EntryServiceDemand demand;
     demand.service = name;
     demand.arrivals_per_second = service.arrivals / seconds;
     demand.shed_per_second = service.shed / seconds;
--- a/src/fireflythread/gateway/demand_meter.h
+++ b/src/fireflythread/gateway/demand_meter.h
@@ -30,7 +30,8 @@
   }
 
   /// Demand since the last call.
-  [[nodiscard]] auto TakeReport(TimePoint now) -> std::vector<ServiceDemand>;
+  [[nodiscard]] auto TakeReport(TimePoint now)
+      -> std::vector<EntryServiceDemand>;
 
  private:
   std::map<ServiceName, Service> services;
--- a/src/fireflythread/gateway/request_state.h
+++ b/src/fireflythread/gateway/request_state.h
@@ -32,7 +32,7 @@
   std::string request_id;
   CallerRequest request;
   std::shared_ptr<CallerExchange> exchange;
-  TraceContext trace;
+  SpanContext trace;
   PoolName pool;
   TeamName quota_team;
   TimePoint started;
@@ -60,7 +60,7 @@
   std::uint64_t worker_epoch = 0;
   TimePoint started;
   TimePoint deadline;
-  TraceContext trace;
+  SpanContext trace;
 };
 
 }  // namespace fireflythread
