--- a/src/fireflythread/daemon/controller_task.cc
+++ b/src/fireflythread/daemon/controller_task.cc
@@ -9,9 +9,11 @@
 #include "fireflythread/config/config_snapshot.h"
 #include "fireflythread/control/controller.h"
 #include "fireflythread/control/controller_decision.h"
+#include "fireflythread/control/fleet_summary.h"
 #include "fireflythread/control/service_demand.h"
 #include "fireflythread/control/wave_codec.h"
 #include "fireflythread/control/worker_fault.h"
+#include "fireflythread/daemon/long_task_scheduler.h"
 #include "fireflythread/daemon/peer_message.h"
 #include "fireflythread/daemon/registration_task.h"
 #include "fireflythread/daemon/state_task.h"
@@ -63,6 +65,10 @@
   this->lease_settings.duration = this->deps.settings.lease.duration;
   this->lease_settings.renew_every = this->deps.settings.lease.renew;
   this->lease_settings.margin = this->deps.settings.lease.margin;
+  this->tasks = std::make_unique<LongTaskScheduler>(
+      LongTaskScheduler::Dependencies{this->deps.settings, this->deps.platform,
+                                      this->deps.logger, this->deps.state,
+                                      this->lease});
 }
 
 ControllerTask::~ControllerTask() = default;
@@ -120,11 +126,14 @@
     return;
   }
   this->ProbeVms();
+  this->tasks->Step(FindLostVms(this->Inputs()));
   if (!this->waves_current) {
     this->ReadWaves();
     return;
   }
-  if (!this->deps.state.HasUnresolvedWrite()) {
+  // Without the task rows a VM that holds a task's lease could be drained.
+  if (!this->deps.state.HasUnresolvedWrite() &&
+      this->tasks->HasRead()) {
     this->Decide();
   }
 }
@@ -175,7 +184,7 @@
   this->demand.clear();
   this->waves.clear();
   this->waves_current = false;
-  this->commands_in_flight.clear();
+  this->tasks->BeginTerm();
   this->term_began = ReadBootClock();
   this->deps.logger.Info(kComponent, "controller_lease_acquired",
                          {{"epoch", this->Epoch()}});
@@ -264,6 +273,7 @@
   inputs.waves = this->waves;
   inputs.members = this->MembersNow(inputs.now);
   inputs.probes = this->prober.Probes();
+  inputs.task_vms = this->tasks->BusyVms();
   for (const auto& [entry, reported] : this->demand) {
     if (inputs.now - reported.received_at > kDemandLifetime) {
       continue;
--- a/src/fireflythread/daemon/controller_task.h
+++ b/src/fireflythread/daemon/controller_task.h
@@ -28,6 +28,7 @@
 namespace fireflythread {
 
 class Logger;
+class LongTaskScheduler;
 class PlatformClient;
 class RegistrationTask;
 class StateTask;
@@ -93,9 +94,9 @@
   LeaseSettings lease_settings;
   ControllerMemory memory;
   VmProber prober;
+  std::unique_ptr<LongTaskScheduler> tasks;
   std::map<WaveId, WaveRecord> waves;
   std::map<EntryId, EntryDemand> demand;
-  std::map<VmId, TimePoint> commands_in_flight;
   std::optional<ControllerReport> report;
   std::optional<TimePoint> term_began;
   bool reading_lease = false;
