Choose the VMs of the shared reserve evenly over racks

Cause: the reserve trimmed pools in name order, counted only spare VMs, and counted VMs held for a passed peak on top. Change: VMs in use are chosen with the fewest per rack and then balanced; idle VMs of any pool count as reserve. The survival check is a maximum flow.

--- a/bench/common/control_bounds.cc
+++ b/bench/common/control_bounds.cc
@@ -104,26 +104,27 @@
   return needed;
 }
 
-auto ReserveSurvives(std::vector<PlacedPool> pools,
-                     PlacedPool spare,
-                     int reserve) -> bool {
-  spare.needed = reserve;
-  pools.push_back(std::move(spare));
+auto ReserveSurvives(const std::vector<PlacedPool>& pools, int reserve)
+    -> bool {
+  // Source 0, sink 1, reserve 2; then pools, racks, and pools' shares of racks.
   Network network;
-  std::map<std::string, int> nodes;
-  int next = static_cast<int>(pools.size()) + 2;
-  int wanted = 0;
-  for (std::size_t i = 0; i < pools.size(); ++i) {
-    const int pool = static_cast<int>(i) + 2;
-    AddArc(network, 0, pool, pools[i].needed, 0);
-    wanted += pools[i].needed;
-    for (const auto& [rack, vms] : pools[i].racks) {
-      const auto [node, added] = nodes.try_emplace(rack, next);
+  std::map<std::string, int> racks;
+  int next = 3;
+  int wanted = reserve;
+  AddArc(network, 0, 2, reserve, 0);
+  for (const PlacedPool& pool : pools) {
+    const int pool_node = next++;
+    AddArc(network, 0, pool_node, pool.needed, 0);
+    wanted += pool.needed;
+    for (const auto& [rack, vms] : pool.racks) {
+      const auto [node, added] = racks.try_emplace(rack, next);
       if (added) {
-        AddArc(network, next, 1, reserve, 0);
-        ++next;
+        AddArc(network, next++, 1, reserve, 0);
       }
-      AddArc(network, pool, node->second, vms, 0);
+      const int share = next++;
+      AddArc(network, pool_node, share, vms, 0);
+      AddArc(network, 2, share, vms, 0);
+      AddArc(network, share, node->second, vms, 0);
     }
   }
   return LargestFlow(network, 0, 1).amount == wanted;
--- a/bench/common/control_bounds.h
+++ b/bench/common/control_bounds.h
@@ -21,11 +21,10 @@
   std::map<std::string, int> racks;
 };
 
-/// Whether `needed` VMs of each pool and `reserve` spare VMs can be chosen from
-/// where they are so that no rack holds more than `reserve` of them. Solved as
-/// a maximum flow from pools through racks.
-[[nodiscard]] auto ReserveSurvives(std::vector<PlacedPool> pools,
-                                   PlacedPool spare,
+/// Whether `needed` VMs of each pool and `reserve` other VMs of any pool can be
+/// chosen from where they are so that no rack holds more than `reserve` of
+/// them. Solved as a maximum flow from pools through racks.
+[[nodiscard]] auto ReserveSurvives(const std::vector<PlacedPool>& pools,
                                    int reserve) -> bool;
 
 /// One pool of a wave.
--- a/bench/moves_main.cc
+++ b/bench/moves_main.cc
@@ -67,6 +67,7 @@
   std::vector<std::vector<int>> needs;
   for (const Interval& interval : trace) {
     std::vector<int>& need = needs.emplace_back();
+    need.reserve(interval.slots.size());
     for (const double slots : interval.slots) {
       need.push_back(std::max(
           1, static_cast<int>(std::ceil(slots * kHeadroom / kSlots - 1e-9))));
--- a/bench/reserve_main.cc
+++ b/bench/reserve_main.cc
@@ -42,6 +42,7 @@
     ++racks[vm.rack];
   }
   std::vector<int> sizes;
+  sizes.reserve(racks.size());
   for (const auto& [rack, vms] : racks) {
     sizes.push_back(vms);
   }
@@ -72,27 +73,23 @@
   const ReservePlan plan = PlanReserve(inputs, policies, summary, memory);
   std::vector<ReservePool> pools;
   std::vector<PlacedPool> placed;
-  PlacedPool spare;
   int needed = 0;
   int held = 0;
   for (const auto& [name, policy] : policies) {
     const std::map<RackName, int> racks = CountRacks(summary.pools.at(name));
-    if (policy.spare) {
-      spare = Place(0, racks);
-      continue;
-    }
     const PoolNeed& need = plan.pools.at(name);
-    needed += need.needed;
-    held += std::max(0, need.target - need.needed);
-    pools.push_back({need.needed, need.needed, racks});
     placed.push_back(Place(need.needed, racks));
+    if (!policy.spare) {
+      needed += need.needed;
+      held += std::max(0, need.target - need.needed);
+      pools.push_back({need.needed, racks});
+    }
   }
-  sums.held += held + plan.reserve;
+  // VMs held for a passed peak are idle and count as reserve.
+  sums.held += std::max(held, plan.reserve);
   sums.baseline += PlanStaticReserve(pools);
   sums.bound += LeastReserve(RackSizes(cell), needed);
-  sums.not_survived +=
-      ReserveSurvives(std::move(placed), std::move(spare), plan.reserve) ? 0
-                                                                         : 1;
+  sums.not_survived += ReserveSurvives(placed, plan.reserve) ? 0 : 1;
   ++sums.samples;
 }
 
--- a/src/fireflythread/control/reserve.cc
+++ b/src/fireflythread/control/reserve.cc
@@ -81,25 +81,20 @@
                  ControllerMemory& memory) -> ReservePlan {
   ReservePlan plan;
   std::vector<ReservePool> pools;
-  std::map<RackName, int> spare;
   for (const auto& [name, policy] : policies) {
     const PoolState& state = summary.pools.at(name);
-    if (policy.spare) {
-      for (const auto& [rack, vms] : CountRacks(state)) {
-        spare[rack] += vms;
-      }
-      continue;
-    }
     PoolNeed& need = plan.pools[name];
-    const double slots = PoolSlots(inputs, policy);
-    need.bare = BareVmsNeeded(policy, slots);
-    need.needed = VmsNeeded(policy, slots);
-    need.held = PlanHeld(inputs, policy, state, need.needed, memory);
-    need.target = std::clamp(need.held, policy.min_vms,
-                             std::max(policy.min_vms, policy.max_vms));
-    pools.push_back({need.needed, need.target, CountRacks(state)});
+    if (!policy.spare) {
+      const double slots = PoolSlots(inputs, policy);
+      need.bare = BareVmsNeeded(policy, slots);
+      need.needed = VmsNeeded(policy, slots);
+      need.held = PlanHeld(inputs, policy, state, need.needed, memory);
+      need.target = std::clamp(need.held, policy.min_vms,
+                               std::max(policy.min_vms, policy.max_vms));
+    }
+    pools.push_back({need.needed, CountRacks(state)});
   }
-  const SharedReserve reserve = PlanSharedReserve(std::move(pools), spare);
+  const SharedReserve reserve = PlanSharedReserve(pools);
   plan.reserve = reserve.vms;
   plan.limiting_rack = reserve.rack;
   for (const auto& [name, policy] : policies) {
--- a/src/fireflythread/control/reserve.h
+++ b/src/fireflythread/control/reserve.h
@@ -24,7 +24,7 @@
 /// The need of every pool and the shared reserve.
 struct ReservePlan {
   std::map<PoolName, PoolNeed> pools;
-  /// VMs that the spare pool keeps for the loss of one rack.
+  /// Idle VMs kept for the loss of one rack, in the spare pool or elsewhere.
   int reserve = 0;
   /// The rack whose loss needs the reserve.
   RackName limiting_rack;
--- a/src/fireflythread/control/shared_reserve.cc
+++ b/src/fireflythread/control/shared_reserve.cc
@@ -1,90 +1,166 @@
 #include "fireflythread/control/shared_reserve.h"
 
 #include <algorithm>
-#include <numeric>
+#include <cstddef>
 
 namespace fireflythread {
 namespace {
 
-auto CountVms(const std::map<RackName, int>& racks) -> int {
-  return std::accumulate(
-      racks.begin(), racks.end(), 0,
-      [](int sum, const auto& rack) { return sum + rack.second; });
-}
+/// VMs of one pool in one rack, and how many of them serve the demand.
+struct RackShare {
+  std::size_t rack = 0;
+  int vms = 0;
+  int used = 0;
+};
+
+/// The choice of the VMs that serve the demand, with racks as indices.
+struct Choice {
+  std::vector<RackName> names;
+  /// VMs in use by rack, over all pools.
+  std::vector<int> used;
+  std::vector<int> idle;
+  std::vector<std::vector<RackShare>> pools;
+};
 
-auto CountByRack(const std::vector<ReservePool>& pools)
-    -> std::map<RackName, int> {
-  std::map<RackName, int> used;
+auto MakeChoice(const std::vector<ReservePool>& pools) -> Choice {
+  Choice choice;
+  std::map<RackName, std::size_t> indices;
   for (const ReservePool& pool : pools) {
+    std::vector<RackShare>& shares = choice.pools.emplace_back();
     for (const auto& [rack, vms] : pool.racks) {
-      used[rack] += vms;
+      const auto [index, added] = indices.try_emplace(rack, indices.size());
+      if (added) {
+        choice.names.push_back(rack);
+      }
+      shares.push_back({index->second, vms, 0});
     }
   }
-  return used;
+  choice.used.resize(indices.size());
+  choice.idle.resize(indices.size());
+  return choice;
 }
 
-/// Takes away the pools' surplus VMs, each from the rack that holds the most
-/// VMs in use, as the controller does when it gives VMs back.
-auto TrimSurplus(std::vector<ReservePool>& pools) -> void {
-  std::map<RackName, int> used = CountByRack(pools);
-  for (ReservePool& pool : pools) {
-    for (int surplus = CountVms(pool.racks) - pool.kept; surplus > 0;
-         --surplus) {
-      const auto fullest = std::max_element(
-          pool.racks.begin(), pool.racks.end(),
-          [&used](const auto& left, const auto& right) {
-            return std::pair(left.second > 0 ? used[left.first] : -1,
-                             left.second) <
-                   std::pair(right.second > 0 ? used[right.first] : -1,
-                             right.second);
-          });
-      --fullest->second;
-      --used[fullest->first];
+/// Uses VMs of a pool one by one in the rack with the fewest VMs in use.
+auto UseVms(Choice& choice, std::vector<RackShare>& shares, int needed)
+    -> void {
+  for (; needed > 0; --needed) {
+    RackShare* best = nullptr;
+    for (RackShare& share : shares) {
+      if (share.used < share.vms &&
+          (best == nullptr ||
+           choice.used[share.rack] < choice.used[best->rack])) {
+        best = &share;
+      }
+    }
+    if (best == nullptr) {
+      return;
     }
+    ++best->used;
+    ++choice.used[best->rack];
   }
 }
 
-/// VMs that the pools are short of after each rack's loss.
-auto CountLosses(const std::vector<ReservePool>& pools)
-    -> std::map<RackName, int> {
-  std::map<RackName, int> losses;
-  for (const ReservePool& pool : pools) {
-    const int slack = CountVms(pool.racks) - pool.needed;
-    for (const auto& [rack, vms] : pool.racks) {
-      losses[rack] += std::max(0, vms - std::max(0, slack));
+/// Replaces one VM in use in the rack by an idle one of the same pool in a rack
+/// with at least two fewer in use.
+auto Relieve(Choice& choice, std::size_t rack) -> bool {
+  for (std::vector<RackShare>& shares : choice.pools) {
+    const auto from = std::find_if(
+        shares.begin(), shares.end(), [rack](const RackShare& share) {
+          return share.rack == rack && share.used > 0;
+        });
+    if (from == shares.end()) {
+      continue;
+    }
+    const auto to =
+        std::find_if(shares.begin(), shares.end(), [&](const RackShare& share) {
+          return share.used < share.vms &&
+                 choice.used[share.rack] + 2 <= choice.used[rack];
+        });
+    if (to != shares.end()) {
+      --from->used;
+      ++to->used;
+      --choice.used[rack];
+      ++choice.used[to->rack];
+      return true;
     }
   }
-  return losses;
+  return false;
 }
 
-/// Whether `vms` spare VMs can be chosen so that after each rack's loss the
-/// others cover it.
-auto Suffices(int vms,
-              const std::map<RackName, int>& losses,
-              const std::map<RackName, int>& spare) -> bool {
+/// Evens out the racks with the most VMs in use.
+auto Balance(Choice& choice) -> void {
+  bool changed = true;
+  while (changed) {
+    changed = false;
+    const int most = *std::max_element(choice.used.begin(), choice.used.end());
+    for (std::size_t rack = 0; rack < choice.used.size(); ++rack) {
+      if (choice.used[rack] == most && !Relieve(choice, rack)) {
+        // This rack stays at the maximum, so the others need not be relieved.
+        return;
+      }
+      changed = true;
+    }
+  }
+}
+
+/// Pools with the least choice go first.
+auto OrderByIdle(const std::vector<ReservePool>& pools)
+    -> std::vector<std::size_t> {
+  std::vector<std::pair<int, std::size_t>> idle;
+  for (std::size_t i = 0; i < pools.size(); ++i) {
+    int vms = -pools[i].needed;
+    for (const auto& [rack, count] : pools[i].racks) {
+      vms += count;
+    }
+    idle.emplace_back(vms, i);
+  }
+  std::sort(idle.begin(), idle.end());
+  std::vector<std::size_t> order;
+  order.reserve(idle.size());
+  for (const auto& [vms, index] : idle) {
+    order.push_back(index);
+  }
+  return order;
+}
+
+auto CountIdle(Choice& choice) -> int {
+  int total = 0;
+  for (const std::vector<RackShare>& shares : choice.pools) {
+    for (const RackShare& share : shares) {
+      choice.idle[share.rack] += share.vms - share.used;
+      total += share.vms - share.used;
+    }
+  }
+  return total;
+}
+
+/// Whether `vms` idle VMs can be chosen so that no rack holds more than `vms`
+/// used or chosen ones: after its loss the others replace them.
+auto Suffices(const Choice& choice, int vms) -> bool {
   int usable = 0;
-  for (const auto& [rack, available] : spare) {
-    const auto loss = losses.find(rack);
-    const int lost = loss == losses.end() ? 0 : loss->second;
-    usable += std::clamp(vms - lost, 0, available);
+  for (std::size_t rack = 0; rack < choice.used.size(); ++rack) {
+    usable += std::clamp(vms - choice.used[rack], 0, choice.idle[rack]);
   }
   return usable >= vms;
 }
 
 }  // namespace
 
-auto PlanSharedReserve(std::vector<ReservePool> pools,
-                       const std::map<RackName, int>& spare) -> SharedReserve {
-  TrimSurplus(pools);
-  const std::map<RackName, int> losses = CountLosses(pools);
-  SharedReserve reserve;
-  for (const auto& [rack, loss] : losses) {
-    if (loss > reserve.vms) {
-      reserve = {loss, rack};
-    }
+auto PlanSharedReserve(const std::vector<ReservePool>& pools) -> SharedReserve {
+  Choice choice = MakeChoice(pools);
+  if (choice.used.empty()) {
+    return {};
+  }
+  for (const std::size_t pool : OrderByIdle(pools)) {
+    UseVms(choice, choice.pools[pool], pools[pool].needed);
   }
-  const int available = CountVms(spare);
-  while (reserve.vms < available && !Suffices(reserve.vms, losses, spare)) {
+  Balance(choice);
+  const int idle = CountIdle(choice);
+  const auto most = std::max_element(choice.used.begin(), choice.used.end());
+  SharedReserve reserve{
+      *most,
+      choice.names[static_cast<std::size_t>(most - choice.used.begin())]};
+  while (reserve.vms < idle && !Suffices(choice, reserve.vms)) {
     ++reserve.vms;
   }
   return reserve;
--- a/src/fireflythread/control/shared_reserve.h
+++ b/src/fireflythread/control/shared_reserve.h
@@ -8,11 +8,10 @@
 
 namespace fireflythread {
 
-/// The VMs that a pool keeps, by rack, and how many of them its demand needs.
+/// The VMs of one pool by rack, and how many of them its demand needs. The
+/// others are idle; the spare pool needs none.
 struct ReservePool {
   int needed = 0;
-  /// VMs that the pool keeps; those beyond it are surplus.
-  int kept = 0;
   std::map<RackName, int> racks;
 };
 
@@ -22,12 +21,12 @@
   RackName rack;
 };
 
-/// The least number of spare VMs that refill all pools after the loss of any
-/// one rack, with the spare VMs in that rack lost as well. `spare` gives the
-/// spare VMs by rack; the best of them count as the reserve. When they do not
-/// suffice, VMs in racks without any other VM are assumed.
-[[nodiscard]] auto PlanSharedReserve(std::vector<ReservePool> pools,
-                                     const std::map<RackName, int>& spare)
+/// The least number of idle VMs, in any pool, that refill all pools after the
+/// loss of any one rack, the idle VMs in that rack included. The VMs that serve
+/// the demand and those that count as the reserve are chosen so that no rack
+/// holds many of them. When there are too few idle VMs, the result is what the
+/// largest loss needs.
+[[nodiscard]] auto PlanSharedReserve(const std::vector<ReservePool>& pools)
     -> SharedReserve;
 
 /// Baseline: every pool holds its own reserve for the loss of the rack in which
