Return surplus to the spare pool only to refill the reserve

Cause: with buffer above moves, every passed peak sent its VMs back to the spare pool, and the next peak fetched them again. Change: surplus stays in its pool, from where a pool that is short gets it. The reserve is refilled in the spare pool only when buffer weighs more than moves; otherwise idle VMs of any pool count. No refill from pools with a wave.

--- a/src/fireflythread/control/moves.cc
+++ b/src/fireflythread/control/moves.cc
@@ -1,7 +1,6 @@
 #include "fireflythread/control/moves.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <vector>
 
@@ -223,31 +222,33 @@
   int keep_now = stuck ? 0 : keep;
   while (wanted > 0 && HasRoom(context, policy) &&
          (MoveFromSpare(context, policy, keep_now) ||
-          MoveFromOtherPool(context, policy, kSurplusTier))) {
+          MoveFromOtherPool(context, policy, kHeldTier))) {
     keep_now = keep;
     --wanted;
   }
 }
 
-/// Surplus VMs that go back to the spare pool together. Moves that weigh more
-/// than buffer make larger batches.
-auto ReleaseBatch(const PoolPolicy& policy) -> int {
-  return std::max(1, static_cast<int>(std::lround(WeightRatio(
-                         policy.weight_moves, policy.weight_buffer))));
+/// Whether the reserve must be in the spare pool, where a VM is idle and can be
+/// lent without a drain. Otherwise idle VMs of any pool count, which saves the
+/// moves there and back.
+auto KeepsReserveInSpare(const PoolPolicy& policy) -> bool {
+  return policy.weight_buffer > policy.weight_moves;
 }
 
+/// Refills the reserve from what pools do not keep. Pools with a running wave
+/// keep their VMs, because a smaller pool may have fewer out at once.
 auto ReleaseSurplus(MoveContext& context,
                     const PoolPolicy& policy,
                     const PoolPolicy& spare) -> void {
+  if (!KeepsReserveInSpare(policy) || ExtraOf(context, policy.name) > 0) {
+    return;
+  }
   const PoolState& state = context.summary->pools[policy.name];
-  int surplus = Available(state) + state.wave_out -
-                NeedOf(context, policy.name).target -
-                ExtraOf(context, policy.name);
-  const bool eager = policy.weight_buffer > policy.weight_moves &&
-                     surplus >= ReleaseBatch(policy);
-  const int reserve = context.plan->reserve;
+  int surplus =
+      Available(state) + state.wave_out - NeedOf(context, policy.name).target;
   while (surplus > 0 && HasRoom(context, spare) &&
-         (eager || Available(context.summary->pools[spare.name]) < reserve) &&
+         Available(context.summary->pools[spare.name]) <
+             context.plan->reserve &&
          MoveOne(context, policy.name, spare)) {
     --surplus;
   }
