Take the reserve only after the idle VMs of other pools

Cause: each peak emptied the spare pool and the reserve was refilled after it, about four moves a turn with buffer above moves. Change: when the reserve must be in the spare pool, a short pool gets idle VMs of other pools first. Other weights unchanged.

--- a/src/fireflythread/control/moves.cc
+++ b/src/fireflythread/control/moves.cc
@@ -196,11 +196,26 @@
   return std::max(for_demand, for_size);
 }
 
+/// Whether the reserve must be in the spare pool, where a VM is idle and can be
+/// lent without a drain. Otherwise idle VMs of any pool count, which saves the
+/// moves there and back.
+auto KeepsReserveInSpare(const PoolPolicy& policy) -> bool {
+  return policy.weight_buffer > policy.weight_moves;
+}
+
+/// Adds one VM from the best source. A reserve that must be in the spare pool
+/// is touched only after the idle VMs of other pools, which saves its refill.
+auto AddOne(MoveContext& context, const PoolPolicy& policy) -> bool {
+  const int keep = KeepsReserveInSpare(policy) ? context.plan->reserve : 0;
+  return MoveFromSpare(context, policy, keep) ||
+         MoveFromOtherPool(context, policy, kHeldTier) ||
+         MoveFromSpare(context, policy, /*keep=*/0) ||
+         MoveFromOtherPool(context, policy, kHeadroomTier);
+}
+
 auto FillShortage(MoveContext& context, const PoolPolicy& policy) -> void {
   int shortage = Shortage(context, policy);
-  while (shortage > 0 && HasRoom(context, policy) &&
-         (MoveFromSpare(context, policy, /*keep=*/0) ||
-          MoveFromOtherPool(context, policy, kHeadroomTier))) {
+  while (shortage > 0 && HasRoom(context, policy) && AddOne(context, policy)) {
     --shortage;
   }
   context.report->pools[policy.name].missing = std::max(0, shortage);
@@ -228,13 +243,6 @@
   }
 }
 
-/// Whether the reserve must be in the spare pool, where a VM is idle and can be
-/// lent without a drain. Otherwise idle VMs of any pool count, which saves the
-/// moves there and back.
-auto KeepsReserveInSpare(const PoolPolicy& policy) -> bool {
-  return policy.weight_buffer > policy.weight_moves;
-}
-
 /// Refills the reserve from what pools do not keep. Pools with a running wave
 /// keep their VMs, because a smaller pool may have fewer out at once.
 auto ReleaseSurplus(MoveContext& context,
