--- a/src/fireflythread/daemon/controller_task.cc
+++ b/src/fireflythread/daemon/controller_task.cc
@@ -65,10 +65,10 @@
   this->lease_settings.duration = this->deps.settings.lease.duration;
   this->lease_settings.renew_every = this->deps.settings.lease.renew;
   this->lease_settings.margin = this->deps.settings.lease.margin;
-  this->tasks = std::make_unique<LongTaskScheduler>(
-      LongTaskScheduler::Dependencies{this->deps.settings, this->deps.platform,
-                                      this->deps.logger, this->deps.state,
-                                      this->lease});
+  this->tasks =
+      std::make_unique<LongTaskScheduler>(LongTaskScheduler::Dependencies{
+          this->deps.settings, this->deps.platform, this->deps.logger,
+          this->deps.state, this->lease});
 }
 
 ControllerTask::~ControllerTask() = default;
@@ -132,8 +132,7 @@
     return;
   }
   // Without the task rows a VM that holds a task's lease could be drained.
-  if (!this->deps.state.HasUnresolvedWrite() &&
-      this->tasks->HasRead()) {
+  if (!this->deps.state.HasUnresolvedWrite() && this->tasks->HasRead()) {
     this->Decide();
   }
 }
--- a/src/fireflythread/daemon/long_task_scheduler.cc
+++ b/src/fireflythread/daemon/long_task_scheduler.cc
@@ -70,25 +70,25 @@
     return;
   }
   this->reading_rows = true;
-  this->deps.platform.Scan(
-      std::string(kTaskTable), this->scanned_revision,
-      this->deps.settings.platform.read_timeout,
-      [this, asked_in = this->term](auto result) {
-        if (asked_in != this->term) {
-          return;
-        }
-        this->reading_rows = false;
-        const auto* scan = std::get_if<ScanResult>(&result);
-        if (scan == nullptr) {
-          return;
-        }
-        this->TakeRows(scan->rows);
-        for (const std::string& key : scan->deleted) {
-          this->tasks.erase(TaskId(key));
-        }
-        this->scanned_revision = scan->revision;
-        this->rows_current = true;
-      });
+  this->deps.platform.Scan(std::string(kTaskTable), this->scanned_revision,
+                           this->deps.settings.platform.read_timeout,
+                           [this, asked_in = this->term](auto result) {
+                             if (asked_in != this->term) {
+                               return;
+                             }
+                             this->reading_rows = false;
+                             const auto* scan =
+                                 std::get_if<ScanResult>(&result);
+                             if (scan == nullptr) {
+                               return;
+                             }
+                             this->TakeRows(scan->rows);
+                             for (const std::string& key : scan->deleted) {
+                               this->tasks.erase(TaskId(key));
+                             }
+                             this->scanned_revision = scan->revision;
+                             this->rows_current = true;
+                           });
 }
 
 auto LongTaskScheduler::TakeRows(const std::vector<Row>& rows) -> void {
@@ -142,16 +142,14 @@
   inputs.reports = this->reports;
   inputs.lost = lost;
   inputs.epoch = *token;
-  inputs.epoch_row_version =
-      FenceCondition(this->deps.lease, ReadBootClock())
-          .value_or(Condition())
-          .version;
+  inputs.epoch_row_version = FenceCondition(this->deps.lease, ReadBootClock())
+                                 .value_or(Condition())
+                                 .version;
   inputs.now = ReadBootClock();
   TaskDecision decision = DecideTasks(inputs, this->memory);
   for (const FailingWorker& worker : decision.failing_workers) {
-    this->deps.logger.Warning(
-        kComponent, "worker_fails_tasks",
-        {{"vm", worker.vm}, {"tasks", worker.tasks}});
+    this->deps.logger.Warning(kComponent, "worker_fails_tasks",
+                              {{"vm", worker.vm}, {"tasks", worker.tasks}});
   }
   this->SendCommands(decision.commands);
   this->Commit(std::move(decision.transactions));
@@ -188,10 +186,9 @@
         command, this->deps.settings.platform.commit_timeout,
         [this, vm = command.vm, task = command.task](auto result) {
           if (const auto* error = std::get_if<PlatformError>(&result)) {
-            this->deps.logger.Warning(kComponent, "task_command_failed",
-                                      {{"vm", vm},
-                                       {"task", task},
-                                       {"reason", error->reason}});
+            this->deps.logger.Warning(
+                kComponent, "task_command_failed",
+                {{"vm", vm}, {"task", task}, {"reason", error->reason}});
           }
         });
   }
--- a/src/fireflythread/daemon/long_task_scheduler.h
+++ b/src/fireflythread/daemon/long_task_scheduler.h
@@ -9,6 +9,9 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/platform/row.h"
+#include "fireflythread/platform/transaction.h"
+#include "fireflythread/platform/worker_task_command.h"
 #include "fireflythread/platform/worker_task_report.h"
 #include "fireflythread/settings/daemon_settings.h"
 #include "fireflythread/tasks/task_decision.h"
