Tell a repeat of a key in progress that the outcome is unknown

Cause: in the run of scripts/run-local, repeats of a key through another entry were answered 409 with outcome not-run while the first request with the key ran. A caller that trusts "not run" would order the work anew. Each repeat in progress now has outcome unknown; a test checks that neither of two concurrent requests with one key is told not-run when one of them runs.

--- a/src/fireflythread/admission/refusal_reason.cc
+++ b/src/fireflythread/admission/refusal_reason.cc
@@ -38,8 +38,6 @@
       return "refused-by-workers";
     case RefusalReason::kNotRecorded:
       return "key-not-recorded";
-    case RefusalReason::kInProgress:
-      return "in-progress";
     case RefusalReason::kCallerGone:
       break;
   }
@@ -53,8 +51,6 @@
       return 400;
     case RefusalReason::kUnknownService:
       return 404;
-    case RefusalReason::kInProgress:
-      return 409;
     case RefusalReason::kBodyTooLarge:
     case RefusalReason::kSizeFitsNoWorker:
       return 413;
--- a/src/fireflythread/admission/refusal_reason.h
+++ b/src/fireflythread/admission/refusal_reason.h
@@ -26,7 +26,6 @@
   kNoWorker,
   kRefusedByWorkers,
   kNotRecorded,
-  kInProgress,
   kCallerGone
 };
 
--- a/src/fireflythread/gateway/caller_response.cc
+++ b/src/fireflythread/gateway/caller_response.cc
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr int kConflict = 409;
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
@@ -41,4 +42,13 @@
   return response;
 }
 
+auto InProgressResponse() -> CallerResponse {
+  CallerResponse response;
+  response.status = kConflict;
+  response.outcome = RequestOutcome::kUnknown;
+  response.reason = "in-progress";
+  OwnBody(response, "a request with this key is in progress");
+  return response;
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/gateway/caller_response.h
+++ b/src/fireflythread/gateway/caller_response.h
@@ -28,6 +28,10 @@
 [[nodiscard]] auto UnknownResponse(bool timed_out, const std::string& detail)
     -> CallerResponse;
 
+/// The answer to a repeat while the first request with its key is on its way:
+/// 409 with outcome unknown, since the work behind the key may be run.
+[[nodiscard]] auto InProgressResponse() -> CallerResponse;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_GATEWAY_CALLER_RESPONSE_H_
--- a/src/fireflythread/gateway/dispatcher_accept.cc
+++ b/src/fireflythread/gateway/dispatcher_accept.cc
@@ -144,8 +144,7 @@
       this->AnswerRepeat(request, record);
       break;
     case RepeatAnswer::kInProgress:
-      this->Refuse(request, RefusalReason::kInProgress,
-                   "a request with this key is in progress");
+      this->Finish(request, InProgressResponse());
       break;
     case RepeatAnswer::kKeyReused:
       this->Refuse(request, RefusalReason::kKeyReused,
--- a/test/fireflythread/gateway/keyed_request_test.cc
+++ b/test/fireflythread/gateway/keyed_request_test.cc
@@ -140,6 +140,9 @@
       [&] { return first->has_value() && second->has_value(); }));
   CHECK(std::set<int>{(*first)->status, (*second)->status} ==
         std::set<int>{200, 409});
+  // Both name the same work, which runs: neither may be told "not run".
+  CHECK((*first)->outcome != "not-run");
+  CHECK((*second)->outcome != "not-run");
   CHECK(backend.requests.size() == 1);
 }
 
