--- a/src/fireflythread/control/moves.cc
+++ b/src/fireflythread/control/moves.cc
@@ -1,7 +1,6 @@
 #include "fireflythread/control/moves.h"
 
 #include <algorithm>
-#include <cmath>
 #include <tuple>
 #include <vector>
 
@@ -131,9 +130,13 @@
                      });
 }
 
+constexpr int kHeadroomTier = 0;
+constexpr int kHeldTier = 1;
+constexpr int kSurplusTier = 2;
+
 /// What a pool can give to one that is short; `tier` tells better sources.
 struct Offer {
-  int tier = 0;
+  int tier = kHeadroomTier;
   int vms = 0;
 };
 
@@ -149,16 +152,19 @@
   const int surplus =
       serving - need.target - ExtraOf(context, from.name) + state.wave_out;
   if (std::min(surplus, beyond_need) > 0) {
-    return {2, std::min(surplus, beyond_need)};
+    return {kSurplusTier, std::min(surplus, beyond_need)};
   }
   if (beyond_need > 0) {
-    return {1, beyond_need};
+    return {kHeldTier, beyond_need};
   }
   const int floor = std::max({need.bare, from.min_vms, 1});
-  return {0, to.priority > from.priority ? serving - floor : 0};
+  return {kHeadroomTier, to.priority > from.priority ? serving - floor : 0};
 }
 
-auto MoveFromOtherPool(MoveContext& context, const PoolPolicy& to) -> bool {
+/// `lowest_tier` leaves out offers of worse tiers.
+auto MoveFromOtherPool(MoveContext& context,
+                       const PoolPolicy& to,
+                       int lowest_tier) -> bool {
   const PoolPolicy* best = nullptr;
   std::tuple<int, int, int> best_rank;
   for (const auto& [name, policy] : *context.policies) {
@@ -168,7 +174,8 @@
     const Offer offer = MakeOffer(context, policy, to);
     const std::tuple<int, int, int> rank = {offer.tier, -policy.priority,
                                             offer.vms};
-    if (offer.vms > 0 && (best == nullptr || rank > best_rank)) {
+    if (offer.vms > 0 && offer.tier >= lowest_tier &&
+        (best == nullptr || rank > best_rank)) {
       best = &policy;
       best_rank = rank;
     }
@@ -189,11 +196,26 @@
   return std::max(for_demand, for_size);
 }
 
+/// Whether the reserve must be in the spare pool, where a VM is idle and can be
+/// lent without a drain. Otherwise idle VMs of any pool count, which saves the
+/// moves there and back.
+auto KeepsReserveInSpare(const PoolPolicy& policy) -> bool {
+  return policy.weight_buffer > policy.weight_moves;
+}
+
+/// Adds one VM from the best source. A reserve that must be in the spare pool
+/// is touched only after the idle VMs of other pools, which saves its refill.
+auto AddOne(MoveContext& context, const PoolPolicy& policy) -> bool {
+  const int keep = KeepsReserveInSpare(policy) ? context.plan->reserve : 0;
+  return MoveFromSpare(context, policy, keep) ||
+         MoveFromOtherPool(context, policy, kHeldTier) ||
+         MoveFromSpare(context, policy, /*keep=*/0) ||
+         MoveFromOtherPool(context, policy, kHeadroomTier);
+}
+
 auto FillShortage(MoveContext& context, const PoolPolicy& policy) -> void {
   int shortage = Shortage(context, policy);
-  while (shortage > 0 && HasRoom(context, policy) &&
-         (MoveFromSpare(context, policy, /*keep=*/0) ||
-          MoveFromOtherPool(context, policy))) {
+  while (shortage > 0 && HasRoom(context, policy) && AddOne(context, policy)) {
     --shortage;
   }
   context.report->pools[policy.name].missing = std::max(0, shortage);
@@ -208,31 +230,33 @@
   const PoolState& state = context.summary->pools[policy.name];
   int wanted = NeedOf(context, policy.name).needed + extra - Available(state) -
                state.wave_out;
+  // A wave that could otherwise take no VM at all may borrow one VM of the
+  // reserve, or it would never end.
+  const bool stuck = context.summary->wave_out.empty() &&
+                     Available(state) <= NeedOf(context, policy.name).needed;
+  int keep_now = stuck ? 0 : keep;
   while (wanted > 0 && HasRoom(context, policy) &&
-         MoveFromSpare(context, policy, keep)) {
+         (MoveFromSpare(context, policy, keep_now) ||
+          MoveFromOtherPool(context, policy, kHeldTier))) {
+    keep_now = keep;
     --wanted;
   }
 }
 
-/// Surplus VMs that go back to the spare pool together. Moves that weigh more
-/// than buffer make larger batches.
-auto ReleaseBatch(const PoolPolicy& policy) -> int {
-  return std::max(1, static_cast<int>(std::lround(WeightRatio(
-                         policy.weight_moves, policy.weight_buffer))));
-}
-
+/// Refills the reserve from what pools do not keep. Pools with a running wave
+/// keep their VMs, because a smaller pool may have fewer out at once.
 auto ReleaseSurplus(MoveContext& context,
                     const PoolPolicy& policy,
                     const PoolPolicy& spare) -> void {
+  if (!KeepsReserveInSpare(policy) || ExtraOf(context, policy.name) > 0) {
+    return;
+  }
   const PoolState& state = context.summary->pools[policy.name];
-  int surplus = Available(state) + state.wave_out -
-                NeedOf(context, policy.name).target -
-                ExtraOf(context, policy.name);
-  const bool eager = policy.weight_buffer > policy.weight_moves &&
-                     surplus >= ReleaseBatch(policy);
-  const int reserve = context.plan->reserve;
+  int surplus =
+      Available(state) + state.wave_out - NeedOf(context, policy.name).target;
   while (surplus > 0 && HasRoom(context, spare) &&
-         (eager || Available(context.summary->pools[spare.name]) < reserve) &&
+         Available(context.summary->pools[spare.name]) <
+             context.plan->reserve &&
          MoveOne(context, policy.name, spare)) {
     --surplus;
   }
--- a/src/fireflythread/daemon/controller_task.h
+++ b/src/fireflythread/daemon/controller_task.h
@@ -28,6 +28,7 @@
 namespace fireflythread {
 
 class Logger;
+class LongTaskScheduler;
 class PlatformClient;
 class RegistrationTask;
 class StateTask;
@@ -63,6 +64,9 @@
   [[nodiscard]] auto Holder() const -> std::optional<EntryId>;
   [[nodiscard]] auto IsController() const -> bool;
   [[nodiscard]] auto Epoch() const -> std::uint64_t;
+  /// Time since the lease row was last seen to change.
+  [[nodiscard]] auto SinceRenewal() const -> Duration;
+  [[nodiscard]] auto Memory() const -> const ControllerMemory&;
   /// The latest report; no value when this entry is not the controller.
   [[nodiscard]] auto Report() const -> const std::optional<ControllerReport>&;
   /// The inputs of the next step, for planning a wave without changes.
@@ -90,9 +94,9 @@
   LeaseSettings lease_settings;
   ControllerMemory memory;
   VmProber prober;
+  std::unique_ptr<LongTaskScheduler> tasks;
   std::map<WaveId, WaveRecord> waves;
   std::map<EntryId, EntryDemand> demand;
-  std::map<VmId, TimePoint> commands_in_flight;
   std::optional<ControllerReport> report;
   std::optional<TimePoint> term_began;
   bool reading_lease = false;
--- a/src/fireflythread/daemon/state_task_writes.cc
+++ b/src/fireflythread/daemon/state_task_writes.cc
@@ -71,7 +71,7 @@
     -> void {
   this->platform.Commit(
       SettlingWrite(*write), this->settings.platform.commit_timeout,
-      [this, write, callback](TransactionOutcome outcome) {
+      [this, write, callback](const TransactionOutcome& outcome) {
         if (std::holds_alternative<NotCommitted>(outcome) ||
             std::holds_alternative<CommitUnknown>(outcome)) {
           // The store is down; nothing else can be written meanwhile.
@@ -143,6 +143,18 @@
   }
 }
 
+auto StateTask::RefreshConfig(std::function<void()> done) -> void {
+  this->platform.Scan(
+      TableOf(HeadKind::kConfig), 0, this->settings.platform.read_timeout,
+      [this, done = std::move(done)](auto result) {
+        const auto* scan = std::get_if<ScanResult>(&result);
+        if (scan != nullptr) {
+          (void)this->ReplaceState(scan->rows, HeadKind::kConfig);
+        }
+        done();
+      });
+}
+
 auto StateTask::WatchAcceptance(std::uint64_t config_version,
                                 TimePoint deadline,
                                 std::function<void(bool)> callback) -> void {
