--- a/src/fireflythread/admin/admin_server.cc
+++ b/src/fireflythread/admin/admin_server.cc
@@ -9,7 +9,9 @@
 
 #include "fireflythread/admin/admin_handler.h"
 #include "fireflythread/admin/connection_guard.h"
+#include "fireflythread/admin/decode_request.h"
 #include "fireflythread/admin/g_ptr.h"
+#include "fireflythread/admin/pending_response.h"
 #include "fireflythread/admin/soup_exchange.h"
 #include "fireflythread/telemetry/logger.h"
 
@@ -42,6 +44,14 @@
       fmt::format("{} connections are open already", limit));
 }
 
+// How long the backend may take. The client's own wait comes on top of the time
+// for a transaction and for reading back a lost answer.
+auto ResponseLimit(const AdminRequest& request, Duration limit) -> Duration {
+  const Decoded<Duration> wait = DecodeWait(request, Duration(0));
+  const auto* given = std::get_if<Duration>(&wait);
+  return limit + (given == nullptr ? Duration(0) : *given);
+}
+
 }  // namespace
 
 // The server's objects and the callbacks of libsoup. Everything runs on the
@@ -65,6 +75,8 @@
   auto CheckChunk(SoupServerMessage* message) -> void;
   auto Handle(SoupServerMessage* message, const char* path, GHashTable* query)
       -> void;
+  auto MakeRespond(SoupServerMessage* message, Duration limit)
+      -> AdminHandler::Respond;
 
   AdminServerOptions options;
   AdminHandler handler;
@@ -280,21 +292,33 @@
     return;
   }
   soup_server_message_pause(message);
-  const std::shared_ptr<SoupServerMessage> held(
-      SOUP_SERVER_MESSAGE(g_object_ref(message)), internal::UnrefObject());
+  const AdminRequest request = internal::ReadRequest(message, path, query);
+  const auto respond = this->MakeRespond(
+      message, ResponseLimit(request, this->options.response_timeout));
+  this->handler.Handle(request, respond);
+}
+
+auto AdminServer::State::MakeRespond(SoupServerMessage* message, Duration limit)
+    -> AdminHandler::Respond {
+  const auto pending = std::make_shared<internal::PendingResponse>(message);
   const std::weak_ptr<State*> weak(this->self);
-  this->handler.Handle(
-      internal::ReadRequest(message, path, query),
-      [held, weak](const AdminResponse& response) -> void {
-        const auto owner = weak.lock();
-        if (!owner || !(*owner)->open.contains(held.get())) {
-          return;
-        }
-        internal::WriteResponse(held.get(), response);
-        (*owner)->guard.ResponseStarted(
-            soup_server_message_get_remote_address(held.get()));
-        soup_server_message_unpause(held.get());
-      });
+  const auto respond = [pending, weak](const AdminResponse& response) -> void {
+    const auto owner = weak.lock();
+    SoupServerMessage* held = pending->TakeMessage();
+    if (!owner || held == nullptr || !(*owner)->open.contains(held)) {
+      return;
+    }
+    internal::WriteResponse(held, response);
+    (*owner)->guard.ResponseStarted(
+        soup_server_message_get_remote_address(held));
+    soup_server_message_unpause(held);
+  };
+  pending->StartTimer(limit, [respond]() -> void {
+    respond(MakeErrorResponse(
+        504, "unknown_result",
+        "the entry did not finish in time; an edit may still take effect"));
+  });
+  return respond;
 }
 
 AdminServer::AdminServer(AdminServerOptions options,
--- a/src/fireflythread/admin/admin_server_options.h
+++ b/src/fireflythread/admin/admin_server_options.h
@@ -22,6 +22,10 @@
   int max_connections = 64;
   /// Longest time in which a client must have sent its whole request.
   Duration receive_timeout = std::chrono::seconds(10);
+  /// Longest time that the backend may take, beside the wait that the client
+  /// asked for; 504 after it. Covers an edit's default wait of 2 s, a
+  /// transaction and the read after a lost answer.
+  Duration response_timeout = std::chrono::seconds(10);
 };
 
 }  // namespace fireflythread::admin
--- a/src/fireflythread/ctl/api_request.h
+++ b/src/fireflythread/ctl/api_request.h
@@ -17,7 +17,8 @@
   std::string path;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
-  Duration timeout = std::chrono::seconds(10);
+  /// Above the server's longest time for an answer.
+  Duration timeout = std::chrono::seconds(15);
 };
 
 }  // namespace fireflythread::ctl
--- a/src/fireflythread/ctl/http_api.cc
+++ b/src/fireflythread/ctl/http_api.cc
@@ -107,8 +107,18 @@
   GError* error = nullptr;
   const std::unique_ptr<GBytes, FreeBytes> bytes(soup_session_send_and_read(
       this->impl->session.get(), message.get(), nullptr, &error));
-  return bytes ? ReadReply(message.get(), bytes.get())
-               : Failure(TakeMessage(error));
+  if (bytes) {
+    return ReadReply(message.get(), bytes.get());
+  }
+  const bool is_refused =
+      g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED) ||
+      g_error_matches(error, G_IO_ERROR, G_IO_ERROR_HOST_UNREACHABLE) ||
+      g_error_matches(error, G_IO_ERROR, G_IO_ERROR_NETWORK_UNREACHABLE) ||
+      error->domain == G_TLS_ERROR || error->domain == SOUP_SESSION_ERROR ||
+      error->domain == G_RESOLVER_ERROR;
+  ApiReply reply = Failure(TakeMessage(error));
+  reply.may_have_run = !is_refused;
+  return reply;
 }
 
 auto HttpApi::Sleep(Duration duration) -> void {
--- a/src/fireflythread/ctl/object_verbs.cc
+++ b/src/fireflythread/ctl/object_verbs.cc
@@ -21,8 +21,6 @@
 using admin::ObjectKind;
 using nlohmann::json;
 
-constexpr std::chrono::seconds kEditTimeout(15);
-
 auto Collection(ObjectKind kind) -> std::string {
   return fmt::format("/v1/{}", admin::ObjectKindCollection(kind));
 }
@@ -197,7 +195,6 @@
   edit.path = path;
   edit.headers = {{"If-Match", version}};
   edit.body = object.dump(-1, ' ', false, json::error_handler_t::replace);
-  edit.timeout = kEditTimeout;
   return SendEdit(options, edit, object, api, output);
 }
 
@@ -209,7 +206,6 @@
   ApiRequest edit;
   edit.method = "DELETE";
   edit.path = ObjectPath(kind, arguments[0]);
-  edit.timeout = kEditTimeout;
   const ApiReply current = Get(edit.path, api);
   const ExitCode code = CheckReply(current, output);
   if (code != ExitCode::kOk) {
--- a/src/fireflythread/ctl/render_status.cc
+++ b/src/fireflythread/ctl/render_status.cc
@@ -57,6 +57,13 @@
   return table.Render();
 }
 
+// A pool without demand, or without a report of the controller, needs no VM.
+auto HeadroomText(const json& pool) -> std::string {
+  return Number(pool, "needed") > 0
+             ? fmt::format("{:.0f}%", Number(pool, "headroom") * 100)
+             : "-";
+}
+
 auto RenderPools(const json& pools) -> std::string {
   std::vector<json> sorted(pools.begin(), pools.end());
   // The pools that are closest to their limits first.
@@ -71,9 +78,8 @@
     const bool spare = pool.value("spare", json()) == json(true);
     table.Add({Text(pool, "name") + (spare ? " (spare)" : ""),
                Text(pool, "vms"), Text(pool, "serving"), Text(pool, "needed"),
-               fmt::format("{:.0f}%", Number(pool, "headroom") * 100),
-               Text(pool, "budget_left"), Text(pool, "queued"),
-               Text(pool, "in_flight")});
+               HeadroomText(pool), Text(pool, "budget_left"),
+               Text(pool, "queued"), Text(pool, "in_flight")});
   }
   std::string text = table.Render();
   if (shown < sorted.size()) {
--- a/src/fireflythread/ctl/reply_check.cc
+++ b/src/fireflythread/ctl/reply_check.cc
@@ -34,8 +34,13 @@
     return code;
   }
   if (reply.status == 0) {
-    output.err += fmt::format("the server cannot be reached: {}\n",
-                              Printable(reply.problem));
+    output.err += fmt::format(
+        "{}: {}\n",
+        reply.may_have_run
+            ? "the server did not answer; an edit may have taken effect, see "
+              "fireflythreadctl history"
+            : "the server cannot be reached",
+        Printable(reply.problem));
     return code;
   }
   const nlohmann::json error = reply.json.is_object()
--- a/test/fireflythread/admin/admin_server_test.cc
+++ b/test/fireflythread/admin/admin_server_test.cc
@@ -157,6 +157,22 @@
   fixture.reset();
 }
 
+// Guards against operators who wait for an edit whose result the store does
+// not tell.
+TEST_CASE("a backend that takes too long ends with 504") {
+  AdminServerOptions options;
+  options.response_timeout = 50ms;
+  ServerFixture fixture(options);
+  fixture.backend.hold = true;
+  const std::string response = fixture.Exchange(
+      "PUT /v1/profiles/a HTTP/1.1\r\nHost: a\r\nIf-Match: 0\r\n"
+      "Content-Length: 2\r\nAuthorization: Bearer " +
+      std::string(test::kEditToken) + "\r\n\r\n{}");
+  CHECK_THAT(response, Contains("HTTP/1.1 504") && Contains("unknown_result"));
+  fixture.backend.Release();
+  CHECK_THAT(fixture.Get("/healthz"), Contains("HTTP/1.1 200"));
+}
+
 // Guards against a daemon that ends without a word when its port is taken.
 TEST_CASE("a listener that cannot open says why") {
   ServerFixture first;
