--- a/src/fireflythread/gateway/dispatcher_accept.cc
+++ b/src/fireflythread/gateway/dispatcher_accept.cc
@@ -144,8 +144,7 @@
       this->AnswerRepeat(request, record);
       break;
     case RepeatAnswer::kInProgress:
-      this->Refuse(request, RefusalReason::kInProgress,
-                   "a request with this key is in progress");
+      this->Finish(request, InProgressResponse());
       break;
     case RepeatAnswer::kKeyReused:
       this->Refuse(request, RefusalReason::kKeyReused,
@@ -176,14 +175,14 @@
       });
 }
 
-auto Dispatcher::LoadOf(PoolState& pool, TimePoint now) const -> PoolLoad {
+auto Dispatcher::LoadOf(GatewayPool& pool, TimePoint now) const -> PoolLoad {
   return {pool.slots.UsableSlots(now), pool.slots.BusySlots(now),
           pool.hold_time.mean};
 }
 
 auto Dispatcher::Enqueue(const Request& request) -> void {
   const auto found = this->state.pools.find(request->pool);
-  PoolState& pool = found->second;
+  GatewayPool& pool = found->second;
   const TimePoint now = ReadBootClock();
   DemandMeter::Service& demand = this->meter.Of(request->request.service);
   request->queued = {
