--- a/src/fireflythread/settings/daemon_settings.h
+++ b/src/fireflythread/settings/daemon_settings.h
@@ -30,7 +30,6 @@
     Duration commit_timeout = std::chrono::seconds(2);
     Duration vm_list_poll = std::chrono::milliseconds(500);
     Duration task_poll = std::chrono::seconds(1);
-    Duration usage_poll = std::chrono::seconds(1);
   };
 
   struct Peers {
@@ -62,7 +61,6 @@
     std::int64_t admin_headers = 16 << 10;
     int caller_connections = 2000;
     int admin_connections = 64;
-    int connections_per_worker = 7;
     int queue_length = 512;
     Duration receive_timeout = std::chrono::seconds(10);
     Duration longest_request = std::chrono::seconds(30);
--- a/src/fireflythread/settings/setting_keys.cc
+++ b/src/fireflythread/settings/setting_keys.cc
@@ -43,10 +43,6 @@
      SettingKey::DurationRange{
          [](Settings& s) -> Duration& { return s.platform.task_poll; }, 100ms,
          60s}},
-    {"platform", "usage_poll", false,
-     SettingKey::DurationRange{
-         [](Settings& s) -> Duration& { return s.platform.usage_poll; }, 100ms,
-         60s}},
     {"peers", "listen", true, SettingKey::Address{[](Settings& s) -> Endpoint& {
        return s.peers.listen;
      }}},
@@ -103,10 +99,6 @@
      SettingKey::CountRange{
          [](Settings& s) -> int& { return s.limits.admin_connections; }, 1,
          1000}},
-    {"limits", "connections_per_worker", false,
-     SettingKey::CountRange{
-         [](Settings& s) -> int& { return s.limits.connections_per_worker; }, 1,
-         1000}},
     {"limits", "queue_length", false,
      SettingKey::CountRange{
          [](Settings& s) -> int& { return s.limits.queue_length; }, 1, 100000}},
