--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -12,6 +12,8 @@
 
 #include "bench/common/control_results.h"
 #include "bench/common/control_sites.h"
+#include "fireflythread/daemon/demand_report_codec.h"
+#include "fireflythread/gateway/demand_snapshot.h"
 #include "fireflythread/peer/generated/peer.pb.h"
 
 DEFINE_string(csv, "", "file for the results as CSV");
@@ -102,23 +104,18 @@
 }
 
 auto MakeReport(const VirtualCell& cell) -> peer::Envelope {
-  peer::Envelope envelope;
-  envelope.set_sender("entry-1");
-  envelope.set_incarnation(1);
-  peer::DemandReport& report = *envelope.mutable_demand_report();
-  for (const auto& [name, demand] : cell.demand) {
-    peer::DemandReport::Service& service = *report.add_services();
-    service.set_service(name.value);
-    service.set_arrivals_per_second(demand.arrivals_per_second);
-    service.set_in_flight(static_cast<std::uint32_t>(demand.in_flight));
-    service.set_mean_service_seconds(demand.mean_service_seconds);
-    service.set_answered_in_time_ratio(1);
+  DemandSnapshot demand;
+  for (const auto& [name, service] : cell.demand) {
+    demand.services.push_back({name, service.arrivals_per_second,
+                               static_cast<int>(service.in_flight), 0, 0,
+                               service.mean_service_seconds, 1});
   }
   for (const auto& [id, record] : cell.fleet.vms) {
-    peer::DemandReport::Worker& worker = *report.add_workers();
-    worker.set_vm(id.value);
-    worker.set_in_flight(3);
+    demand.workers.push_back({id, 3, false, ""});
   }
+  peer::Envelope envelope = EncodeDemandReport(demand);
+  envelope.set_sender("entry-1");
+  envelope.set_incarnation(1);
   return envelope;
 }
 
