--- a/test/process/graceful_stop_test.cc
+++ b/test/process/graceful_stop_test.cc
@@ -73,7 +73,8 @@
   REQUIRE(declared.status < 300);
   const auto rebooted = [&site] {
     int count = 0;
-    for (const Json& vm : site.Platform().Vms().at("vms")) {
+    const Json state = site.Platform().Vms();
+    for (const Json& vm : state.at("vms")) {
       count += vm.at("reboots").get<int>();
     }
     return count;
