--- a/src/fireflythread/gateway/gateway.h
+++ b/src/fireflythread/gateway/gateway.h
@@ -53,7 +53,8 @@
 
   /// Requests that run or may still run on a VM, including those whose answer
   /// did not come: such a one counts until the longest request time after its
-  /// send. A drain may be acknowledged at 0.
+  /// send, and until the predecessor is gone there is at least 1. A drain may
+  /// be acknowledged at 0.
   [[nodiscard]] auto InFlight(const VmId& vm) const -> int;
 
   /// Demand since the last call.
--- a/src/fireflythread/gateway/request_path.cc
+++ b/src/fireflythread/gateway/request_path.cc
@@ -62,10 +62,14 @@
 }
 
 auto RequestPath::InFlight(const VmId& vm) const -> int {
+  const TimePoint now = ReadBootClock();
   const auto found = this->state.workers.find(vm);
-  return found == this->state.workers.end()
-             ? 0
-             : CountInFlight(found->second, ReadBootClock());
+  if (found == this->state.workers.end()) {
+    return 0;
+  }
+  // The predecessor's requests are not known one by one.
+  const int inherited = now < this->state.predecessor_until ? 1 : 0;
+  return inherited + CountInFlight(found->second, now);
 }
 
 auto RequestPath::Demand() -> DemandSnapshot {
--- a/test/fireflythread/gateway/control_test.cc
+++ b/test/fireflythread/gateway/control_test.cc
@@ -146,6 +146,24 @@
             .loans.empty());
 }
 
+// Guards against a drain that is acknowledged, or a slot that is used, while
+// the entry's earlier process may still have a request on the worker.
+TEST_CASE("a predecessor's requests count until it is gone") {
+  TestBackend backend([](const std::string&) { return Reply{OkReply("x")}; });
+  GatewayFixture fixture({}, false);
+  fixture.AddWorker("vm-1", backend.Address());
+  CHECK(fixture.gateway->InFlight(VmId("vm-1")) == 1);
+  const auto waiting = fixture.Begin("GET", "/s/orders/1");
+  CHECK(Reason(fixture, "GET", "/s/orders/1",
+               {{"Fireflythread-Deadline-Ms", "50"}}) ==
+        "503 deadline-unreachable");
+  CHECK(backend.requests.empty());
+  fixture.gateway->SetPredecessorGone();
+  REQUIRE(GatewayFixture::WaitFor([&] { return waiting->has_value(); }));
+  CHECK((*waiting)->status == 200);
+  CHECK(fixture.gateway->InFlight(VmId("vm-1")) == 0);
+}
+
 // Guards against demand that the controller does not see.
 TEST_CASE("demand counts arrivals, shed requests and workers") {
   TestBackend backend([](const std::string&) { return Reply{OkReply("x")}; });
--- a/test/fireflythread/gateway/gateway_fixture.cc
+++ b/test/fireflythread/gateway/gateway_fixture.cc
@@ -41,7 +41,7 @@
 
 }  // namespace
 
-GatewayFixture::GatewayFixture(GatewaySettings settings)
+GatewayFixture::GatewayFixture(GatewaySettings settings, bool predecessor_gone)
     : session(soup_session_new_with_options("max-conns-per-host",
                                             100,
                                             "max-conns",
@@ -72,7 +72,9 @@
   const StartResult started = this->gateway->Start();
   REQUIRE(std::holds_alternative<BoundPort>(started));
   this->port = std::get<BoundPort>(started).port;
-  this->gateway->SetPredecessorGone();
+  if (predecessor_gone) {
+    this->gateway->SetPredecessorGone();
+  }
   this->gateway->SetConfirmedUntil(TimePoint::max());
 }
 
--- a/test/fireflythread/gateway/gateway_fixture.h
+++ b/test/fireflythread/gateway/gateway_fixture.h
@@ -33,7 +33,8 @@
  public:
   using Headers = std::vector<std::pair<std::string, std::string>>;
 
-  explicit GatewayFixture(GatewaySettings settings = {});
+  explicit GatewayFixture(GatewaySettings settings = {},
+                          bool predecessor_gone = true);
   ~GatewayFixture();
 
   /// Adds a worker at an address to the pool and applies the control state.
