Lend to waves only from VMs that no other wave needs

Change: a wave borrows from the spare pool and from VMs that their pool and its own wave do not keep. The new test fails without this (the wave does not finish in 60 minutes).

--- a/src/fireflythread/control/moves.cc
+++ b/src/fireflythread/control/moves.cc
@@ -237,7 +237,7 @@
   int keep_now = stuck ? 0 : keep;
   while (wanted > 0 && HasRoom(context, policy) &&
          (MoveFromSpare(context, policy, keep_now) ||
-          MoveFromOtherPool(context, policy, kHeldTier))) {
+          MoveFromOtherPool(context, policy, kSurplusTier))) {
     keep_now = keep;
     --wanted;
   }
--- a/test/fireflythread/control/controller_test.cc
+++ b/test/fireflythread/control/controller_test.cc
@@ -107,6 +107,19 @@
   CHECK(cell.waves.at(WaveId("w1")).state == WaveState::kFinished);
 }
 
+// Guards against two pools with a running wave that borrow one VM from each
+// other in turn, so that it is always on the move and the wave never ends.
+TEST_CASE("pools share the last spare VM of a wave without taking turns") {
+  VirtualCell cell = MakeCell();
+  SetDemand(cell, "counter", 44);
+  SetDemand(cell, "planner", 51);
+  RunFor(cell, seconds(5));
+  cell.pool_changes = 0;
+  DeclareWave(cell, "w1", {});
+  REQUIRE(RunWave(cell, "w1", minutes(60)));
+  CHECK(cell.pool_changes <= 16);
+}
+
 // Guards against rebooting a VM while a silent entry may still send to it.
 TEST_CASE("a silent entry holds the drain for 32 s") {
   VirtualCell cell = MakeCell();
