--- a/standin/backend/backend_faults.cc
+++ b/standin/backend/backend_faults.cc
@@ -10,6 +10,8 @@
       json.value("silence_connections", faults.silence_connections);
   faults.truncate_answers =
       json.value("truncate_answers", faults.truncate_answers);
+  faults.duplicate_answers =
+      json.value("duplicate_answers", faults.duplicate_answers);
   faults.wrong_digests = json.value("wrong_digests", faults.wrong_digests);
   faults.lose_answers = json.value("lose_answers", faults.lose_answers);
   faults.delay = std::chrono::milliseconds(
--- a/standin/backend/backend_faults.h
+++ b/standin/backend/backend_faults.h
@@ -21,6 +21,9 @@
   int truncate_answers = 0;
   /// The next answers whose body differs from its digest.
   int wrong_digests = 0;
+  /// The next answers that are sent twice on their connection, so that the
+  /// second one meets the next request there.
+  int duplicate_answers = 0;
   /// The next requests that run to their end and whose connection is then
   /// closed without an answer.
   int lose_answers = 0;
--- a/standin/backend/worker.cc
+++ b/standin/backend/worker.cc
@@ -171,10 +171,14 @@
   }
   std::string body = this->AnswerBody(*exchange);
   const HttpExchange::Headers headers = {
+      {"Fireflythread-Request-Id",
+       exchange->Header("Fireflythread-Request-Id")},
       {"Content-Digest", fmt::format("sha-256=:{}:", Sha256Base64(body))},
       {"X-In-Flight", std::to_string(this->running.size())}};
   if (Take(this->faults.lose_answers)) {
     exchange->Close();
+  } else if (Take(this->faults.duplicate_answers)) {
+    exchange->ReplyTwice(kOk, body, headers);
   } else if (Take(this->faults.truncate_answers)) {
     exchange->ReplyTruncated(kOk, body, headers);
   } else {
--- a/standin/common/http_exchange.cc
+++ b/standin/common/http_exchange.cc
@@ -5,6 +5,20 @@
 #include "standin/common/silent_connection.h"
 
 namespace fireflythread::standin {
+namespace {
+
+/// The status line and the headers of an answer that is written by hand.
+auto FormatHead(unsigned status,
+                const std::string& body,
+                const HttpExchange::Headers& headers) -> std::string {
+  std::string head = fmt::format("HTTP/1.1 {} Answer\r\n", status);
+  for (const auto& [name, value] : headers) {
+    head += fmt::format("{}: {}\r\n", name, value);
+  }
+  return head + fmt::format("Content-Length: {}\r\n\r\n", body.size());
+}
+
+}  // namespace
 
 HttpExchange::HttpExchange(SoupServerMessage* received)
     : message(SOUP_SERVER_MESSAGE(g_object_ref(received))) {
@@ -113,13 +127,16 @@
 auto HttpExchange::ReplyTruncated(unsigned status,
                                   const std::string& body,
                                   const Headers& headers) -> void {
-  std::string bytes = fmt::format("HTTP/1.1 {} Answer\r\n", status);
-  for (const auto& [name, value] : headers) {
-    bytes += fmt::format("{}: {}\r\n", name, value);
-  }
-  bytes += fmt::format("Content-Length: {}\r\n\r\n{}", body.size(),
-                       body.substr(0, body.size() / 2));
-  this->StealLater(std::move(bytes), true);
+  this->StealLater(
+      FormatHead(status, body, headers) + body.substr(0, body.size() / 2),
+      true);
+}
+
+auto HttpExchange::ReplyTwice(unsigned status,
+                              const std::string& body,
+                              const Headers& headers) -> void {
+  const std::string answer = FormatHead(status, body, headers) + body;
+  this->StealLater(answer + answer, false);
 }
 
 auto HttpExchange::Close() -> void {
--- a/standin/common/http_exchange.h
+++ b/standin/common/http_exchange.h
@@ -47,6 +47,11 @@
   auto ReplyTruncated(unsigned status,
                       const std::string& body,
                       const Headers& headers) -> void;
+  /// Sends the whole answer twice and leaves the connection open; a further
+  /// request on it is not read.
+  auto ReplyTwice(unsigned status,
+                  const std::string& body,
+                  const Headers& headers) -> void;
   /// Closes the connection without an answer.
   auto Close() -> void;
   /// Leaves the connection open and never answers on it again.
--- a/test/process/outcomes_test.cc
+++ b/test/process/outcomes_test.cc
@@ -34,6 +34,7 @@
   REQUIRE(WaitForAttempts(site, 100));
   site.Backend().SetFaults({{"truncate_answers", 2},
                             {"wrong_digests", 2},
+                            {"duplicate_answers", 2},
                             {"lose_answers", 2},
                             {"silence_connections", 1}});
   site.Backend().SetFaults({{"rack", "rack-02"}, {"delay_ms", 300}});
