--- a/src/fireflythread/gateway/gateway.h
+++ b/src/fireflythread/gateway/gateway.h
@@ -53,7 +53,8 @@
 
   /// Requests that run or may still run on a VM, including those whose answer
   /// did not come: such a one counts until the longest request time after its
-  /// send. A drain may be acknowledged at 0.
+  /// send, and until the predecessor is gone there is at least 1. A drain may
+  /// be acknowledged at 0.
   [[nodiscard]] auto InFlight(const VmId& vm) const -> int;
 
   /// Demand since the last call.
@@ -75,7 +76,8 @@
   auto SetPredecessorGone() -> void;
 
   /// Answers new requests "not run", finishes those accepted, and runs
-  /// `callback` once, when the last answer and record has been written.
+  /// `callback` once, when the last answer and record has been written and
+  /// peers have given back what they borrowed. It must not destroy the gateway.
   auto BeginShutdown(std::function<void()> callback) -> void;
 
  private:
