--- a/model/move.pml
+++ b/model/move.pml
@@ -38,10 +38,23 @@
 byte round[MEMBERS];
 byte votes[MEMBERS];
 
+#ifdef SETTLE_BY_SINGLE_REPORTS
+/* Reports of different moments, kept when their sender restarts. */
+bool reported[MEMBERS];
+#define HAS(i) (reported[i])
+#else
 #define HAS(i) (!recovering[i] && applied[i] >= 1)
+#endif
 #define SETTLES (HAS(0) + HAS(1) + HAS(2) >= MAJORITY)
 
 inline note_settled() {
+#ifdef SETTLE_BY_SINGLE_REPORTS
+  if
+  :: _pid >= 1 && _pid <= MEMBERS && applied[_pid - 1] >= 1 ->
+    reported[_pid - 1] = true
+  :: else
+  fi;
+#endif
 #ifdef GONE_WITHOUT_MAJORITY
   settled = settled || store >= 1;
 #else
