Count a drain as settled only by reports that share one moment

Cause: the drain tracker counted each member's latest report of a fleet version, whatever its moment. With 5 members, one that reports the new version, restarts and recovers the old one from cut-off peers counts with a later reporter, and after 32 s the controller takes the cut-off majority for gone and moves the VM while they still send for the old pool. Change: a drain is settled at a moment that the spans of so many members share that the others are fewer than a majority of all members in the settings, registered or not. The sending time of the answered question ends a span.

--- a/src/fireflythread/control/controller.cc
+++ b/src/fireflythread/control/controller.cc
@@ -35,7 +35,8 @@
   FleetDraft draft;
   ++memory.steps;
   const PoolPolicies policies = MakePoolPolicies(*inputs.config);
-  UpdateDrains(memory.drains, *inputs.fleet, inputs.members, inputs.now);
+  UpdateDrains(memory.drains, *inputs.fleet, inputs.members, inputs.cell_size,
+               inputs.now);
   ProgressVms(inputs, memory, draft, decision);
   AdoptVms(inputs, policies, draft, decision.report);
   AdvanceWaves(inputs, draft);
--- a/src/fireflythread/control/controller_inputs.h
+++ b/src/fireflythread/control/controller_inputs.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_CONTROL_CONTROLLER_INPUTS_H_
 #define FIREFLYTHREAD_CONTROL_CONTROLLER_INPUTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,6 +36,8 @@
   std::map<ServiceName, ServiceDemand> demand;
   /// All registered entries that have not left, this one included.
   std::map<EntryId, MemberState> members;
+  /// All members that the settings name, registered or not.
+  std::size_t cell_size = 0;
   /// Probes of the VMs that are not in kServing, at the least.
   std::map<VmId, VmProbe> probes;
   std::map<VmId, WorkerFault> faults;
--- a/src/fireflythread/daemon/controller_task.cc
+++ b/src/fireflythread/daemon/controller_task.cc
@@ -271,6 +271,7 @@
   inputs.vm_list = this->deps.vm_list.List();
   inputs.waves = this->waves;
   inputs.members = this->MembersNow(inputs.now);
+  inputs.cell_size = this->deps.state.Members().members.size();
   inputs.probes = this->prober.Probes();
   inputs.task_vms = this->tasks->BusyVms();
   for (const auto& [entry, reported] : this->demand) {
--- a/src/fireflythread/fleet/drain_tracker.cc
+++ b/src/fireflythread/fleet/drain_tracker.cc
@@ -10,16 +10,38 @@
 
 constexpr Duration kGoneAfter = kFreshnessLimit + kLongestRequest;
 
-/// Whether the members that have not applied the version are fewer than a
-/// majority, so that they cannot confirm an older version by peers alone.
-auto IsSettled(std::uint64_t fleet_version,
-               const std::map<EntryId, MemberState>& members) -> bool {
-  const auto applied = static_cast<std::size_t>(std::count_if(
-      members.begin(), members.end(), [fleet_version](const auto& member) {
-        return member.second.fleet_version >= fleet_version;
-      }));
-  const std::size_t majority = members.size() / 2 + 1;
-  return applied > 0 && members.size() - applied < majority;
+/// Notes which members report the version and looks for a moment at which so
+/// many had it in force that the others are fewer than a majority. Reports of
+/// different moments do not count: a member may report, restart and recover an
+/// older version from the others.
+auto UpdateSettled(DrainProgress& progress,
+                   const std::map<EntryId, MemberState>& members,
+                   std::size_t cell_size,
+                   TimePoint now) -> void {
+  for (const auto& [name, member] : members) {
+    if (member.fleet_version < progress.fleet_version) {
+      continue;
+    }
+    const auto [found, is_new] = progress.applied.try_emplace(name);
+    if (is_new || found->second.incarnation != member.incarnation) {
+      found->second = {member.incarnation, now, member.last_heard};
+    }
+    found->second.to = std::max(found->second.to, member.last_heard);
+  }
+  const std::size_t all = std::max(cell_size, members.size());
+  const std::size_t majority = all / 2 + 1;
+  for (const auto& [name, report] : progress.applied) {
+    const TimePoint moment = report.from;
+    const auto sharing = static_cast<std::size_t>(std::count_if(
+        progress.applied.begin(), progress.applied.end(),
+        [moment](const auto& item) {
+          return item.second.from <= moment && moment <= item.second.to;
+        }));
+    if (all < sharing + majority) {
+      progress.settled_at = moment;
+      return;
+    }
+  }
 }
 
 auto HasAcknowledged(const DrainProgress& progress,
@@ -56,6 +78,7 @@
 auto UpdateDrains(DrainTracker& tracker,
                   const FleetView& fleet,
                   const std::map<EntryId, MemberState>& members,
+                  std::size_t cell_size,
                   TimePoint now) -> void {
   std::erase_if(tracker.drains, [&fleet](const auto& drain) {
     const auto found = fleet.vms.find(drain.first);
@@ -71,10 +94,10 @@
       progress.generation = record.generation;
       progress.fleet_version = fleet.version;
       progress.settled_at.reset();
+      progress.applied.clear();
     }
-    if (!progress.settled_at.has_value() &&
-        IsSettled(progress.fleet_version, members)) {
-      progress.settled_at = now;
+    if (!progress.settled_at.has_value()) {
+      UpdateSettled(progress, members, cell_size, now);
     }
   }
 }
--- a/src/fireflythread/fleet/drain_tracker.h
+++ b/src/fireflythread/fleet/drain_tracker.h
@@ -2,6 +2,7 @@
 #define FIREFLYTHREAD_FLEET_DRAIN_TRACKER_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -25,6 +26,14 @@
   std::uint64_t generation = 0;
 };
 
+/// The span in which one incarnation of a member certainly had a version in
+/// force: from its first such report to `MemberState::last_heard` of the last.
+struct AppliedReport {
+  std::uint64_t incarnation = 0;
+  TimePoint from;
+  TimePoint to;
+};
+
 /// The acknowledgements for one VM that is draining.
 struct DrainProgress {
   std::uint64_t generation = 0;
@@ -33,6 +42,7 @@
   /// Since when so many members have applied `fleet_version` that the others
   /// cannot confirm an older one by a quorum among themselves.
   std::optional<TimePoint> settled_at;
+  std::map<EntryId, AppliedReport> applied;
   std::map<EntryId, DrainAcknowledgement> acknowledgements;
 };
 
@@ -52,10 +62,13 @@
                               DrainAcknowledgement acknowledgement) -> void;
 
 /// Takes in the current rows and members: starts tracking VMs that are in
-/// kDraining and forgets the others.
+/// kDraining and forgets the others. `cell_size` counts the members that the
+/// settings name: those that the controller does not know may confirm an older
+/// version to each other too.
 auto UpdateDrains(DrainTracker& tracker,
                   const FleetView& fleet,
                   const std::map<EntryId, MemberState>& members,
+                  std::size_t cell_size,
                   TimePoint now) -> void;
 
 /// The members that must still acknowledge that the VM is drained; empty when
