--- a/src/fireflythread/gateway/dispatcher.h
+++ b/src/fireflythread/gateway/dispatcher.h
@@ -23,7 +23,9 @@
 /// answer.
 class Dispatcher {
  public:
-  Dispatcher(GatewayState& state, PlatformClient& platform);
+  Dispatcher(GatewayState& state,
+             PlatformClient& platform,
+             BatchWriter& writer);
 
   /// Takes a request with well-formed headers.
   auto Accept(CallerRequest request, std::shared_ptr<CallerExchange> exchange)
@@ -81,7 +83,7 @@
                    const AttemptState& attempt,
                    const AttemptReport& report,
                    TimePoint now) -> void;
-  auto ReportHealth(const GatewayPool& pool,
+  auto ReportHealth(GatewayPool& pool,
                     const std::optional<HealthChange>& change) const -> void;
   auto OnProbeDone(const VmId& vm, bool good) -> void;
   auto ContinueAfterFailure(const Request& request,
