Bound callers' headers, connections and slow bodies

Cause: the settings request_headers, caller_connections and receive_timeout were checked but not enforced by the caller listener. Change: too large headers get 431 before the body is read, connections above the limit are closed, and a body that does not follow its headers in time closes its connection.

--- a/src/fireflythread/admission/refusal_reason.cc
+++ b/src/fireflythread/admission/refusal_reason.cc
@@ -12,6 +12,8 @@
       return "idempotency-key-reused";
     case RefusalReason::kUnknownService:
       return "unknown-service";
+    case RefusalReason::kHeadersTooLarge:
+      return "headers-too-large";
     case RefusalReason::kBodyTooLarge:
       return "body-too-large";
     case RefusalReason::kSizeFitsNoWorker:
@@ -51,6 +53,8 @@
       return 400;
     case RefusalReason::kUnknownService:
       return 404;
+    case RefusalReason::kHeadersTooLarge:
+      return 431;
     case RefusalReason::kBodyTooLarge:
     case RefusalReason::kSizeFitsNoWorker:
       return 413;
--- a/src/fireflythread/admission/refusal_reason.h
+++ b/src/fireflythread/admission/refusal_reason.h
@@ -13,6 +13,7 @@
   kKeyMissing,
   kKeyReused,
   kUnknownService,
+  kHeadersTooLarge,
   kBodyTooLarge,
   kSizeFitsNoWorker,
   kTeamRate,
--- a/src/fireflythread/daemon/daemon.cc
+++ b/src/fireflythread/daemon/daemon.cc
@@ -48,6 +48,11 @@
       static_cast<std::size_t>(settings.limits.request_body);
   result.max_response_bytes =
       static_cast<std::size_t>(settings.limits.response_body);
+  result.max_header_bytes =
+      static_cast<std::size_t>(settings.limits.request_headers);
+  result.max_caller_connections =
+      static_cast<std::size_t>(settings.limits.caller_connections);
+  result.receive_timeout = settings.limits.receive_timeout;
   result.max_queued = static_cast<std::size_t>(settings.limits.queue_length);
   result.longest_request = settings.limits.longest_request;
   result.store_timeout = settings.platform.commit_timeout;
--- a/src/fireflythread/gateway/caller_listener.cc
+++ b/src/fireflythread/gateway/caller_listener.cc
@@ -1,9 +1,12 @@
 #include "fireflythread/gateway/caller_listener.h"
 
 #include <algorithm>
+#include <cstring>
 #include <utility>
 #include <vector>
 
+#include "fireflythread/gateway/gateway_settings.h"
+
 namespace fireflythread {
 
 namespace {
@@ -40,6 +43,17 @@
                             ReadHeaders(message));
 }
 
+/// Bytes of the request line and the headers, as they are sent.
+auto HeaderBytes(SoupServerMessage* message) -> std::size_t {
+  constexpr std::size_t kSeparators = 4;
+  std::size_t bytes =
+      std::strlen(g_uri_get_path(soup_server_message_get_uri(message)));
+  for (const HttpHeader& header : ReadHeaders(message)) {
+    bytes += header.name.size() + header.value.size() + kSeparators;
+  }
+  return bytes;
+}
+
 /// Body bytes counted so far of a chunked request.
 auto BodySize(SoupServerMessage* message) -> std::size_t {
   return GPOINTER_TO_SIZE(g_object_get_data(G_OBJECT(message), kBodySizeKey));
@@ -47,13 +61,16 @@
 
 }  // namespace
 
-CallerListener::CallerListener(std::size_t max_bytes,
+CallerListener::CallerListener(const GatewaySettings& settings,
                                RequestHandler request_handler,
                                RefusedHandler refused_handler)
-    : max_body_bytes(max_bytes),
+    : max_body_bytes(settings.max_request_bytes),
+      max_header_bytes(settings.max_header_bytes),
+      connections(settings.max_caller_connections, settings.receive_timeout),
       on_request(std::move(request_handler)),
       on_refused(std::move(refused_handler)),
       server(soup_server_new("server-header", "fireflythread", nullptr)) {
+  this->connections.Watch(this->server);
   soup_server_add_early_handler(this->server, nullptr, OnHeaders, this,
                                 nullptr);
   soup_server_add_handler(this->server, nullptr, OnRequest, this, nullptr);
@@ -99,21 +116,30 @@
   auto* self = static_cast<CallerListener*>(data);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
-  if (soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CHUNKED) {
+  self->connections.HeadersReceived(message);
+  if (HeaderBytes(message) > self->max_header_bytes) {
+    self->RefuseEarly(message, {RefusalReason::kHeadersTooLarge,
+                                "the headers are too large"});
+  } else if (soup_message_headers_get_encoding(headers) ==
+             SOUP_ENCODING_CHUNKED) {
     g_signal_connect(message, "got-chunk", G_CALLBACK(OnChunk), self);
   } else if (static_cast<std::uint64_t>(std::max<goffset>(
                  0, soup_message_headers_get_content_length(headers))) >
              self->max_body_bytes) {
-    // Answered before the body is read. The handler below does not run.
-    const Refusal refusal{RefusalReason::kBodyTooLarge, "body is too large"};
-    WriteResponse(message, RefusalResponse(refusal));
-    soup_message_headers_replace(
-        soup_server_message_get_response_headers(message), "Connection",
-        "close");
-    self->on_refused(refusal);
+    self->RefuseEarly(message,
+                      {RefusalReason::kBodyTooLarge, "body is too large"});
   }
 }
 
+auto CallerListener::RefuseEarly(SoupServerMessage* message,
+                                 const Refusal& refusal) -> void {
+  // Answered before the body is read. The handler below does not run.
+  WriteResponse(message, RefusalResponse(refusal));
+  soup_message_headers_replace(
+      soup_server_message_get_response_headers(message), "Connection", "close");
+  this->on_refused(refusal);
+}
+
 auto CallerListener::OnChunk(SoupServerMessage* message,
                              GBytes* chunk,
                              gpointer data) -> void {
@@ -136,6 +162,7 @@
 }
 
 auto CallerListener::Handle(SoupServerMessage* message) -> void {
+  this->connections.RequestReceived(message);
   ++this->open_exchanges;
   std::shared_ptr<CallerExchange> exchange =
       CallerExchange::Create(message, [this] { this->OnExchangeFinished(); });
--- a/src/fireflythread/gateway/caller_listener.h
+++ b/src/fireflythread/gateway/caller_listener.h
@@ -10,12 +10,15 @@
 #include <string>
 #include <variant>
 
+#include "fireflythread/gateway/caller_connections.h"
 #include "fireflythread/gateway/caller_exchange.h"
 #include "fireflythread/gateway/caller_request.h"
 #include "fireflythread/gateway/start_result.h"
 
 namespace fireflythread {
 
+struct GatewaySettings;
+
 /// The HTTP listener for callers. It reads whole requests, answers malformed
 /// ones itself and hands the others on.
 class CallerListener {
@@ -24,7 +27,7 @@
       std::function<void(CallerRequest, std::shared_ptr<CallerExchange>)>;
   using RefusedHandler = std::function<void(const Refusal&)>;
 
-  CallerListener(std::size_t max_body_bytes,
+  CallerListener(const GatewaySettings& settings,
                  RequestHandler on_request,
                  RefusedHandler on_refused);
   ~CallerListener();
@@ -52,9 +55,12 @@
   static auto OnChunk(SoupServerMessage* message, GBytes* chunk, gpointer self)
       -> void;
   auto Handle(SoupServerMessage* message) -> void;
+  auto RefuseEarly(SoupServerMessage* message, const Refusal& refusal) -> void;
   auto OnExchangeFinished() -> void;
 
   std::size_t max_body_bytes;
+  std::size_t max_header_bytes;
+  CallerConnections connections;
   RequestHandler on_request;
   RefusedHandler on_refused;
   SoupServer* server;
--- a/src/fireflythread/gateway/gateway_settings.h
+++ b/src/fireflythread/gateway/gateway_settings.h
@@ -22,6 +22,12 @@
   /// All member entries, this one included. Slots are shared between them.
   std::vector<EntryId> members;
   std::size_t max_request_bytes = std::size_t{8} * 1024 * 1024;
+  /// Request line and headers together.
+  std::size_t max_header_bytes = std::size_t{16} * 1024;
+  /// Connections from callers that may be open at once.
+  std::size_t max_caller_connections = 2000;
+  /// Longest time for a request's body to arrive after its headers.
+  Duration receive_timeout = std::chrono::seconds(10);
   std::size_t max_response_bytes = std::size_t{32} * 1024 * 1024;
   /// Requests waiting at once in one pool's queue.
   std::size_t max_queued = 2048;
--- a/src/fireflythread/gateway/request_path.cc
+++ b/src/fireflythread/gateway/request_path.cc
@@ -18,7 +18,7 @@
       dispatcher(this->state, platform, this->writer),
       loans(this->state),
       listener(
-          this->state.settings.max_request_bytes,
+          this->state.settings,
           [this](CallerRequest request,
                  std::shared_ptr<CallerExchange> exchange) {
             if (IsTaskRequest(request)) {
