--- a/bench/moves_main.cc
+++ b/bench/moves_main.cc
@@ -97,6 +97,7 @@
   RunFor(cell, std::chrono::seconds(5));
   const std::vector<Interval> trace = MakeTrace(site, mean, peak, random);
   std::vector<int> start;
+  start.reserve(static_cast<std::size_t>(site.pools) + 1);
   for (int p = 0; p < site.pools; ++p) {
     start.push_back(CountPool(cell, PoolTitle(p)));
   }
