Track callers' connections by their sockets

Cause: libsoup has no message for an idle kept-alive connection, so counting messages let idle connections pass the limit; the new test on the limit waited for ever. Change: a connection is counted from its first message until its socket is released.

--- a/src/fireflythread/gateway/caller_connections.cc
+++ b/src/fireflythread/gateway/caller_connections.cc
@@ -10,25 +10,23 @@
 /// connection.
 constexpr std::chrono::milliseconds kIdleLimit{75'000};
 
-auto CloseConnection(SoupServerMessage* message) -> void {
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) {
-    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-  }
+auto CloseConnection(GSocket* socket) -> void {
+  g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
 }  // namespace
 
 struct CallerConnections::Timer {
   CallerConnections* owner;
-  SoupServerMessage* message;
+  GSocket* socket;
 };
 
 CallerConnections::CallerConnections(std::size_t limit, Duration timeout)
     : max_connections(limit), receive_timeout(timeout) {}
 
 CallerConnections::~CallerConnections() {
-  for (const auto& [message, source] : this->connections) {
+  for (const auto& [socket, source] : this->connections) {
+    g_object_weak_unref(G_OBJECT(socket), &CallerConnections::OnReleased, this);
     if (source != 0) {
       g_source_remove(source);
     }
@@ -42,51 +40,71 @@
 }
 
 auto CallerConnections::HeadersReceived(SoupServerMessage* message) -> void {
-  this->SetTimer(message, std::chrono::duration_cast<std::chrono::milliseconds>(
-                              this->receive_timeout));
+  this->SetTimer(soup_server_message_get_socket(message),
+                 std::chrono::duration_cast<std::chrono::milliseconds>(
+                     this->receive_timeout));
 }
 
 auto CallerConnections::RequestReceived(SoupServerMessage* message) -> void {
-  this->ClearTimer(message);
+  this->ClearTimer(soup_server_message_get_socket(message));
 }
 
 auto CallerConnections::OnStarted(SoupServer* /*server*/,
                                   SoupServerMessage* message,
                                   gpointer data) -> void {
   auto* self = static_cast<CallerConnections*>(data);
-  if (self->connections.size() >= self->max_connections) {
-    CloseConnection(message);
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) {
     return;
   }
-  self->SetTimer(message, kIdleLimit);
+  if (!self->connections.contains(socket)) {
+    if (self->connections.size() >= self->max_connections) {
+      CloseConnection(socket);
+      return;
+    }
+    self->connections[socket] = 0;
+    g_object_weak_ref(G_OBJECT(socket), &CallerConnections::OnReleased, self);
+  }
+  self->SetTimer(socket, kIdleLimit);
 }
 
 auto CallerConnections::OnEnded(SoupServer* /*server*/,
                                 SoupServerMessage* message,
                                 gpointer data) -> void {
+  static_cast<CallerConnections*>(data)->SetTimer(
+      soup_server_message_get_socket(message), kIdleLimit);
+}
+
+auto CallerConnections::OnReleased(gpointer data, GObject* socket) -> void {
   auto* self = static_cast<CallerConnections*>(data);
-  self->ClearTimer(message);
-  self->connections.erase(message);
+  // The object is being finalized; its address is only used as a key.
+  auto* key = reinterpret_cast<GSocket*>(socket);
+  self->ClearTimer(key);
+  self->connections.erase(key);
 }
 
 auto CallerConnections::OnTimeout(gpointer data) -> gboolean {
   auto* timer = static_cast<Timer*>(data);
-  timer->owner->connections[timer->message] = 0;
-  CloseConnection(timer->message);
+  timer->owner->connections[timer->socket] = 0;
+  CloseConnection(timer->socket);
   return G_SOURCE_REMOVE;
 }
 
-auto CallerConnections::SetTimer(SoupServerMessage* message,
+auto CallerConnections::SetTimer(GSocket* socket,
                                  std::chrono::milliseconds limit) -> void {
-  this->ClearTimer(message);
-  this->connections[message] = g_timeout_add_full(
+  this->ClearTimer(socket);
+  const auto found = this->connections.find(socket);
+  if (found == this->connections.end()) {
+    return;
+  }
+  found->second = g_timeout_add_full(
       G_PRIORITY_DEFAULT, static_cast<guint>(limit.count()),
-      &CallerConnections::OnTimeout, new Timer{this, message},
+      &CallerConnections::OnTimeout, new Timer{this, socket},
       [](gpointer data) { delete static_cast<Timer*>(data); });
 }
 
-auto CallerConnections::ClearTimer(SoupServerMessage* message) -> void {
-  const auto found = this->connections.find(message);
+auto CallerConnections::ClearTimer(GSocket* socket) -> void {
+  const auto found = this->connections.find(socket);
   if (found != this->connections.end() && found->second != 0) {
     g_source_remove(found->second);
     found->second = 0;
--- a/src/fireflythread/gateway/caller_connections.h
+++ b/src/fireflythread/gateway/caller_connections.h
@@ -11,11 +11,10 @@
 
 namespace fireflythread {
 
-/// Bounds what callers' connections may hold. libsoup has one message for each
-/// open connection, from the start of reading a request to the end of its
-/// answer, so messages stand for connections here. A connection above the limit
-/// is closed. One whose body does not arrive in time, or that stays idle, is
-/// closed too.
+/// Bounds what callers' connections may hold. A connection above the limit is
+/// closed. One whose body does not arrive in time, or that stays idle, is
+/// closed too. A connection is known by its socket, from the start of its first
+/// request until libsoup lets the socket go.
 class CallerConnections {
  public:
   CallerConnections(std::size_t max_connections, Duration receive_timeout);
@@ -41,15 +40,15 @@
   static auto OnEnded(SoupServer* server,
                       SoupServerMessage* message,
                       gpointer self) -> void;
+  static auto OnReleased(gpointer self, GObject* socket) -> void;
   static auto OnTimeout(gpointer data) -> gboolean;
-  auto SetTimer(SoupServerMessage* message, std::chrono::milliseconds limit)
-      -> void;
-  auto ClearTimer(SoupServerMessage* message) -> void;
+  auto SetTimer(GSocket* socket, std::chrono::milliseconds limit) -> void;
+  auto ClearTimer(GSocket* socket) -> void;
 
   std::size_t max_connections;
   Duration receive_timeout;
   /// The source id of each open connection's timer, 0 when it has none.
-  std::map<SoupServerMessage*, guint> connections;
+  std::map<GSocket*, guint> connections;
 };
 
 }  // namespace fireflythread
--- a/test/fireflythread/gateway/caller_limits_test.cc
+++ b/test/fireflythread/gateway/caller_limits_test.cc
@@ -9,6 +9,8 @@
 namespace fireflythread {
 namespace {
 
+using Reply = TestBackend::Reply;
+
 /// A caller's plain connection that notes when the entry closes it.
 class RawCaller {
  public:
@@ -35,8 +37,8 @@
         g_socket_receive(g_socket_connection_get_socket(this->connection),
                          &byte, 1, nullptr, &error);
     return got == 0 ||
-           (got < 0 &&
-            g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) == FALSE);
+           (got < 0 && g_error_matches(error, G_IO_ERROR,
+                                       G_IO_ERROR_WOULD_BLOCK) == FALSE);
   }
 
  private:
