Honour the trace sample ratio; keep one implementation of trace contexts

Cause: the gateway started every trace as sampled, so the setting sample_ratio had no effect, and it parsed traceparent headers with code of its own beside the telemetry module's. Change: StartTrace takes the ratio, uses the telemetry module's parser, and has moved there; the tracer's unused way to begin a trace is gone. A test draws 1000 traces at a ratio of 0.1. The daemon's copy of the row codec is replaced by the peer module's.

--- a/src/fireflythread/daemon/daemon.cc
+++ b/src/fireflythread/daemon/daemon.cc
@@ -56,6 +56,7 @@
   result.max_queued = static_cast<std::size_t>(settings.limits.queue_length);
   result.longest_request = settings.limits.longest_request;
   result.store_timeout = settings.platform.commit_timeout;
+  result.sample_ratio = settings.telemetry.sample_ratio;
   result.seed = incarnation;
   return result;
 }
@@ -89,7 +90,6 @@
   }
   this->tracer = std::make_unique<Tracer>(
       LogIdentity{this->settings.entry.id, this->settings.entry.zone},
-      this->settings.telemetry.sample_ratio,
       static_cast<std::size_t>(this->settings.telemetry.trace_ring),
       std::move(sink));
   this->platform = std::make_unique<HttpPlatformClient>(
--- a/src/fireflythread/daemon/gateway_telemetry.cc
+++ b/src/fireflythread/daemon/gateway_telemetry.cc
@@ -11,7 +11,7 @@
 #include "fireflythread/telemetry/logger.h"
 #include "fireflythread/telemetry/metrics_registry.h"
 #include "fireflythread/telemetry/span.h"
-#include "fireflythread/telemetry/trace_context.h"
+#include "fireflythread/telemetry/span_context.h"
 #include "fireflythread/telemetry/tracer.h"
 
 namespace fireflythread {
@@ -38,8 +38,7 @@
 }
 
 auto Finish(Tracer& tracer, const SpanContext& context, Span span) -> void {
-  tracer.Finish({context.trace_id, context.span_id, context.sampled},
-                std::move(span));
+  tracer.Finish(context, std::move(span));
 }
 
 auto RecordRequest(const RequestFinished& event,
--- a/src/fireflythread/daemon/state_rows.cc
+++ b/src/fireflythread/daemon/state_rows.cc
@@ -2,15 +2,6 @@
 
 namespace fireflythread {
 
-auto RowToProto(const Row& row) -> peer::StateRow {
-  peer::StateRow message;
-  message.set_table(row.table);
-  message.set_key(row.key);
-  message.set_version(row.version);
-  message.set_value(row.value);
-  return message;
-}
-
 auto RowsFromProto(const StateRowList& rows) -> std::vector<Row> {
   std::vector<Row> result;
   result.reserve(static_cast<std::size_t>(rows.size()));
--- a/src/fireflythread/daemon/state_rows.h
+++ b/src/fireflythread/daemon/state_rows.h
@@ -12,8 +12,6 @@
 
 using StateRowList = google::protobuf::RepeatedPtrField<peer::StateRow>;
 
-[[nodiscard]] auto RowToProto(const Row& row) -> peer::StateRow;
-
 /// The rows that are not marked as deleted.
 [[nodiscard]] auto RowsFromProto(const StateRowList& rows) -> std::vector<Row>;
 
--- a/src/fireflythread/daemon/state_task_peers.cc
+++ b/src/fireflythread/daemon/state_task_peers.cc
@@ -21,6 +21,7 @@
 #include "fireflythread/membership/pong_answer.h"
 #include "fireflythread/membership/recovered_state.h"
 #include "fireflythread/membership/recovery.h"
+#include "fireflythread/peer/state_codec.h"
 #include "fireflythread/telemetry/logger.h"
 
 namespace fireflythread {
@@ -171,7 +172,7 @@
   reply.set_config_version(offer.versions.config);
   reply.set_fleet_version(offer.versions.fleet);
   for (const Row& row : offer.rows) {
-    *reply.add_rows() = RowToProto(row);
+    *reply.add_rows() = ToMessage(row);
   }
   this->outputs.send(message.sender, std::move(envelope));
 }
--- a/src/fireflythread/daemon/state_task_writes.cc
+++ b/src/fireflythread/daemon/state_task_writes.cc
@@ -17,6 +17,7 @@
 #include "fireflythread/fleet/vm_record_codec.h"
 #include "fireflythread/membership/acceptance.h"
 #include "fireflythread/membership/freshness.h"
+#include "fireflythread/peer/state_codec.h"
 #include "fireflythread/platform/platform_client.h"
 #include "fireflythread/telemetry/logger.h"
 
@@ -120,7 +121,7 @@
       continue;
     }
     peer::StateRow& row = *push.add_rows();
-    row = RowToProto({item.table, item.key, revision, item.value.value_or("")});
+    row = ToMessage({item.table, item.key, revision, item.value.value_or("")});
     row.set_deleted(!item.value.has_value());
   }
   // Peers are told before the change is applied here, which may take longer.
--- a/src/fireflythread/gateway/attempt_bytes.h
+++ b/src/fireflythread/gateway/attempt_bytes.h
@@ -7,7 +7,7 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/gateway/caller_request.h"
 #include "fireflythread/gateway/outgoing_request.h"
-#include "fireflythread/gateway/trace_context.h"
+#include "fireflythread/telemetry/span_context.h"
 
 namespace fireflythread {
 
--- a/src/fireflythread/gateway/dispatcher_accept.cc
+++ b/src/fireflythread/gateway/dispatcher_accept.cc
@@ -52,7 +52,9 @@
   auto request = std::make_shared<RequestState>();
   request->id = this->next_id++;
   request->request_id = fmt::format("{}-{}", this->id_prefix, request->id);
-  request->trace = StartTrace(caller_request.traceparent, this->state.random);
+  request->trace =
+      StartTrace(caller_request.traceparent, this->state.settings.sample_ratio,
+                 this->state.random);
   request->request = std::move(caller_request);
   request->exchange = std::move(exchange);
   request->started = ReadBootClock();
--- a/src/fireflythread/gateway/fwd.h
+++ b/src/fireflythread/gateway/fwd.h
@@ -13,7 +13,6 @@
 struct GatewaySettings;
 struct GatewayState;
 struct Refusal;
-struct SpanContext;
 class BackendConnection;
 class CallerExchange;
 class CallerListener;
--- a/src/fireflythread/gateway/gateway_events.h
+++ b/src/fireflythread/gateway/gateway_events.h
@@ -8,8 +8,8 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 #include "fireflythread/gateway/request_outcome.h"
-#include "fireflythread/gateway/trace_context.h"
 #include "fireflythread/retry/attempt_result.h"
+#include "fireflythread/telemetry/span_context.h"
 
 namespace fireflythread {
 
--- a/src/fireflythread/gateway/gateway_settings.h
+++ b/src/fireflythread/gateway/gateway_settings.h
@@ -35,6 +35,8 @@
   Duration longest_request = std::chrono::seconds(30);
   /// How long one call of the platform may take.
   Duration store_timeout = std::chrono::seconds(2);
+  /// Share of requests without a sampled parent that are traced (0 to 1).
+  double sample_ratio = 1;
   /// Seed of the random choices and of trace ids.
   std::uint64_t seed = 1;
 };
--- a/src/fireflythread/gateway/request_path.cc
+++ b/src/fireflythread/gateway/request_path.cc
@@ -132,7 +132,8 @@
 
 auto RequestPath::OnRefused(const Refusal& refusal) -> void {
   RequestFinished event;
-  event.trace = StartTrace("", this->state.random);
+  event.trace =
+      StartTrace("", this->state.settings.sample_ratio, this->state.random);
   event.status = RefusalHttpStatus(refusal.reason);
   event.reason = RefusalReasonText(refusal.reason);
   event.started = ReadBootClock();
--- a/src/fireflythread/gateway/request_state.h
+++ b/src/fireflythread/gateway/request_state.h
@@ -13,8 +13,8 @@
 #include "fireflythread/gateway/caller_exchange.h"
 #include "fireflythread/gateway/caller_request.h"
 #include "fireflythread/gateway/timer_queue.h"
-#include "fireflythread/gateway/trace_context.h"
 #include "fireflythread/retry/idempotency_record.h"
+#include "fireflythread/telemetry/span_context.h"
 
 namespace fireflythread {
 
--- a/src/fireflythread/gateway/task_desk.cc
+++ b/src/fireflythread/gateway/task_desk.cc
@@ -88,7 +88,9 @@
 auto TaskDesk::Accept(CallerRequest request,
                       std::shared_ptr<CallerExchange> exchange) -> void {
   auto call = std::make_shared<Call>();
-  call->trace = StartTrace(request.traceparent, this->state.random);
+  call->trace =
+      StartTrace(request.traceparent, this->state.settings.sample_ratio,
+                 this->state.random);
   call->request = std::move(request);
   call->exchange = std::move(exchange);
   call->started = ReadBootClock();
--- a/src/fireflythread/telemetry/fwd.h
+++ b/src/fireflythread/telemetry/fwd.h
@@ -10,6 +10,7 @@
 struct LogIdentity;
 struct LogRecord;
 struct Span;
+struct SpanContext;
 struct TraceContext;
 class Counter;
 class Gauge;
--- a/src/fireflythread/gateway/trace_context.h
+++ b/src/fireflythread/telemetry/span_context.h
@@ -1,5 +1,5 @@
-#ifndef FIREFLYTHREAD_GATEWAY_TRACE_CONTEXT_H_
-#define FIREFLYTHREAD_GATEWAY_TRACE_CONTEXT_H_
+#ifndef FIREFLYTHREAD_TELEMETRY_SPAN_CONTEXT_H_
+#define FIREFLYTHREAD_TELEMETRY_SPAN_CONTEXT_H_
 
 #include <string>
 #include <string_view>
@@ -14,13 +14,16 @@
   std::string trace_id;
   std::string span_id;
   std::string parent_id;
-  bool sampled = true;
+  bool sampled = false;
 };
 
 /// Starts a span below the `traceparent` header of a caller, or a new trace
-/// if the header is empty or malformed, as the W3C recommendation asks.
-[[nodiscard]] auto StartTrace(std::string_view traceparent, Random& random)
-    -> SpanContext;
+/// if the header is empty or malformed, as the W3C recommendation asks. It is
+/// sampled if the caller's is, and otherwise with the probability
+/// `sample_ratio` (0 to 1).
+[[nodiscard]] auto StartTrace(std::string_view traceparent,
+                              double sample_ratio,
+                              Random& random) -> SpanContext;
 
 /// Starts a span below another one.
 [[nodiscard]] auto ChildSpan(const SpanContext& parent, Random& random)
@@ -31,4 +34,4 @@
 
 }  // namespace fireflythread
 
-#endif  // FIREFLYTHREAD_GATEWAY_TRACE_CONTEXT_H_
+#endif  // FIREFLYTHREAD_TELEMETRY_SPAN_CONTEXT_H_
--- a/test/fireflythread/telemetry/tracer_test.cc
+++ b/test/fireflythread/telemetry/tracer_test.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fireflythread/telemetry/io_span_file.h"
+#include "fireflythread/telemetry/trace_context.h"
 
 namespace fireflythread {
 namespace {
@@ -20,12 +21,24 @@
 // Guards against a trace that breaks in two at an entry.
 TEST_CASE("a valid traceparent is kept") {
   Random random(1);
-  const Tracer tracer(kIdentity, 0, 10, {});
-  const TraceContext context = tracer.Begin(kParent, random);
+  const SpanContext context = StartTrace(kParent, 0, random);
   CHECK(context.trace_id == "4bf92f3577b34da6a3ce929d0e0e4736");
   CHECK(context.span_id != "00f067aa0ba902b7");
   CHECK(context.sampled);
-  CHECK(Tracer::BeginChild(context, random).trace_id == context.trace_id);
+  CHECK(ChildSpan(context, random).trace_id == context.trace_id);
+}
+
+// Guards against a sample ratio that is not kept, in either direction.
+TEST_CASE("the sample ratio decides on requests without a sampled parent") {
+  Random random(1);
+  CHECK_FALSE(StartTrace("", 0, random).sampled);
+  CHECK(StartTrace("", 1, random).sampled);
+  int sampled = 0;
+  for (int i = 0; i < 1000; ++i) {
+    sampled += StartTrace("", 0.1, random).sampled ? 1 : 0;
+  }
+  CHECK(sampled > 50);
+  CHECK(sampled < 150);
 }
 
 // Guards against headers that the W3C specification calls invalid.
@@ -62,17 +75,17 @@
 TEST_CASE("the ring is bounded and holds only sampled spans") {
   Random random(1);
   std::vector<std::string> lines;
-  Tracer tracer(kIdentity, 1, 3, [&](std::string_view line) -> void {
+  Tracer tracer(kIdentity, 3, [&](std::string_view line) -> void {
     lines.emplace_back(line);
   });
-  const TraceContext context = tracer.Begin(kParent, random);
+  const SpanContext context = StartTrace(kParent, 1, random);
   for (int i = 0; i < 5; ++i) {
     Span span;
     span.name = std::to_string(i);
     span.attributes = {{"http.request.method", "GET"}};
-    tracer.Finish(Tracer::BeginChild(context, random), span);
+    tracer.Finish(ChildSpan(context, random), span);
   }
-  tracer.Finish(TraceContext{"a", "b", false}, Span());
+  tracer.Finish(SpanContext{"a", "b", "", false}, Span());
   const auto spans = tracer.Find(context.trace_id);
   REQUIRE(spans.size() == 3);
   CHECK(spans[0].name == "2");
