--- a/test/process/graceful_stop_test.cc
+++ b/test/process/graceful_stop_test.cc
@@ -87,4 +87,25 @@
   CHECK(rebooted() == 4);
 }
 
+// Guarantee 7. Guards against a VM that counts as drained while an entry still
+// has a long request in flight there.
+TEST_CASE("a reboot waits for a long request in flight") {
+  Site site;
+  site.Platform().SetFaults({{"reboot_ms", 500}});
+  auto answer = site.CallLater(
+      0, "GET", "take-order",
+      {{"X-Standin-Work-Ms", "6000"}, {"Fireflythread-Deadline-Ms", "20000"}});
+  REQUIRE(WaitUntil([&site] { return site.Backend().Count("started") == 1; }));
+  const std::string vm = site.Backend().Attempts().at(0).at("vm");
+  const Json order = {{"vms", {vm}}, {"reason", "test"}};
+  REQUIRE(site.Admin(1, "POST", "/v1/maintenance", order.dump()).status < 300);
+  CHECK(answer.get().status == 200);
+  CHECK(WaitUntil([&] {
+    const auto waves = site.Platform().Rows("wave");
+    return !waves.empty() && waves.begin()->second.at("state") == "finished";
+  }));
+  CHECK(site.Backend().Count("aborted") == 0);
+  CHECK(site.Backend().Counters().at("arrived") == 1);
+}
+
 }  // namespace fireflythread::test
