--- a/test/fireflythread/peer/malformed_message_test.cc
+++ b/test/fireflythread/peer/malformed_message_test.cc
@@ -94,7 +94,7 @@
   std::uint64_t finished = 0;
   auto opened = PeerTransport::Open(
       settings, nullptr, [&](const peer::Envelope& envelope) {
-        finished += envelope.has_handover() ? 1 : 0;
+        finished += envelope.has_report_request() ? 1 : 0;
       });
   REQUIRE(std::holds_alternative<std::unique_ptr<PeerTransport>>(opened));
   const auto& transport = std::get<std::unique_ptr<PeerTransport>>(opened);
@@ -110,7 +110,7 @@
   }));
   peer::Envelope last;
   last.set_sender("b");
-  last.mutable_handover();
+  last.mutable_report_request();
   sender.send(zmq::buffer(last.SerializeAsString()), zmq::send_flags::none);
   const TimePoint end = ReadBootClock() + std::chrono::seconds(20);
   while (finished == 0 && ReadBootClock() < end) {
