--- a/test/process/site.cc
+++ b/test/process/site.cc
@@ -1,9 +1,7 @@
 #include "test/process/site.h"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -14,29 +12,6 @@
 
 constexpr const char* kToken = "process-test-token";
 
-/// Asks the kernel for free ports; they are released before they are used.
-auto FreePorts(std::size_t count) -> std::vector<int> {
-  std::vector<int> sockets;
-  std::vector<int> ports;
-  for (std::size_t i = 0; i < count; ++i) {
-    sockets.push_back(socket(AF_INET, SOCK_STREAM, 0));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    if (bind(sockets.back(), generic, size) != 0 ||
-        getsockname(sockets.back(), generic, &size) != 0) {
-      throw std::runtime_error("no free port");
-    }
-    ports.push_back(ntohs(address.sin_port));
-  }
-  for (const int each : sockets) {
-    close(each);
-  }
-  return ports;
-}
-
 auto Join(const std::vector<int>& ports) -> std::string {
   std::string text;
   for (const int port : ports) {
@@ -57,7 +32,11 @@
 
 }  // namespace
 
-Site::Site(Options site_options) : options(std::move(site_options)) {
+Site::Site(Options site_options)
+    : options(std::move(site_options)),
+      caller_ports(this->options.entries),
+      admin_ports(this->options.entries),
+      peer_ports(this->options.entries) {
   const std::string vms = this->directory.Path("vms.json");
   RunScript({FIREFLYTHREAD_SOURCE_DIR "/scripts/make-site", "vms", "--out",
              this->directory.Path("vms.in.json")},
@@ -88,15 +67,14 @@
   }
   for (std::size_t i = 0; i < this->options.entries; ++i) {
     if (!this->WaitReady(i)) {
-      throw std::runtime_error("an entry did not get ready");
+      throw std::runtime_error("entry " + std::to_string(i + 1) +
+                               " did not get ready; its log ends with:\n" +
+                               this->LogTail(i));
     }
   }
 }
 
 auto Site::MakeEntries() -> void {
-  this->caller_ports = FreePorts(this->options.entries);
-  this->admin_ports = FreePorts(this->options.entries);
-  const std::vector<int> peer_ports = FreePorts(this->options.entries);
   std::string platforms;
   for (std::size_t i = 0; i < this->options.entries; ++i) {
     platforms += (i == 0 ? "" : ",") + this->platform->Address(i);
@@ -105,8 +83,9 @@
              this->directory.Path(""), "--vms",
              this->directory.Path("vms.json"), "--platform", platforms,
              "--token", kToken, "--extra", this->options.settings,
-             "--caller-ports", Join(this->caller_ports), "--admin-ports",
-             Join(this->admin_ports), "--peer-ports", Join(peer_ports)},
+             "--caller-ports", Join(this->caller_ports.Ports()),
+             "--admin-ports", Join(this->admin_ports.Ports()), "--peer-ports",
+             Join(this->peer_ports.Ports())},
             this->directory.Path("make-entries.log"));
 }
 
@@ -119,6 +98,16 @@
       this->directory.Path(name + ".log"));
 }
 
+auto Site::LogTail(std::size_t index) const -> std::string {
+  constexpr std::size_t kBytes = 2000;
+  std::ifstream file(
+      this->directory.Path("entry-" + std::to_string(index + 1) + ".log"));
+  std::ostringstream text;
+  text << file.rdbuf();
+  const std::string log = text.str();
+  return log.size() > kBytes ? log.substr(log.size() - kBytes) : log;
+}
+
 auto Site::Restart(std::size_t index) -> void {
   this->entries.at(index)->Kill();
   this->StartEntry(index);
@@ -127,8 +116,8 @@
 auto Site::IsReady(std::size_t index) const -> bool {
   const HttpAnswer answer =
       Fetch("GET",
-            "http://127.0.0.1:" + std::to_string(this->admin_ports.at(index)) +
-                "/readyz",
+            "http://127.0.0.1:" +
+                std::to_string(this->admin_ports.Ports().at(index)) + "/readyz",
             "", {}, std::chrono::seconds(2));
   return answer.status == 200;
 }
@@ -152,11 +141,11 @@
                 const std::string& method,
                 const std::string& service,
                 const HttpHeaders& headers) const -> HttpAnswer {
-  return Fetch(
-      method,
-      "http://127.0.0.1:" + std::to_string(this->caller_ports.at(entry)) +
-          "/s/" + service + "/work",
-      method == "POST" ? "body" : "", headers);
+  return Fetch(method,
+               "http://127.0.0.1:" +
+                   std::to_string(this->caller_ports.Ports().at(entry)) +
+                   "/s/" + service + "/work",
+               method == "POST" ? "body" : "", headers);
 }
 
 auto Site::CallLater(std::size_t entry,
@@ -177,10 +166,10 @@
                  const HttpHeaders& headers) const -> HttpAnswer {
   HttpHeaders all = headers;
   all["Authorization"] = std::string("Bearer ") + kToken;
-  return Fetch(
-      method,
-      "http://127.0.0.1:" + std::to_string(this->admin_ports.at(entry)) + path,
-      body, all);
+  return Fetch(method,
+               "http://127.0.0.1:" +
+                   std::to_string(this->admin_ports.Ports().at(entry)) + path,
+               body, all);
 }
 
 auto Site::StartCaller(const std::vector<std::string>& flags)
@@ -189,7 +178,7 @@
   this->outcome_files.push_back(
       this->directory.Path("outcomes-" + number + ".jsonl"));
   std::string addresses;
-  for (const int port : this->caller_ports) {
+  for (const int port : this->caller_ports.Ports()) {
     addresses +=
         (addresses.empty() ? "" : ",") + ("127.0.0.1:" + std::to_string(port));
   }
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -11,6 +11,7 @@
 #include "test/process/child_process.h"
 #include "test/process/http_fetch.h"
 #include "test/process/platform_standin.h"
+#include "test/process/reserved_ports.h"
 #include "test/process/scratch_directory.h"
 #include "test/process/wait_until.h"
 
@@ -72,13 +73,16 @@
  private:
   auto StartEntry(std::size_t index) -> void;
   auto MakeEntries() -> void;
+  /// The last lines of an entry's log, for the report of a failed test.
+  [[nodiscard]] auto LogTail(std::size_t index) const -> std::string;
 
   Options options;
   ScratchDirectory directory;
   std::unique_ptr<BackendStandin> backend;
   std::unique_ptr<PlatformStandin> platform;
-  std::vector<int> caller_ports;
-  std::vector<int> admin_ports;
+  ReservedPorts caller_ports;
+  ReservedPorts admin_ports;
+  ReservedPorts peer_ports;
   std::vector<std::unique_ptr<ChildProcess>> entries;
   std::vector<std::string> outcome_files;
 };
--- a/test/process/surge_test.cc
+++ b/test/process/surge_test.cc
@@ -33,7 +33,8 @@
 // Guarantee 1. Guards against counter requests that wait behind patient work,
 // and against retries and lost slots that make a loss worse, when a surge, a
 // maintenance wave and the loss of a rack come together.
-TEST_CASE("counter requests stay in time in a surge with a rack lost") {
+TEST_CASE("counter requests stay in time in a surge with a rack lost",
+          "[load]") {
   Site::Options options;
   options.backend_flags = {"--counter_ms=200", "--deadline_ms=800",
                            "--batch_ms=2000", "--sigma=0.3"};
