Accept an answer of the run that a simultaneous repeat claimed first

When a repeat is sent at the same time as the first request and claims the key first, the first request gets the recorded answer, which echoes the repeat's id; the caller stand-in counted it as an answer to another request. Change: requests with one key accept the answer of either; the ledger still shows that the key ran once. A new test freezes an entry so that repeats overtake the first requests. Conclusion: a fault of the stand-in, not of the daemon.

--- a/standin/caller/call.cc
+++ b/standin/caller/call.cc
@@ -178,8 +178,7 @@
     const nlohmann::json json = nlohmann::json::parse(text, nullptr, false);
     const std::string echo =
         json.is_object() ? json.value("caller_request", "") : "";
-    const CallPlan& plan = this->record.plan;
-    if (echo != plan.id && (plan.repeats.empty() || echo != plan.repeats)) {
+    if (!IsAnswerTo(this->record.plan, echo)) {
       this->record.reason = "an answer to request '" + echo + "'";
       return;
     }
--- a/standin/caller/call_plan.h
+++ b/standin/caller/call_plan.h
@@ -6,6 +6,9 @@
 
 namespace fireflythread::standin {
 
+/// Ends the id of a repeat; the rest is the id of the first request.
+inline constexpr const char* kRepeatSuffix = "-repeat";
+
 /// One request to be sent.
 struct CallPlan {
   /// Sent as `X-Standin-Request-Id`; the answer must echo it.
@@ -22,6 +25,19 @@
   std::size_t entry = 0;
 };
 
+/// Whether an answer that echoes this id is one to the request. The requests
+/// with one key run once, and each of them gets the answer of that run: the
+/// repeat's too, when the repeat was sent at the same time and claimed the key
+/// first.
+[[nodiscard]] inline auto IsAnswerTo(const CallPlan& plan,
+                                     const std::string& echo) -> bool {
+  if (plan.key.empty()) {
+    return echo == plan.id;
+  }
+  const std::string& first = plan.repeats.empty() ? plan.id : plan.repeats;
+  return echo == first || echo == first + kRepeatSuffix;
+}
+
 }  // namespace fireflythread::standin
 
 #endif  // STANDIN_CALLER_CALL_PLAN_H_
--- a/standin/caller/load_run.cc
+++ b/standin/caller/load_run.cc
@@ -96,7 +96,7 @@
   }
   CallPlan repeat = plan;
   repeat.repeats = plan.id;
-  repeat.id += "-repeat";
+  repeat.id += kRepeatSuffix;
   repeat.entry = (plan.entry + 1) % this->settings.entries.size();
   this->Send(repeat, ReadBootClock(), this->settings.connect_attempts);
 }
--- a/test/process/outcomes_test.cc
+++ b/test/process/outcomes_test.cc
@@ -66,6 +66,31 @@
   CHECK(compared.at("contradictions").empty());
 }
 
+// Guarantees 3 and 5 when the first request with a key arrives after its
+// repeat. Guards against an answer of the one run that counts as an answer to
+// another request, because the repeat was the one that ran.
+TEST_CASE("a request gets the answer of the run that its repeat claimed") {
+  Site site;
+  const auto caller =
+      site.StartCaller({"--rate=150", "--seconds=6", "--keyed_share=1",
+                        "--repeat_share=1", "--repeat_at_once=true"});
+  REQUIRE(WaitForAttempts(site, 100));
+  // Shorter than the freshness limit, so that the entry serves the requests in
+  // its sockets when it resumes.
+  site.Entry(0).Freeze();
+  const bool repeats_ran = WaitForAttempts(
+      site, site.Backend().Counters().at("arrived").get<int>() + 100);
+  site.Entry(0).Resume();
+  REQUIRE(repeats_ran);
+  const Json summary = Site::EndCaller(*caller);
+  INFO(summary.dump(1));
+  CHECK(summary.value("answered", 0) > 0);
+  CHECK(summary.value("mismatched", 0) == 0);
+  const Json compared = site.Reconcile();
+  INFO(compared.dump(1));
+  CHECK(compared.at("contradictions").empty());
+}
+
 // Guarantees 4 and 5 when commit answers are lost. Guards against a key whose
 // recording has an unknown result being sent, or reported as not run and sent.
 TEST_CASE("outcomes agree with the ledger when commit answers are lost") {
