Show a trace with the spans of all entries

Cause: GET /v1/traces/ID showed what the answering entry had recorded, so an operator had to guess which of 8 entries served a request.

--- a/src/fireflythread/admin/admin_backend.h
+++ b/src/fireflythread/admin/admin_backend.h
@@ -14,6 +14,7 @@
 #include "fireflythread/admin/edit_request.h"
 #include "fireflythread/admin/edit_result.h"
 #include "fireflythread/admin/fleet_status.h"
+#include "fireflythread/admin/found_trace.h"
 #include "fireflythread/admin/history_entry.h"
 #include "fireflythread/admin/history_query.h"
 #include "fireflythread/admin/readiness.h"
@@ -22,7 +23,6 @@
 #include "fireflythread/admin/wave_status.h"
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
-#include "fireflythread/telemetry/span.h"
 
 namespace fireflythread::admin {
 
@@ -79,9 +79,10 @@
                            Callback<std::vector<HistoryEntry>> callback)
       -> void = 0;
 
-  /// The spans of one trace that are still held; kNotFound when there are none.
-  virtual auto FindTrace(std::string trace_id,
-                         Callback<std::vector<Span>> callback) -> void = 0;
+  /// The spans of one trace that the entries still hold; kNotFound when there
+  /// are none.
+  virtual auto FindTrace(std::string trace_id, Callback<FoundTrace> callback)
+      -> void = 0;
 
   [[nodiscard]] virtual auto GetReadiness() const -> Readiness = 0;
 
--- a/src/fireflythread/admin/api_call.cc
+++ b/src/fireflythread/admin/api_call.cc
@@ -219,16 +219,18 @@
         400, "bad_request", "a trace id has 32 lower-case hexadecimal digits"));
     return;
   }
-  const auto encode =
-      [trace_id](const std::vector<Span>& spans) -> nlohmann::json {
+  const auto encode = [trace_id](const FoundTrace& trace) -> nlohmann::json {
     nlohmann::json list = nlohmann::json::array();
-    for (const Span& span : spans) {
+    for (const Span& span : trace.spans) {
       list.push_back(nlohmann::json::parse(FormatSpan(span)));
     }
-    return {{"trace_id", trace_id}, {"spans", list}};
+    nlohmann::json silent = nlohmann::json::array();
+    for (const EntryId& entry : trace.silent) {
+      silent.push_back(entry.value);
+    }
+    return {{"trace_id", trace_id}, {"spans", list}, {"silent", silent}};
   };
-  backend.FindTrace(trace_id,
-                    RespondWith<std::vector<Span>>(respond, 200, encode));
+  backend.FindTrace(trace_id, RespondWith<FoundTrace>(respond, 200, encode));
 }
 
 // The calls that only read.
--- a/src/fireflythread/ctl/render_trace.cc
+++ b/src/fireflythread/ctl/render_trace.cc
@@ -109,8 +109,14 @@
       AddSpan(span, 0, tree, table);
     }
   }
-  return fmt::format("trace {}\n", Printable(Text(trace, "trace_id"))) +
-         table.Render();
+  std::string text =
+      fmt::format("trace {}\n", Printable(Text(trace, "trace_id"))) +
+      table.Render();
+  for (const json& entry : List(trace, "silent")) {
+    text += fmt::format("{} did not answer and may hold further spans\n",
+                        Printable(Text(entry)));
+  }
+  return text;
 }
 
 }  // namespace fireflythread::ctl
--- a/src/fireflythread/daemon/admin_task.cc
+++ b/src/fireflythread/daemon/admin_task.cc
@@ -84,6 +84,16 @@
   return entry;
 }
 
+auto PeersOf(const DaemonSettings& settings) -> std::set<EntryId> {
+  std::set<EntryId> peers;
+  for (const auto& [id, endpoint] : settings.peers.members) {
+    if (id != settings.entry.id) {
+      peers.insert(id);
+    }
+  }
+  return peers;
+}
+
 }  // namespace
 
 AdminTask::AdminTask(Dependencies dependencies, std::uint64_t incarnation)
@@ -92,7 +102,9 @@
              incarnation,
              this->deps.platform,
              this->deps.logger,
-             this->deps.state) {}
+             this->deps.state),
+      traces(this->deps.tracer, PeersOf(this->deps.settings), this->deps.send) {
+}
 
 AdminTask::~AdminTask() = default;
 
@@ -145,13 +157,15 @@
 }
 
 auto AdminTask::FindTrace(std::string trace_id,
-                          Callback<std::vector<Span>> callback) -> void {
-  std::vector<Span> spans = this->deps.tracer.Find(trace_id);
-  if (spans.empty()) {
-    callback(NotFound("trace " + trace_id));
-  } else {
-    callback(std::move(spans));
-  }
+                          Callback<admin::FoundTrace> callback) -> void {
+  this->traces.Find(trace_id, ReadBootClock(),
+                    [trace_id, callback](admin::FoundTrace trace) {
+                      if (trace.spans.empty()) {
+                        callback(NotFound("trace " + trace_id));
+                      } else {
+                        callback(std::move(trace));
+                      }
+                    });
 }
 
 auto AdminTask::RenderMetrics() const -> std::string {
@@ -241,6 +255,7 @@
   for (const auto& call : ready) {
     call();
   }
+  this->traces.EndOverdue(now);
 }
 
 auto AdminTask::WithReport(ReportCallback callback) -> void {
@@ -282,6 +297,8 @@
                                    ? DecodeControllerReport(reply.report())
                                    : std::nullopt);
     }
+  } else {
+    this->traces.HandlePeer(message);
   }
 }
 
--- a/src/fireflythread/daemon/admin_task.h
+++ b/src/fireflythread/daemon/admin_task.h
@@ -17,6 +17,7 @@
 #include "fireflythread/control/wave_record.h"
 #include "fireflythread/daemon/config_editor.h"
 #include "fireflythread/daemon/periodic_timer.h"
+#include "fireflythread/daemon/trace_collector.h"
 #include "fireflythread/peer/generated/peer.pb.h"
 
 namespace fireflythread {
@@ -49,7 +50,8 @@
   ~AdminTask() override;
 
   auto Start() -> void;
-  /// Takes a request for the controller's report, or the answer to one.
+  /// Takes a request for the controller's report or for a trace, or the answer
+  /// to one.
   auto HandlePeer(const PeerMessage& message) -> void;
   /// From now on the entry reports that it stops.
   auto SetStopping() -> void;
@@ -85,7 +87,7 @@
   auto ListHistory(admin::HistoryQuery query,
                    Callback<std::vector<admin::HistoryEntry>> callback)
       -> void override;
-  auto FindTrace(std::string trace_id, Callback<std::vector<Span>> callback)
+  auto FindTrace(std::string trace_id, Callback<admin::FoundTrace> callback)
       -> void override;
   [[nodiscard]] auto GetReadiness() const -> admin::Readiness override;
   [[nodiscard]] auto RenderMetrics() const -> std::string override;
@@ -119,6 +121,7 @@
 
   Dependencies deps;
   ConfigEditor editor;
+  TraceCollector traces;
   std::uint64_t report_requests = 0;
   std::map<std::uint64_t, ReportWaiter> report_waiters;
   std::vector<ConfigWaiter> config_waiters;
--- a/src/fireflythread/daemon/daemon.cc
+++ b/src/fireflythread/daemon/daemon.cc
@@ -269,6 +269,8 @@
       break;
     case peer::Envelope::kReportRequest:
     case peer::Envelope::kReportReply:
+    case peer::Envelope::kTraceRequest:
+    case peer::Envelope::kTraceReply:
       this->admin->HandlePeer(message);
       break;
     case peer::Envelope::kLeavingNotice: {
--- a/test/fireflythread/admin/fake_backend.h
+++ b/test/fireflythread/admin/fake_backend.h
@@ -140,12 +140,12 @@
     this->queries.push_back(std::move(query));
     callback(this->history);
   }
-  auto FindTrace(std::string trace_id, Callback<std::vector<Span>> callback)
+  auto FindTrace(std::string trace_id, Callback<FoundTrace> callback)
       -> void override {
     if (this->spans.empty()) {
       callback(AdminError{AdminError::Kind::kNotFound, "no " + trace_id, {}});
     } else {
-      callback(this->spans);
+      callback(FoundTrace{this->spans, this->silent});
     }
   }
   auto GetReadiness() const -> Readiness override { return this->readiness; }
@@ -158,6 +158,7 @@
   std::optional<AdminError> edit_error;
   FleetStatus status;
   std::vector<VmStatus> vms;
+  std::vector<EntryId> silent;
   std::vector<HistoryEntry> history;
   std::vector<Span> spans;
   WaveState wave_state = WaveState::kRunning;
--- a/test/fireflythread/ctl/run_command_test.cc
+++ b/test/fireflythread/ctl/run_command_test.cc
@@ -172,11 +172,13 @@
   add("c", "b", 13);
   add("x", "y", 20);
   add("y", "x", 21);
+  fixture.api.backend.silent = {EntryId("entry-7")};
   CHECK(fixture.Run({"trace", "show", trace_id}) == ExitCode::kOk);
   CHECK_THAT(fixture.output.out, Contains("\nspan-a ") &&
                                      Contains("\n  span-b ") &&
                                      Contains("\n    span-c "));
   CHECK_THAT(fixture.output.out, Contains("span-x") && Contains("span-y"));
+  CHECK_THAT(fixture.output.out, Contains("entry-7 did not answer"));
 }
 
 // Guards against a token file of the server that the program cannot use.
