Spread new VMs of all pools over all racks

Every pool was given the same ten racks and the spare pool got racks 7 and 8 whole.

Change: of racks that suit a pool equally, adoption takes the one with the most VMs left.

The new test gave 3 racks for the spare pool without the change.

--- a/src/fireflythread/control/adoption.cc
+++ b/src/fireflythread/control/adoption.cc
@@ -88,12 +88,16 @@
   return best;
 }
 
+/// Of racks that suit the pool equally, takes the one with the most VMs left.
+/// Otherwise every pool fills the same racks first and the spare pool gets
+/// whole racks, which the other pools cannot use for an even spread.
 auto PickVm(NewVms& new_vms, PoolSpread& spread) -> const ListedVm* {
   auto best = new_vms.end();
-  std::tuple<int, int> best_rank;
+  std::tuple<int, int, int> best_rank;
   for (auto it = new_vms.begin(); it != new_vms.end(); ++it) {
-    const std::tuple<int, int> rank = {spread.zones[it->first.first],
-                                       spread.racks[it->first.second]};
+    const std::tuple<int, int, int> rank = {
+        spread.zones[it->first.first], spread.racks[it->first.second],
+        -static_cast<int>(it->second.size())};
     if (best == new_vms.end() || rank < best_rank) {
       best = it;
       best_rank = rank;
--- a/test/fireflythread/control/controller_test.cc
+++ b/test/fireflythread/control/controller_test.cc
@@ -55,6 +55,30 @@
   }
 }
 
+// Guards against a spare pool that gets whole racks: the pools in use then
+// share fewer racks, and the loss of one needs a larger reserve.
+TEST_CASE("new VMs leave every pool with VMs in most racks") {
+  VirtualCell cell;
+  AddMembers(cell, 3);
+  AddVms(cell, 50, 4, 3);
+  PoolSpec pool;
+  pool.min_vms = 10;
+  for (const char* name : {"counter", "planner", "office", "desk"}) {
+    AddPool(cell, name, pool, {});
+    SetDemand(cell, name, 16);
+  }
+  pool.spare = true;
+  AddPool(cell, "spare", pool, {});
+  RunFor(cell, seconds(5));
+  std::map<std::string, std::set<std::string>> racks;
+  for (const auto& [id, record] : cell.fleet.vms) {
+    racks[record.pool.value].insert(record.rack.value);
+  }
+  for (const auto& [name, used] : racks) {
+    CHECK(used.size() >= 9);
+  }
+}
+
 // Guards against a pool that stays short in a surge while spare VMs are idle.
 TEST_CASE("a surge gets spare VMs, higher priority first") {
   VirtualCell cell = MakeCell();
