Count VMs kept for a passed peak towards the reserve

Cause: a pool kept the VMs of a passed peak for a hold time whatever the reserve was, on top of it.

Change: pools keep at most as many VMs beyond their need as the reserve has. The pools that weigh moves most against buffer keep theirs first. Pools whose demand is not known still keep all their VMs.

The new test failed with the limit switched off.

--- a/src/fireflythread/control/controller_memory.h
+++ b/src/fireflythread/control/controller_memory.h
@@ -26,6 +26,9 @@
   TimePoint since;
   /// The largest need since `since`.
   int recent = 0;
+  /// All VMs of the pool are kept, because its demand is not known or was not
+  /// until less than a hold time ago.
+  bool whole_pool = false;
 };
 
 /// What a controller remembers between its steps. A new controller starts with
--- a/src/fireflythread/control/reserve.cc
+++ b/src/fireflythread/control/reserve.cc
@@ -56,7 +56,7 @@
                                  [&inputs](const auto& service) {
                                    return inputs.demand.contains(service);
                                  });
-  const HeldNeed all{std::max(available, needed), inputs.now, needed};
+  const HeldNeed all{std::max(available, needed), inputs.now, needed, true};
   HeldNeed& need = memory.needs.try_emplace(policy.name, all).first->second;
   if (!known) {
     need = all;
@@ -73,6 +73,37 @@
   return racks;
 }
 
+/// Idle VMs kept for a passed peak can replace lost ones, so they count towards
+/// the shared reserve: pools keep no more of them than it. The pools that weigh
+/// moves most against buffer keep theirs first. Pools of unknown demand are
+/// left out, because all their VMs may be in use.
+auto LimitHeld(const PoolPolicies& policies,
+               const ControllerMemory& memory,
+               ReservePlan& plan) -> void {
+  std::vector<const PoolPolicy*> keepers;
+  for (const auto& [name, policy] : policies) {
+    const auto held = memory.needs.find(name);
+    if (!policy.spare && held != memory.needs.end() &&
+        !held->second.whole_pool) {
+      keepers.push_back(&policy);
+    }
+  }
+  std::stable_sort(
+      keepers.begin(), keepers.end(),
+      [](const PoolPolicy* left, const PoolPolicy* right) {
+        return WeightRatio(left->weight_moves, left->weight_buffer) >
+               WeightRatio(right->weight_moves, right->weight_buffer);
+      });
+  int left = plan.reserve;
+  for (const PoolPolicy* policy : keepers) {
+    PoolNeed& need = plan.pools[policy->name];
+    const int base = std::max(need.needed, policy->min_vms);
+    const int kept = std::clamp(need.target - base, 0, left);
+    need.target = std::min(need.target, base + kept);
+    left -= kept;
+  }
+}
+
 }  // namespace
 
 auto PlanReserve(const ControllerInputs& inputs,
@@ -97,6 +128,7 @@
   const SharedReserve reserve = PlanSharedReserve(pools);
   plan.reserve = reserve.vms;
   plan.limiting_rack = reserve.rack;
+  LimitHeld(policies, memory, plan);
   for (const auto& [name, policy] : policies) {
     if (policy.spare) {
       plan.pools[name].target = plan.reserve;
--- a/src/fireflythread/control/reserve.h
+++ b/src/fireflythread/control/reserve.h
@@ -16,7 +16,8 @@
   int needed = 0;
   /// The largest `needed` of the recent past.
   int held = 0;
-  /// VMs that the pool keeps: `held` within the pool's bounds. Of the spare
+  /// VMs that the pool keeps: `held` within the pool's bounds, as far as the
+  /// shared reserve covers what pools hold beyond their need. Of the spare
   /// pool, the shared reserve.
   int target = 0;
 };
--- a/test/fireflythread/control/controller_test.cc
+++ b/test/fireflythread/control/controller_test.cc
@@ -245,6 +245,24 @@
   CHECK(cell.conflicts == 0);
 }
 
+// Guards against VMs kept for a passed peak on top of the reserve, which the
+// operator pays for twice.
+TEST_CASE("pools keep no more VMs for a passed peak than the reserve") {
+  VirtualCell cell = MakeCell();
+  for (auto& [name, pool] : cell.config.pools) {
+    pool.min_vms = 1;
+  }
+  RunFor(cell, seconds(30));
+  SetDemand(cell, "counter", 56);
+  RunFor(cell, seconds(5));
+  SetDemand(cell, "counter", 8);
+  const ControllerReport report = Step(cell).report;
+  const PoolStatus& counter = report.pools.at(PoolName("counter"));
+  const int reserve = report.pools.at(PoolName("spare")).target;
+  CHECK(counter.target > counter.needed);
+  CHECK(counter.target - counter.needed <= reserve);
+}
+
 // Guards against a new controller that gives VMs away before it knows the
 // demand.
 TEST_CASE("without demand reports no VM leaves its pool") {
