--- a/standin/platform/platform_faults.cc
+++ b/standin/platform/platform_faults.cc
@@ -45,6 +45,8 @@
   faults.cut_listeners = json.value("cut_listeners", faults.cut_listeners);
   faults.failing_workers =
       json.value("failing_workers", faults.failing_workers);
+  faults.isolated_workers =
+      json.value("isolated_workers", faults.isolated_workers);
 }
 
 }  // namespace fireflythread::standin
--- a/standin/platform/platform_faults.h
+++ b/standin/platform/platform_faults.h
@@ -43,6 +43,8 @@
   /// Listeners, by index, that are cut off: silent.
   std::set<int> cut_listeners;
   std::set<std::string> failing_workers;
+  /// Workers that are cut off from the platform while they run on.
+  std::set<std::string> isolated_workers;
 };
 
 /// Sets the members that `json` names. Throws nlohmann::json::exception when
--- a/standin/platform/platform_service.cc
+++ b/standin/platform/platform_service.cc
@@ -262,7 +262,7 @@
     ReplyNotRun(exchange, kNotFound, "no such path");
     return;
   }
-  if (!this->vms.IsUp(path[2])) {
+  if (!this->vms.IsUp(path[2]) || this->tasks.IsIsolated(path[2])) {
     ReplyNotRun(exchange, kUnavailable, "the worker is not up");
     return;
   }
@@ -287,6 +287,7 @@
   ApplyFaults(json, this->faults);
   this->vms.SetRebootTime(this->faults.reboot_time);
   this->tasks.SetFailingVms(this->faults.failing_workers);
+  this->tasks.SetIsolatedVms(this->faults.isolated_workers);
   if (json.value("silence_established", false)) {
     this->silence_established();
   }
@@ -321,6 +322,9 @@
       exchange->ReplyJson(kOk, this->vms.TrueState());
     } else if (path == "/runs") {
       exchange->ReplyJson(kOk, this->tasks.Runs());
+    } else if (path == "/tasks") {
+      this->tasks.Advance();
+      exchange->ReplyJson(kOk, this->tasks.TrueState());
     } else if (path == "/transactions" && exchange->Method() == "POST") {
       exchange->ReplyJson(
           kOk, OutcomeToJson(this->table.Apply(
--- a/standin/platform/task_board.cc
+++ b/standin/platform/task_board.cc
@@ -31,6 +31,9 @@
 }  // namespace
 
 auto TaskBoard::AddReport(const std::string& id, Task& task) -> void {
+  if (this->IsIsolated(task.vm)) {
+    return;
+  }
   task.reports.push_back({.time = ReadBootClock(),
                           .json = {{"task", id},
                                    {"vm", task.vm},
@@ -45,6 +48,8 @@
 }
 
 auto TaskBoard::Run(const TaskCommand& command, Task& task) -> void {
+  const bool overlaps =
+      task.state == "running" && ReadBootClock() < task.lease_end;
   task.vm = command.vm;
   task.state = "running";
   task.speed = 1;
@@ -63,6 +68,7 @@
                         {"vm", command.vm},
                         {"fence", command.fence},
                         {"checkpoint", command.checkpoint},
+                        {"overlaps", overlaps},
                         {"time_ns", task.advanced.time_since_epoch().count()}});
 }
 
@@ -145,6 +151,9 @@
 
 auto TaskBoard::LoseVm(const std::string& vm) -> void {
   this->Advance();
+  if (this->IsIsolated(vm)) {
+    return;
+  }
   for (auto& [id, task] : this->tasks) {
     if (task.vm == vm && task.state == "running") {
       task.lost = true;
@@ -166,6 +175,18 @@
   return {{"tasks", list}};
 }
 
+auto TaskBoard::TrueState() const -> Json {
+  Json list = Json::array();
+  for (const auto& [id, task] : this->tasks) {
+    list.push_back({{"task", id},
+                    {"vm", task.vm},
+                    {"fence", task.fence},
+                    {"state", task.lost ? "lost" : task.state},
+                    {"progress", task.progress}});
+  }
+  return {{"tasks", list}};
+}
+
 auto TaskBoard::Usage() const -> Json {
   std::map<std::string, int> counts;
   for (const auto& [id, task] : this->tasks) {
--- a/standin/platform/task_board.h
+++ b/standin/platform/task_board.h
@@ -54,7 +54,18 @@
   [[nodiscard]] auto Reports(std::chrono::milliseconds lag) const
       -> nlohmann::json;
   [[nodiscard]] auto Usage() const -> nlohmann::json;
-  /// Every start of a run, in order, for tests.
+  /// Workers that are cut off from the platform: what runs there goes on until
+  /// its lease ends, and nothing is reported.
+  auto SetIsolatedVms(std::set<std::string> vms) -> void {
+    this->isolated_vms = std::move(vms);
+  }
+  [[nodiscard]] auto IsIsolated(const std::string& vm) const -> bool {
+    return this->isolated_vms.contains(vm);
+  }
+  /// The true state of every task, without lag.
+  [[nodiscard]] auto TrueState() const -> nlohmann::json;
+  /// Every start of a run, in order, for tests. `overlaps` is true when the
+  /// lease of the run before had not ended.
   [[nodiscard]] auto Runs() const -> nlohmann::json { return this->runs; }
 
  private:
@@ -80,11 +91,12 @@
 
   auto Run(const TaskCommand& command, Task& task) -> void;
   auto AdvanceTask(const std::string& id, Task& task, TimePoint now) -> void;
-  static auto AddReport(const std::string& id, Task& task) -> void;
+  auto AddReport(const std::string& id, Task& task) -> void;
 
   Objects& objects;
   std::map<std::string, Task> tasks;
   std::set<std::string> failing_vms;
+  std::set<std::string> isolated_vms;
   nlohmann::json runs = nlohmann::json::array();
 };
 
--- a/test/process/platform_standin.cc
+++ b/test/process/platform_standin.cc
@@ -61,4 +61,17 @@
   return Fetch("GET", this->Control("/vms")).Json();
 }
 
+auto PlatformStandin::Runs() const -> Json {
+  return Fetch("GET", this->Control("/runs")).Json();
+}
+
+auto PlatformStandin::Tasks() const -> std::map<std::string, Json> {
+  std::map<std::string, Json> tasks;
+  const Json state = Fetch("GET", this->Control("/tasks")).Json();
+  for (const Json& task : state.at("tasks")) {
+    tasks[task.at("task")] = task;
+  }
+  return tasks;
+}
+
 }  // namespace fireflythread::test
--- a/test/process/platform_standin.h
+++ b/test/process/platform_standin.h
@@ -25,6 +25,10 @@
   [[nodiscard]] auto Counters() const -> nlohmann::json;
   /// The true state of the VMs and all commands that arrived.
   [[nodiscard]] auto Vms() const -> nlohmann::json;
+  /// Every start of a run of a long task, in order.
+  [[nodiscard]] auto Runs() const -> nlohmann::json;
+  /// The true state of the long tasks by id.
+  [[nodiscard]] auto Tasks() const -> std::map<std::string, nlohmann::json>;
   auto Stop() -> void { this->process.Kill(); }
 
  private:
--- a/test/process/site.cc
+++ b/test/process/site.cc
@@ -79,13 +79,33 @@
   for (std::size_t i = 0; i < this->options.entries; ++i) {
     platforms += (i == 0 ? "" : ",") + this->platform->Address(i);
   }
-  RunScript({FIREFLYTHREAD_SOURCE_DIR "/scripts/make-site", "entries", "--dir",
-             this->directory.Path(""), "--vms",
-             this->directory.Path("vms.json"), "--platform", platforms,
-             "--token", kToken, "--extra", this->options.settings,
-             "--caller-ports", Join(this->caller_ports.Ports()),
-             "--admin-ports", Join(this->admin_ports.Ports()), "--peer-ports",
-             Join(this->peer_ports.Ports())},
+  std::vector<int> connect_ports = this->peer_ports.Ports();
+  if (this->options.relay_peers) {
+    for (int& port : connect_ports) {
+      this->relays.push_back(std::make_unique<TcpRelay>(port));
+      port = this->relays.back()->Port();
+    }
+  }
+  RunScript({FIREFLYTHREAD_SOURCE_DIR "/scripts/make-site",
+             "entries",
+             "--dir",
+             this->directory.Path(""),
+             "--vms",
+             this->directory.Path("vms.json"),
+             "--platform",
+             platforms,
+             "--token",
+             kToken,
+             "--extra",
+             this->options.settings,
+             "--caller-ports",
+             Join(this->caller_ports.Ports()),
+             "--admin-ports",
+             Join(this->admin_ports.Ports()),
+             "--peer-ports",
+             Join(this->peer_ports.Ports()),
+             "--peer-connect-ports",
+             Join(connect_ports)},
             this->directory.Path("make-entries.log"));
 }
 
@@ -137,15 +157,30 @@
   throw std::runtime_error("no entry holds the controller lease");
 }
 
+auto Site::SilencePeerLinks() -> void {
+  for (const auto& relay : this->relays) {
+    relay->SilenceEstablished();
+  }
+}
+
 auto Site::Call(std::size_t entry,
                 const std::string& method,
                 const std::string& service,
                 const HttpHeaders& headers) const -> HttpAnswer {
+  return this->CallPath(entry, method, service + "/work",
+                        method == "POST" ? "body" : "", headers);
+}
+
+auto Site::CallPath(std::size_t entry,
+                    const std::string& method,
+                    const std::string& path,
+                    const std::string& body,
+                    const HttpHeaders& headers) const -> HttpAnswer {
   return Fetch(method,
                "http://127.0.0.1:" +
                    std::to_string(this->caller_ports.Ports().at(entry)) +
-                   "/s/" + service + "/work",
-               method == "POST" ? "body" : "", headers);
+                   "/s/" + path,
+               body, headers);
 }
 
 auto Site::CallLater(std::size_t entry,
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -13,6 +13,7 @@
 #include "test/process/platform_standin.h"
 #include "test/process/reserved_ports.h"
 #include "test/process/scratch_directory.h"
+#include "test/process/tcp_relay.h"
 #include "test/process/wait_until.h"
 
 namespace fireflythread::test {
@@ -26,6 +27,8 @@
     std::vector<std::string> backend_flags;
     /// Text added to each entry's settings.
     std::string settings;
+    /// Entries connect to each other through relays, which can go silent.
+    bool relay_peers = false;
   };
 
   /// Starts everything and waits until all entries are ready.
@@ -37,6 +40,9 @@
   [[nodiscard]] auto Entry(std::size_t index) -> ChildProcess& {
     return *this->entries.at(index);
   }
+  /// Silences all open connections between entries; new ones work. Needs
+  /// `relay_peers`.
+  auto SilencePeerLinks() -> void;
   /// Starts the entry again after its end.
   auto Restart(std::size_t index) -> void;
   [[nodiscard]] auto IsReady(std::size_t index) const -> bool;
@@ -49,7 +55,13 @@
                           const std::string& method,
                           const std::string& service,
                           const HttpHeaders& headers) const -> HttpAnswer;
-  /// The same in a thread of its own.
+  /// The same with any path below the service and any body.
+  [[nodiscard]] auto CallPath(std::size_t entry,
+                              const std::string& method,
+                              const std::string& path,
+                              const std::string& body,
+                              const HttpHeaders& headers) const -> HttpAnswer;
+  /// Like Call, in a thread of its own.
   [[nodiscard]] auto CallLater(std::size_t entry,
                                const std::string& method,
                                const std::string& service,
@@ -83,6 +95,7 @@
   ReservedPorts caller_ports;
   ReservedPorts admin_ports;
   ReservedPorts peer_ports;
+  std::vector<std::unique_ptr<TcpRelay>> relays;
   std::vector<std::unique_ptr<ChildProcess>> entries;
   std::vector<std::string> outcome_files;
 };
