Declare waves by the profile's maintenance interval

Cause: at the target size each VM is maintained once in 6 weeks, and every wave had to be declared by an operator. Change: maintenance_interval_days in a profile (0, the default, changes nothing); the controller declares a wave for the due VMs of one rack at a time, from the last quarter of the interval on, and rows keep when a VM was maintained. status counts overdue VMs.

--- a/src/fireflythread/admin/encode_status.cc
+++ b/src/fireflythread/admin/encode_status.cc
@@ -119,6 +119,9 @@
           {"cores", record.cores},
           {"memory_mb", record.memory_mb},
           {"accelerators", record.accelerators},
+          {"maintained_at", record.maintained_at == WallTime()
+                                ? Json(nullptr)
+                                : Json(FormatWallTime(record.maintained_at))},
           {"in_flight", vm.in_flight},
           {"ejected", vm.ejected},
           {"note", vm.note}};
@@ -154,6 +157,7 @@
           {"controller", Encode(status.controller)},
           {"pools", EncodeItems(status.pools)},
           {"vms_by_state", by_state},
+          {"maintenance_overdue", status.maintenance_overdue},
           {"waves", EncodeItems(status.waves)},
           {"blocked", EncodeItems(status.blocked)}};
 }
--- a/src/fireflythread/admin/fleet_status.h
+++ b/src/fireflythread/admin/fleet_status.h
@@ -23,6 +23,8 @@
   ControllerStatus controller;
   std::vector<PoolStatus> pools;
   std::map<VmState, int> vms_by_state;
+  /// VMs whose maintenance interval has passed.
+  int maintenance_overdue = 0;
   /// Waves that are not done.
   std::vector<WaveStatus> waves;
   /// What is blocked outside of waves: moves and failed VMs.
--- a/src/fireflythread/config/codec.cc
+++ b/src/fireflythread/config/codec.cc
@@ -1,5 +1,6 @@
 #include "fireflythread/config/codec.h"
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -21,6 +22,9 @@
 constexpr int kLargestInFlight = 1000000;
 constexpr double kLargestRate = 1e6;
 constexpr std::int64_t kLongestDeadlineMs = 30000;
+constexpr double kLongestIntervalDays = 365;
+
+using Days = std::chrono::duration<double, std::chrono::days::period>;
 
 template <typename T>
 auto Finish(FieldReader& reader, T value, UnknownFields unknown) -> Decoded<T> {
@@ -55,6 +59,11 @@
   reader.Real("weight_buffer", 0, 10, profile.weight_buffer);
   reader.Real("weight_rollout", 0, 10, profile.weight_rollout);
   reader.Real("weight_moves", 0, 10, profile.weight_moves);
+  double interval_days = 0;
+  reader.Real("maintenance_interval_days", 0, kLongestIntervalDays,
+              interval_days);
+  profile.maintenance_interval =
+      std::chrono::round<std::chrono::seconds>(Days(interval_days));
   internal::ReadWindows(reader, profile.windows);
   return Finish(reader, std::move(profile), unknown);
 }
@@ -115,14 +124,16 @@
 }
 
 auto EncodeProfile(const Profile& profile) -> std::string {
-  return nlohmann::json{{"headroom", profile.headroom},
-                        {"max_unavailable", profile.max_unavailable},
-                        {"availability", profile.availability},
-                        {"priority", profile.priority},
-                        {"weight_buffer", profile.weight_buffer},
-                        {"weight_rollout", profile.weight_rollout},
-                        {"weight_moves", profile.weight_moves},
-                        {"windows", internal::EncodeWindows(profile.windows)}}
+  return nlohmann::json{
+      {"headroom", profile.headroom},
+      {"max_unavailable", profile.max_unavailable},
+      {"availability", profile.availability},
+      {"priority", profile.priority},
+      {"weight_buffer", profile.weight_buffer},
+      {"weight_rollout", profile.weight_rollout},
+      {"weight_moves", profile.weight_moves},
+      {"maintenance_interval_days", Days(profile.maintenance_interval).count()},
+      {"windows", internal::EncodeWindows(profile.windows)}}
       .dump();
 }
 
--- a/src/fireflythread/config/profile.h
+++ b/src/fireflythread/config/profile.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_CONFIG_PROFILE_H_
 #define FIREFLYTHREAD_CONFIG_PROFILE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -27,6 +28,9 @@
   double weight_buffer = 1.0;
   double weight_rollout = 1.0;
   double weight_moves = 1.0;
+  /// Every VM is maintained once in this time by waves that the controller
+  /// declares; 0 leaves it to operators (0 to 365 days).
+  std::chrono::seconds maintenance_interval{0};
   /// When VMs may be taken for maintenance; empty means at any time.
   std::vector<MaintenanceWindow> windows;
 
--- a/src/fireflythread/control/adoption.cc
+++ b/src/fireflythread/control/adoption.cc
@@ -111,7 +111,8 @@
   return vm;
 }
 
-auto MakeRecord(const ListedVm& vm, const PoolName& pool) -> VmRecord {
+auto MakeRecord(const ListedVm& vm, const PoolName& pool, WallTime now)
+    -> VmRecord {
   VmRecord record;
   record.id = vm.id;
   record.pool = pool;
@@ -121,6 +122,8 @@
   record.cores = vm.cores;
   record.memory_mb = vm.memory_mb;
   record.accelerators = vm.accelerators;
+  // A VM that joins has just been made or booted.
+  record.maintained_at = std::chrono::floor<std::chrono::milliseconds>(now);
   return record;
 }
 
@@ -151,7 +154,7 @@
       return;
     }
     AddTo(spread, vm->zone, vm->rack);
-    AddVm(draft, MakeRecord(*vm, policy->name));
+    AddVm(draft, MakeRecord(*vm, policy->name, inputs.wall_time));
   }
 }
 
--- a/src/fireflythread/control/controller.cc
+++ b/src/fireflythread/control/controller.cc
@@ -8,6 +8,7 @@
 #include "fireflythread/control/adoption.h"
 #include "fireflythread/control/fleet_draft.h"
 #include "fireflythread/control/fleet_summary.h"
+#include "fireflythread/control/maintenance_schedule.h"
 #include "fireflythread/control/moves.h"
 #include "fireflythread/control/pool_policy.h"
 #include "fireflythread/control/reserve.h"
@@ -40,6 +41,7 @@
   ProgressVms(inputs, memory, draft, decision);
   AdoptVms(inputs, policies, draft, decision.report);
   AdvanceWaves(inputs, draft);
+  DeclareDueWave(inputs, policies, draft);
   FleetSummary summary = SummarizeFleet(inputs, draft);
   const ReservePlan plan = PlanReserve(inputs, policies, summary, memory);
   const WaveLending lending = PlanLending(inputs, policies, summary, draft);
--- a/src/fireflythread/control/pool_policy.cc
+++ b/src/fireflythread/control/pool_policy.cc
@@ -20,6 +20,15 @@
   policy.weight_moves = std::max(policy.weight_moves, profile.weight_moves);
 }
 
+auto AddInterval(PoolPolicy& policy, std::chrono::seconds interval) -> void {
+  if (interval > std::chrono::seconds::zero()) {
+    policy.maintenance_interval =
+        policy.maintenance_interval == std::chrono::seconds::zero()
+            ? interval
+            : std::min(policy.maintenance_interval, interval);
+  }
+}
+
 auto AddService(PoolPolicy& policy,
                 const ServiceName& service,
                 const Profile& profile) -> void {
@@ -33,6 +42,7 @@
     policy.windows.push_back(profile.windows);
   }
   AddWeights(policy, profile);
+  AddInterval(policy, profile.maintenance_interval);
 }
 
 auto ProfileOf(const ConfigSnapshot& config, const ServiceSpec& service)
@@ -62,6 +72,7 @@
   for (const auto& [name, service] : config.services) {
     const Profile profile = ProfileOf(config, service);
     AddWeights(all, profile);
+    AddInterval(all, profile.maintenance_interval);
     const auto found = policies.find(service.pool);
     if (found != policies.end()) {
       AddService(found->second, name, profile);
@@ -72,6 +83,7 @@
       policy.weight_buffer = all.weight_buffer;
       policy.weight_rollout = all.weight_rollout;
       policy.weight_moves = all.weight_moves;
+      policy.maintenance_interval = all.maintenance_interval;
     }
   }
   return policies;
--- a/src/fireflythread/control/pool_policy.h
+++ b/src/fireflythread/control/pool_policy.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_CONTROL_POOL_POLICY_H_
 #define FIREFLYTHREAD_CONTROL_POOL_POLICY_H_
 
+#include <chrono>
 #include <map>
 #include <vector>
 
@@ -26,6 +27,8 @@
   double weight_buffer = 0;
   double weight_rollout = 0;
   double weight_moves = 0;
+  /// The shortest interval of the services' profiles; 0 for none.
+  std::chrono::seconds maintenance_interval{0};
   std::vector<ServiceName> services;
   /// The windows of each service; VMs may be taken when all are open.
   std::vector<std::vector<MaintenanceWindow>> windows;
@@ -34,7 +37,8 @@
 using PoolPolicies = std::map<PoolName, PoolPolicy>;
 
 /// The policies of all pools of a configuration. A pool without services, such
-/// as the spare pool, gets the largest weights of all services. A service whose
+/// as the spare pool, gets the largest weights and the shortest maintenance
+/// interval of all services. A service whose
 /// profile is missing counts with the default profile.
 [[nodiscard]] auto MakePoolPolicies(const ConfigSnapshot& config)
     -> PoolPolicies;
--- a/src/fireflythread/control/reboot_progress.cc
+++ b/src/fireflythread/control/reboot_progress.cc
@@ -118,6 +118,8 @@
     next.wave = WaveId();
     next.boot.clear();
     next.reason.clear();
+    next.maintained_at =
+        std::chrono::floor<std::chrono::milliseconds>(inputs.wall_time);
     RecordWaveResult(inputs, record, /*succeeded=*/true, draft);
     NoteMaintenanceTime(inputs, memory, record.id);
     ChangeVm(draft, record, std::move(next));
--- a/src/fireflythread/ctl/render_status.cc
+++ b/src/fireflythread/ctl/render_status.cc
@@ -156,6 +156,10 @@
   text += "\n" + RenderEntries(List(status, "entries"));
   text += "\n" + RenderPools(List(status, "pools"));
   text += "\n" + RenderStates(status.value("vms_by_state", json::object()));
+  if (Number(status, "maintenance_overdue") > 0) {
+    text += fmt::format("maintenance overdue: {} VMs\n",
+                        Text(status, "maintenance_overdue"));
+  }
   const json& waves = List(status, "waves");
   if (!waves.empty()) {
     text += "\n" + RenderSomeWaves(waves);
--- a/src/fireflythread/daemon/admin_task_status.cc
+++ b/src/fireflythread/daemon/admin_task_status.cc
@@ -7,6 +7,8 @@
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/config/config_snapshot.h"
+#include "fireflythread/control/maintenance_schedule.h"
+#include "fireflythread/control/pool_policy.h"
 #include "fireflythread/daemon/admin_task.h"
 #include "fireflythread/daemon/controller_task.h"
 #include "fireflythread/daemon/gateway_task.h"
@@ -197,6 +199,9 @@
   for (const auto& [id, vm] : state.fleet->vms) {
     ++status.vms_by_state[vm.state];
   }
+  status.maintenance_overdue =
+      CountOverdue(*state.fleet, MakePoolPolicies(*state.config),
+                   std::chrono::system_clock::now());
   for (const WaveRecord& wave : waves) {
     if (wave.state == WaveState::kDeclared ||
         wave.state == WaveState::kRunning) {
--- a/src/fireflythread/fleet/vm_record.h
+++ b/src/fireflythread/fleet/vm_record.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
 #include "fireflythread/fleet/vm_state.h"
 
 namespace fireflythread {
@@ -35,6 +36,9 @@
   int cores = 0;
   int memory_mb = 0;
   int accelerators = 0;
+  /// When the VM was adopted or last came back from a reboot that was ordered,
+  /// in whole milliseconds; 1970 when that is not known.
+  WallTime maintained_at;
 
   auto operator==(const VmRecord&) const -> bool = default;
 };
--- a/src/fireflythread/fleet/vm_record_codec.cc
+++ b/src/fireflythread/fleet/vm_record_codec.cc
@@ -1,5 +1,6 @@
 #include "fireflythread/fleet/vm_record_codec.h"
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -58,6 +59,12 @@
   if (!record.boot.empty()) {
     object["boot"] = record.boot;
   }
+  if (record.maintained_at != WallTime()) {
+    object["maintained_at_ms"] =
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            record.maintained_at.time_since_epoch())
+            .count();
+  }
   // Text from the platform may hold invalid UTF-8, on which dump() would throw.
   return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -79,6 +86,8 @@
   record.wave = WaveId(reader.OptionalText("wave"));
   record.reason = reader.OptionalText("reason");
   record.boot = reader.OptionalText("boot");
+  record.maintained_at = WallTime(std::chrono::milliseconds(
+      reader.OptionalNumber<std::int64_t>("maintained_at_ms")));
   ReadPlacement(reader, record);
   if (record.pool.empty()) {
     reader.Fail("field pool is empty");
--- a/test/fireflythread/fleet/vm_record_codec_test.cc
+++ b/test/fireflythread/fleet/vm_record_codec_test.cc
@@ -34,6 +34,8 @@
         *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
     record.wave = WaveId("w" + std::to_string(reason.size()));
     record.next_pool = PoolName("works-misc");
+    record.maintained_at = WallTime(std::chrono::milliseconds(
+        *rc::gen::inRange<std::int64_t>(0, 4102444800000)));
     record.state = *rc::gen::element(VmState::kServing, VmState::kDraining,
                                      VmState::kDrained, VmState::kRebooting,
                                      VmState::kVerifying, VmState::kFailed);
