Read a page of a table by key range; delete objects

Cause: the platform protocol could only scan a whole table by revision and had no way to delete an object, so old rows and their objects could not be removed and a page of history needed the whole table.

Change: GET /v1/table/pages/{table} with exclusive bounds, limit and order; DELETE /v1/objects/{key}; PlatformClient::ReadPage and DeleteObject; stand-in.

Conclusion: the smallest addition that retention and history need.

--- a/src/fireflythread/platform/io_http_platform_client.cc
+++ b/src/fireflythread/platform/io_http_platform_client.cc
@@ -250,6 +250,24 @@
       });
 }
 
+auto HttpPlatformClient::ReadPage(PageRequest request,
+                                  Duration timeout,
+                                  Callback<RowPage> callback) -> void {
+  this->Send(
+      {.path = fmt::format(
+           "/v1/table/pages/{}?above={}&below={}&limit={}&order={}",
+           Escape(request.table), Escape(request.above), Escape(request.below),
+           request.limit, request.descending ? "descending" : "ascending")},
+      timeout,
+      [callback = std::move(callback),
+       table = request.table](const HttpCall::Result& result) {
+        const auto decode = [&table](const std::string& body) {
+          return internal::DecodePage(body, table);
+        };
+        Deliver<RowPage>(result, decode, callback);
+      });
+}
+
 auto HttpPlatformClient::ListVms(std::uint64_t since,
                                  Duration timeout,
                                  Callback<VmListResult> callback) -> void {
@@ -326,4 +344,16 @@
              });
 }
 
+auto HttpPlatformClient::DeleteObject(std::string key,
+                                      Duration timeout,
+                                      Callback<std::monostate> callback)
+    -> void {
+  this->Send(
+      {.method = "DELETE", .path = fmt::format("/v1/objects/{}", Escape(key))},
+      timeout,
+      [callback = std::move(callback)](const HttpCall::Result& result) {
+        DeliverDone(result, callback);
+      });
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/platform/io_http_platform_client.h
+++ b/src/fireflythread/platform/io_http_platform_client.h
@@ -40,6 +40,9 @@
             std::uint64_t after_revision,
             Duration timeout,
             Callback<ScanResult> callback) -> void override;
+  auto ReadPage(PageRequest request,
+                Duration timeout,
+                Callback<RowPage> callback) -> void override;
   auto ListVms(std::uint64_t since,
                Duration timeout,
                Callback<VmListResult> callback) -> void override;
@@ -60,6 +63,9 @@
                  Duration timeout,
                  Callback<std::optional<std::string>> callback)
       -> void override;
+  auto DeleteObject(std::string key,
+                    Duration timeout,
+                    Callback<std::monostate> callback) -> void override;
 
  private:
   struct Request;
--- a/src/fireflythread/platform/platform_client.h
+++ b/src/fireflythread/platform/platform_client.h
@@ -10,8 +10,10 @@
 
 #include "fireflythread/base/time.h"
 #include "fireflythread/platform/fwd.h"
+#include "fireflythread/platform/page_request.h"
 #include "fireflythread/platform/platform_error.h"
 #include "fireflythread/platform/row.h"
+#include "fireflythread/platform/row_page.h"
 #include "fireflythread/platform/scan_result.h"
 #include "fireflythread/platform/transaction_outcome.h"
 #include "fireflythread/platform/vm_list_result.h"
@@ -55,6 +57,11 @@
                     Duration timeout,
                     Callback<ScanResult> callback) -> void = 0;
 
+  /// Reads some rows of a table in the order of their keys.
+  virtual auto ReadPage(PageRequest request,
+                        Duration timeout,
+                        Callback<RowPage> callback) -> void = 0;
+
   /// Reads the VM list if it is newer than `since`; 0 always reads it.
   virtual auto ListVms(std::uint64_t since,
                        Duration timeout,
@@ -83,6 +90,11 @@
                          Duration timeout,
                          Callback<std::optional<std::string>> callback)
       -> void = 0;
+
+  /// Deletes an object, if it is there.
+  virtual auto DeleteObject(std::string key,
+                            Duration timeout,
+                            Callback<std::monostate> callback) -> void = 0;
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/platform/protocol_json.cc
+++ b/src/fireflythread/platform/protocol_json.cc
@@ -319,6 +319,27 @@
   return result;
 }
 
+auto DecodePage(std::string_view text, const std::string& table)
+    -> std::optional<RowPage> {
+  const Json json = ParseObject(text);
+  RowPage page;
+  if (!json.is_object() || !Get(json, "more", page.more)) {
+    return std::nullopt;
+  }
+  const Json* rows = GetArray(json, "rows");
+  if (rows == nullptr || (rows->empty() && page.more)) {
+    return std::nullopt;
+  }
+  for (const Json& item : *rows) {
+    std::optional<Row> row = RowFromJson(item);
+    if (!row || row->version == 0 || row->table != table) {
+      return std::nullopt;
+    }
+    page.rows.push_back(*std::move(row));
+  }
+  return page;
+}
+
 auto DecodeVmList(std::string_view text) -> std::optional<VmListResult> {
   const Json json = ParseObject(text);
   VmListResult result;
--- a/src/fireflythread/platform/protocol_json.h
+++ b/src/fireflythread/platform/protocol_json.h
@@ -9,6 +9,7 @@
 
 #include "fireflythread/platform/fwd.h"
 #include "fireflythread/platform/row.h"
+#include "fireflythread/platform/row_page.h"
 #include "fireflythread/platform/scan_result.h"
 #include "fireflythread/platform/transaction_outcome.h"
 #include "fireflythread/platform/vm_list_result.h"
@@ -44,6 +45,8 @@
 /// Every row of the result gets the table name `table`.
 [[nodiscard]] auto DecodeScan(std::string_view text, const std::string& table)
     -> std::optional<ScanResult>;
+[[nodiscard]] auto DecodePage(std::string_view text, const std::string& table)
+    -> std::optional<RowPage>;
 [[nodiscard]] auto DecodeVmList(std::string_view text)
     -> std::optional<VmListResult>;
 [[nodiscard]] auto DecodeTaskReports(std::string_view text)
--- a/standin/platform/platform_service.cc
+++ b/standin/platform/platform_service.cc
@@ -54,6 +54,22 @@
   return value;
 }
 
+auto PageFromQuery(const HttpExchange& exchange, const std::string& table)
+    -> PageRequest {
+  constexpr std::uint64_t kMostRows = 1000;
+  const std::uint64_t limit = ParseNumber(exchange.Query("limit"));
+  const std::string order = exchange.Query("order");
+  if (limit < 1 || limit > kMostRows ||
+      (order != "ascending" && order != "descending")) {
+    throw std::invalid_argument("no such page");
+  }
+  return {.table = table,
+          .above = exchange.Query("above"),
+          .below = exchange.Query("below"),
+          .limit = static_cast<int>(limit),
+          .descending = order == "descending"};
+}
+
 auto TaskCommandFromJson(const std::string& vm, const Json& json)
     -> TaskCommand {
   return {.vm = vm,
@@ -143,6 +159,9 @@
     exchange->ReplyJson(kOk, ScanToJson(this->table.Scan(
                                  path[3], ParseNumber(exchange->Query("after")),
                                  exchange->Query("prefix"))));
+  } else if (path.size() == 4 && get && path[2] == "pages") {
+    exchange->ReplyJson(
+        kOk, PageToJson(this->table.Page(PageFromQuery(*exchange, path[3]))));
   } else {
     ReplyNotRun(exchange, kNotFound, "no such path");
   }
@@ -202,6 +221,11 @@
     exchange->ReplyJson(kOk, Json::object());
     return;
   }
+  if (exchange->Method() == "DELETE") {
+    this->objects.erase(key);
+    exchange->ReplyJson(kOk, Json::object());
+    return;
+  }
   const auto object = this->objects.find(key);
   if (object == this->objects.end()) {
     ReplyNotRun(exchange, kNotFound, "no such object");
--- a/standin/platform/table_json.cc
+++ b/standin/platform/table_json.cc
@@ -64,4 +64,12 @@
           {"deleted", scan.deleted}};
 }
 
+auto PageToJson(const RowPage& page) -> Json {
+  Json rows = Json::array();
+  for (const Row& row : page.rows) {
+    rows.push_back(RowToJson(row));
+  }
+  return {{"rows", std::move(rows)}, {"more", page.more}};
+}
+
 }  // namespace fireflythread::standin
--- a/standin/platform/table_json.h
+++ b/standin/platform/table_json.h
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "fireflythread/platform/row.h"
+#include "fireflythread/platform/row_page.h"
 #include "fireflythread/platform/scan_result.h"
 #include "fireflythread/platform/transaction.h"
 #include "fireflythread/platform/transaction_outcome.h"
@@ -19,6 +20,8 @@
 [[nodiscard]] auto RowToJson(const Row& row) -> nlohmann::json;
 [[nodiscard]] auto ScanToJson(const ScanResult& scan) -> nlohmann::json;
 
+[[nodiscard]] auto PageToJson(const RowPage& page) -> nlohmann::json;
+
 }  // namespace fireflythread::standin
 
 #endif  // STANDIN_PLATFORM_TABLE_JSON_H_
--- a/standin/platform/table_store.cc
+++ b/standin/platform/table_store.cc
@@ -1,5 +1,6 @@
 #include "standin/platform/table_store.h"
 
+#include <iterator>
 #include <utility>
 
 namespace fireflythread::standin {
@@ -73,4 +74,36 @@
   return result;
 }
 
+auto TableStore::Page(const PageRequest& request) const -> RowPage {
+  RowPage page;
+  const auto rows = this->tables.find(request.table);
+  if (rows == this->tables.end()) {
+    return page;
+  }
+  const auto& cells = rows->second;
+  const auto begin = cells.upper_bound(request.above);
+  const auto end =
+      request.below.empty() ? cells.end() : cells.lower_bound(request.below);
+  // Adds a row; false once the page is full.
+  const auto add = [&](const auto& cell) {
+    if (!cell.second.value) {
+      return true;
+    }
+    if (page.rows.size() == static_cast<std::size_t>(request.limit)) {
+      page.more = true;
+      return false;
+    }
+    page.rows.push_back(
+        {request.table, cell.first, cell.second.version, *cell.second.value});
+    return true;
+  };
+  const bool crossed = !request.below.empty() && request.above >= request.below;
+  auto low = begin;
+  auto high = crossed ? begin : end;
+  while (low != high && add(request.descending ? *std::prev(high) : *low)) {
+    request.descending ? --high : ++low;
+  }
+  return page;
+}
+
 }  // namespace fireflythread::standin
--- a/standin/platform/table_store.h
+++ b/standin/platform/table_store.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <utility>
 
+#include "fireflythread/platform/page_request.h"
 #include "fireflythread/platform/row.h"
+#include "fireflythread/platform/row_page.h"
 #include "fireflythread/platform/scan_result.h"
 #include "fireflythread/platform/transaction.h"
 #include "fireflythread/platform/transaction_outcome.h"
@@ -24,6 +26,7 @@
   [[nodiscard]] auto Scan(const std::string& table,
                           std::uint64_t after,
                           const std::string& prefix) const -> ScanResult;
+  [[nodiscard]] auto Page(const PageRequest& request) const -> RowPage;
   [[nodiscard]] auto Revision() const -> std::uint64_t {
     return this->revision;
   }
--- a/test/fireflythread/gateway/fake_platform.cc
+++ b/test/fireflythread/gateway/fake_platform.cc
@@ -109,6 +109,19 @@
   RunLater([callback] { callback(ScanResult{}); });
 }
 
+auto FakePlatform::ReadPage(PageRequest /*request*/,
+                            Duration /*timeout*/,
+                            Callback<RowPage> callback) -> void {
+  RunLater([callback] { callback(RowPage{}); });
+}
+
+auto FakePlatform::DeleteObject(std::string key,
+                                Duration /*timeout*/,
+                                Callback<std::monostate> callback) -> void {
+  this->objects.erase(key);
+  RunLater([callback] { callback(std::monostate()); });
+}
+
 auto FakePlatform::ListVms(std::uint64_t /*since*/,
                            Duration /*timeout*/,
                            Callback<VmListResult> callback) -> void {
--- a/test/fireflythread/gateway/fake_platform.h
+++ b/test/fireflythread/gateway/fake_platform.h
@@ -42,6 +42,12 @@
             std::uint64_t after_revision,
             Duration timeout,
             Callback<ScanResult> callback) -> void override;
+  auto ReadPage(PageRequest request,
+                Duration timeout,
+                Callback<RowPage> callback) -> void override;
+  auto DeleteObject(std::string key,
+                    Duration timeout,
+                    Callback<std::monostate> callback) -> void override;
   auto ListVms(std::uint64_t since,
                Duration timeout,
                Callback<VmListResult> callback) -> void override;
--- a/test/process/platform_client_test.cc
+++ b/test/process/platform_client_test.cc
@@ -208,4 +208,48 @@
   CHECK(std::get<ScanResult>(result).deleted == std::vector<std::string>{"a"});
 }
 
+// Guards against a page that misses a row, shows one twice or ends early, which
+// would leave old rows in the table or edits out of the history.
+TEST_CASE("pages in both directions show each row of a range once") {
+  Fixture fixture;
+  fixture.platform.WriteRows("t", {{"a", 1}, {"b", 2}, {"c", 3}, {"d", 4}});
+  const bool descending = GENERATE(false, true);
+  PageRequest request;
+  request.table = "t";
+  request.limit = 2;
+  request.descending = descending;
+  std::string keys;
+  bool more = true;
+  while (more) {
+    using Result = std::variant<RowPage, PlatformError>;
+    const auto result = Await<Result>(
+        [&](auto done) { fixture.client.ReadPage(request, kLong, done); });
+    const RowPage page = std::get<RowPage>(result);
+    for (const Row& row : page.rows) {
+      keys += row.key;
+    }
+    (descending ? request.below : request.above) = page.rows.back().key;
+    more = page.more;
+  }
+  CHECK(keys == (descending ? "dcba" : "abcd"));
+}
+
+// Guards against objects of removed records that stay in the store.
+TEST_CASE("a deleted object is gone") {
+  Fixture fixture;
+  using Done = std::variant<std::monostate, PlatformError>;
+  REQUIRE(Await<Done>([&](auto done) {
+            fixture.client.PutObject("answers/a b", "x", kLong, done);
+          }).index() == 0);
+  for (int i = 0; i < 2; ++i) {
+    CHECK(Await<Done>([&](auto done) {
+            fixture.client.DeleteObject("answers/a b", kLong, done);
+          }).index() == 0);
+  }
+  using Body = std::variant<std::optional<std::string>, PlatformError>;
+  const auto body = Await<Body>(
+      [&](auto done) { fixture.client.GetObject("answers/a b", kLong, done); });
+  CHECK_FALSE(std::get<0>(body).has_value());
+}
+
 }  // namespace fireflythread::test
--- a/test/process/platform_standin.cc
+++ b/test/process/platform_standin.cc
@@ -53,6 +53,23 @@
   return rows;
 }
 
+auto PlatformStandin::WriteRows(const std::string& table,
+                                const std::map<std::string, Json>& rows) const
+    -> void {
+  Json writes = Json::array();
+  for (const auto& [key, value] : rows) {
+    writes.push_back({{"table", table}, {"key", key}, {"value", value.dump()}});
+  }
+  const HttpAnswer answer = Fetch("POST", this->Control("/transactions"),
+                                  Json({{"nonce", "test"},
+                                        {"conditions", Json::array()},
+                                        {"writes", std::move(writes)}})
+                                      .dump());
+  if (answer.status != 200) {
+    throw std::runtime_error("rows were not written: " + answer.body);
+  }
+}
+
 auto PlatformStandin::Counters() const -> Json {
   return Fetch("GET", this->Control("/counters")).Json();
 }
--- a/test/process/platform_standin.h
+++ b/test/process/platform_standin.h
@@ -22,6 +22,10 @@
   /// The rows of a table by key, read past any fault.
   [[nodiscard]] auto Rows(const std::string& table) const
       -> std::map<std::string, nlohmann::json>;
+  /// Writes rows, by key, past any fault.
+  auto WriteRows(const std::string& table,
+                 const std::map<std::string, nlohmann::json>& rows) const
+      -> void;
   [[nodiscard]] auto Counters() const -> nlohmann::json;
   /// The true state of the VMs and all commands that arrived.
   [[nodiscard]] auto Vms() const -> nlohmann::json;
