Remove old rows while this entry is the controller

Cause: idempotency records, history, ended waves and ended tasks stay in the table for ever.

Change: the core module retention plans pages and removals; RetentionTask reads a page a second and deletes old rows by transactions conditional on the controller epoch and the row version, their objects first. Records state the incarnation of their entry; a claim without an end is removed only when that incarnation is known to be gone. Settings section [retention]; durations may be given in h and d.

--- a/src/fireflythread/daemon/controller_task.cc
+++ b/src/fireflythread/daemon/controller_task.cc
@@ -16,6 +16,7 @@
 #include "fireflythread/daemon/long_task_scheduler.h"
 #include "fireflythread/daemon/peer_message.h"
 #include "fireflythread/daemon/registration_task.h"
+#include "fireflythread/daemon/retention_task.h"
 #include "fireflythread/daemon/state_task.h"
 #include "fireflythread/daemon/vm_list_task.h"
 #include "fireflythread/fleet/drain_tracker.h"
@@ -69,6 +70,9 @@
       std::make_unique<LongTaskScheduler>(LongTaskScheduler::Dependencies{
           this->deps.settings, this->deps.platform, this->deps.logger,
           this->deps.state, this->lease});
+  this->retention = std::make_unique<RetentionTask>(RetentionTask::Dependencies{
+      this->deps.settings, this->deps.platform, this->deps.logger,
+      this->deps.registration, this->lease});
 }
 
 ControllerTask::~ControllerTask() = default;
@@ -125,6 +129,7 @@
   if (!this->IsController() || this->stopped) {
     return;
   }
+  this->retention->Step();
   this->ProbeVms();
   this->tasks->Step(FindLostVms(this->Inputs()));
   if (!this->waves_current) {
@@ -184,6 +189,7 @@
   this->waves.clear();
   this->waves_current = false;
   this->tasks->BeginTerm();
+  this->retention->BeginTerm();
   this->term_began = ReadBootClock();
   this->deps.logger.Info(kComponent, "controller_lease_acquired",
                          {{"epoch", this->Epoch()}});
--- a/src/fireflythread/daemon/controller_task.h
+++ b/src/fireflythread/daemon/controller_task.h
@@ -31,6 +31,7 @@
 class LongTaskScheduler;
 class PlatformClient;
 class RegistrationTask;
+class RetentionTask;
 class StateTask;
 class VmListTask;
 struct PeerMessage;
@@ -95,6 +96,7 @@
   ControllerMemory memory;
   VmProber prober;
   std::unique_ptr<LongTaskScheduler> tasks;
+  std::unique_ptr<RetentionTask> retention;
   std::map<WaveId, WaveRecord> waves;
   std::map<EntryId, EntryDemand> demand;
   std::optional<ControllerReport> report;
--- a/src/fireflythread/daemon/daemon.cc
+++ b/src/fireflythread/daemon/daemon.cc
@@ -57,6 +57,7 @@
   result.longest_request = settings.limits.longest_request;
   result.store_timeout = settings.platform.commit_timeout;
   result.sample_ratio = settings.telemetry.sample_ratio;
+  result.incarnation = incarnation;
   result.seed = incarnation;
   return result;
 }
--- a/src/fireflythread/gateway/dispatcher_accept.cc
+++ b/src/fireflythread/gateway/dispatcher_accept.cc
@@ -119,6 +119,7 @@
   claim.record.nonce =
       fmt::format("{}-{:016x}", request->request_id, this->state.random());
   claim.record.entry = this->state.settings.self;
+  claim.record.incarnation = this->state.settings.incarnation;
   claim.record.fingerprint = Fingerprint(request->request);
   claim.record.claimed_at = std::chrono::system_clock::now();
   this->records.Claim(
--- a/src/fireflythread/gateway/gateway_settings.h
+++ b/src/fireflythread/gateway/gateway_settings.h
@@ -41,6 +41,8 @@
   Duration store_timeout = std::chrono::seconds(2);
   /// Share of requests without a sampled parent that are traced (0 to 1).
   double sample_ratio = 1;
+  /// This process among those of the entry; 0 in tests.
+  std::uint64_t incarnation = 0;
   /// Seed of the random choices and of trace ids.
   std::uint64_t seed = 1;
 };
--- a/src/fireflythread/retry/idempotency_record.cc
+++ b/src/fireflythread/retry/idempotency_record.cc
@@ -92,6 +92,7 @@
   IdempotencyRecord record;
   record.nonce = json.at("nonce").get<std::string>();
   record.entry = EntryId(json.at("entry").get<std::string>());
+  record.incarnation = json.value("incarnation", std::uint64_t{0});
   record.fingerprint = json.at("fingerprint").get<std::string>();
   record.claimed_at = WallTime(
       std::chrono::milliseconds(json.at("claimed_at_ms").get<std::int64_t>()));
@@ -112,6 +113,7 @@
   Json json = {
       {"nonce", record.nonce},
       {"entry", record.entry.value},
+      {"incarnation", record.incarnation},
       {"state", StateName(record.state)},
       {"fingerprint", record.fingerprint},
       {"claimed_at_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/src/fireflythread/retry/idempotency_record.h
+++ b/src/fireflythread/retry/idempotency_record.h
@@ -28,6 +28,8 @@
   /// Names the claim, to tell one's own after a lost answer.
   std::string nonce;
   EntryId entry;
+  /// Of the entry's process; 0 if not known.
+  std::uint64_t incarnation = 0;
   RecordState state = RecordState::kClaimed;
   /// Digest of method, target and body; tells another request with the same
   /// key.
--- a/src/fireflythread/settings/daemon_settings.h
+++ b/src/fireflythread/settings/daemon_settings.h
@@ -79,6 +79,14 @@
     Duration margin = std::chrono::milliseconds(500);
   };
 
+  struct Retention {
+    Duration records = std::chrono::hours(30 * 24);
+    Duration history = std::chrono::hours(90 * 24);
+    Duration ended = std::chrono::hours(30 * 24);
+    int rows_per_second = 50;
+    Duration pass_pause = std::chrono::minutes(10);
+  };
+
   struct Telemetry {
     LogLevel log_level = LogLevel::kInfo;
     /// Empty writes no span file.
@@ -96,6 +104,7 @@
   Limits limits;
   Freshness freshness;
   Lease lease;
+  Retention retention;
   Telemetry telemetry;
 };
 
--- a/src/fireflythread/settings/setting_keys.cc
+++ b/src/fireflythread/settings/setting_keys.cc
@@ -135,6 +135,26 @@
     {"lease", "margin", false,
      SettingKey::DurationRange{
          [](Settings& s) -> Duration& { return s.lease.margin; }, 50ms, 10s}},
+    {"retention", "records", false,
+     SettingKey::DurationRange{
+         [](Settings& s) -> Duration& { return s.retention.records; }, 1h,
+         3650 * 24h}},
+    {"retention", "history", false,
+     SettingKey::DurationRange{
+         [](Settings& s) -> Duration& { return s.retention.history; }, 1h,
+         3650 * 24h}},
+    {"retention", "ended", false,
+     SettingKey::DurationRange{
+         [](Settings& s) -> Duration& { return s.retention.ended; }, 1h,
+         3650 * 24h}},
+    {"retention", "rows_per_second", false,
+     SettingKey::CountRange{
+         [](Settings& s) -> int& { return s.retention.rows_per_second; }, 1,
+         1000}},
+    {"retention", "pass_pause", false,
+     SettingKey::DurationRange{
+         [](Settings& s) -> Duration& { return s.retention.pass_pause; }, 100ms,
+         24h}},
     {"telemetry", "log_level", false,
      SettingKey::Level{
          [](Settings& s) -> LogLevel& { return s.telemetry.log_level; }}},
--- a/src/fireflythread/settings/setting_value.cc
+++ b/src/fireflythread/settings/setting_value.cc
@@ -17,7 +17,11 @@
 constexpr std::int64_t kLargestNumber = 1'000'000'000;
 
 // Smallest unit first.
-constexpr Unit kDurationUnits[] = {{"ms", 1}, {"s", 1000}, {"min", 60000}};
+constexpr Unit kDurationUnits[] = {{"ms", 1},
+                                   {"s", 1000},
+                                   {"min", 60000},
+                                   {"h", 3600000},
+                                   {"d", 86400000}};
 constexpr Unit kSizeUnits[] = {{"", 1}, {"KiB", 1 << 10}, {"MiB", 1 << 20}};
 
 auto ParseWithUnit(std::string_view text, std::span<const Unit> units)
