Find the least shared reserve over chains of replacements

Cause: the planner evened out racks only by direct replacements within one pool.

Change: a breadth-first search replaces VMs over several pools and racks, so no rack stays at the maximum while some chain can relieve it. Each search visits a pool once.

--- a/src/fireflythread/control/shared_reserve.cc
+++ b/src/fireflythread/control/shared_reserve.cc
@@ -60,29 +60,76 @@
   }
 }
 
-/// Replaces one VM in use in the rack by an idle one of the same pool in a rack
-/// with at least two fewer in use.
-auto Relieve(Choice& choice, std::size_t rack) -> bool {
-  for (std::vector<RackShare>& shares : choice.pools) {
-    const auto from = std::find_if(
-        shares.begin(), shares.end(), [rack](const RackShare& share) {
-          return share.rack == rack && share.used > 0;
-        });
-    if (from == shares.end()) {
+/// How a search for a chain of replacements reached each rack: from which rack,
+/// by which pool. The first rack is reached from itself.
+struct Search {
+  std::vector<std::size_t> from;
+  std::vector<std::size_t> pool;
+  std::vector<bool> pool_seen;
+};
+
+constexpr std::size_t kNotReached = static_cast<std::size_t>(-1);
+
+auto FindShare(std::vector<RackShare>& shares, std::size_t rack) -> RackShare* {
+  const auto found =
+      std::find_if(shares.begin(), shares.end(),
+                   [rack](const auto& share) { return share.rack == rack; });
+  return found == shares.end() ? nullptr : &*found;
+}
+
+/// Adds the racks in which a pool that uses a VM in `rack` has idle VMs.
+auto Expand(Choice& choice,
+            std::size_t rack,
+            Search& search,
+            std::vector<std::size_t>& queue) -> void {
+  for (std::size_t pool = 0; pool < choice.pools.size(); ++pool) {
+    if (search.pool_seen[pool]) {
+      continue;
+    }
+    const RackShare* share = FindShare(choice.pools[pool], rack);
+    if (share == nullptr || share->used == 0) {
       continue;
     }
-    const auto to =
-        std::find_if(shares.begin(), shares.end(), [&](const RackShare& share) {
-          return share.used < share.vms &&
-                 choice.used[share.rack] + 2 <= choice.used[rack];
-        });
-    if (to != shares.end()) {
-      --from->used;
-      ++to->used;
-      --choice.used[rack];
-      ++choice.used[to->rack];
+    search.pool_seen[pool] = true;
+    for (const RackShare& to : choice.pools[pool]) {
+      if (to.used < to.vms && search.from[to.rack] == kNotReached) {
+        search.from[to.rack] = rack;
+        search.pool[to.rack] = pool;
+        queue.push_back(to.rack);
+      }
+    }
+  }
+}
+
+/// Replaces the VMs in use along the chain that ends in the rack.
+auto Replace(Choice& choice, const Search& search, std::size_t rack) -> void {
+  while (search.from[rack] != rack) {
+    std::vector<RackShare>& shares = choice.pools[search.pool[rack]];
+    ++FindShare(shares, rack)->used;
+    ++choice.used[rack];
+    rack = search.from[rack];
+    --FindShare(shares, rack)->used;
+    --choice.used[rack];
+  }
+}
+
+/// Takes one VM in use off the rack and uses one more in a rack with at least
+/// two fewer in use, over as many pools and racks in between as it takes. A
+/// direct replacement alone misses the optimum where a pool has no idle VM in
+/// such a rack. The chain is a shortest one, so a pool occurs in it only once.
+auto Relieve(Choice& choice, std::size_t rack) -> bool {
+  Search search{std::vector<std::size_t>(choice.used.size(), kNotReached),
+                std::vector<std::size_t>(choice.used.size()),
+                std::vector<bool>(choice.pools.size())};
+  search.from[rack] = rack;
+  std::vector<std::size_t> queue = {rack};
+  for (std::size_t next = 0; next < queue.size(); ++next) {
+    const std::size_t reached = queue[next];
+    if (choice.used[reached] + 2 <= choice.used[rack]) {
+      Replace(choice, search, reached);
       return true;
     }
+    Expand(choice, reached, search, queue);
   }
   return false;
 }
