Drain the run of bench-worker-choice after its last arrival

Cause: requests still queued or running when the run ended counted as offered and never as in time. The run now lets every request end, which takes at most 5 s; an answer after the deadline still does not count.

--- a/bench/worker_choice_main.cc
+++ b/bench/worker_choice_main.cc
@@ -42,6 +42,9 @@
 constexpr Duration kLoanTime = seconds(1);
 constexpr Duration kAskInterval = milliseconds(200);
 constexpr int kFirstAttempts = 3;
+/// After the last arrival. Every request ends: what has not been answered
+/// within kDeadline is not in time.
+constexpr Duration kDrainTime = seconds(5);
 /// Of what the pool can serve.
 constexpr double kLoad = 0.7;
 
@@ -113,7 +116,9 @@
   auto Run() -> Result {
     this->PlanArrival();
     this->PlanTick();
-    this->events.RunUntil(this->events.Now() + seconds(FLAGS_seconds));
+    const TimePoint start = this->events.Now();
+    this->last_arrival = start + seconds(FLAGS_seconds);
+    this->events.RunUntil(this->last_arrival + kDrainTime);
     return this->result;
   }
 
@@ -122,6 +127,9 @@
     const double rate = kLoad * kWorkers * kSlots /
                         std::chrono::duration<double>(kMeanService).count();
     this->events.RunAfter(this->Draw(1 / rate), [this] {
+      if (this->events.Now() > this->last_arrival) {
+        return;
+      }
       ++this->result.offered;
       std::uniform_real_distribution<double> unit(0, 1);
       int entry = 0;
@@ -309,6 +317,7 @@
   Case config;
   Random random;
   VirtualQueue events;
+  TimePoint last_arrival;
   std::array<SimWorker, kWorkers> workers;
   std::array<SimEntry, kEntries> entries;
   Result result;
