Retry in bench-worker-choice as the dispatcher does

Cause: the benchmark repeated refused attempts up to three times without a budget and failed ones never. The dispatcher repeats refused and unanswered attempts of an idempotent request from the RetryBudget, on another worker; an answer with an error status is final and goes to the caller (design 2.6). The benchmark now uses MayRetry() and RetryBudget, and has a case for each kind of failure.

--- a/bench/worker_choice_main.cc
+++ b/bench/worker_choice_main.cc
@@ -17,7 +17,10 @@
 
 #include "bench/common/csv_file.h"
 #include "bench/common/virtual_queue.h"
+#include "fireflythread/admission/service_time.h"
 #include "fireflythread/base/random.h"
+#include "fireflythread/retry/retry_budget.h"
+#include "fireflythread/retry/retry_policy.h"
 #include "fireflythread/routing/pool_health.h"
 #include "fireflythread/routing/slot_table.h"
 #include "fireflythread/routing/worker_choice.h"
@@ -41,7 +44,6 @@
 constexpr Duration kLongest = seconds(30);
 constexpr Duration kLoanTime = seconds(1);
 constexpr Duration kAskInterval = milliseconds(200);
-constexpr int kFirstAttempts = 3;
 /// After the last arrival. Every request ends: what has not been answered
 /// within kDeadline is not in time.
 constexpr Duration kDrainTime = seconds(5);
@@ -56,6 +58,9 @@
   Duration report_age{0};
   /// The first worker fails everything at once.
   bool failing = false;
+  /// A failed attempt is an answer, status 500, which the caller gets; an
+  /// attempt that ends without one may be repeated.
+  bool answers_errors = false;
 };
 
 struct Result {
@@ -71,6 +76,7 @@
   int entry = 0;
   TimePoint arrived;
   int attempts = 0;
+  std::set<int> failed_on;
 };
 
 struct SimWorker {
@@ -84,6 +90,8 @@
   EntryId id;
   std::unique_ptr<SlotTable> slots;
   PoolHealth health;
+  RetryBudget budget;
+  ServiceTime observed;
   std::array<int, kWorkers> local{};
   std::deque<Pending> queue;
 };
@@ -137,7 +145,7 @@
         entry =
             std::uniform_int_distribution<int>(1, kEntries - 1)(this->random);
       }
-      this->Submit({entry, this->events.Now(), 0});
+      this->Submit({entry, this->events.Now(), 0, {}});
       this->PlanArrival();
     });
   }
@@ -161,7 +169,7 @@
         entry.queue.pop_front();
         continue;
       }
-      const auto chosen = this->Choose(entry);
+      const auto chosen = this->Choose(entry, request);
       if (!chosen) {
         return;
       }
@@ -170,7 +178,7 @@
     }
   }
 
-  auto Choose(SimEntry& entry) -> std::optional<int> {
+  auto Choose(SimEntry& entry, const Pending& request) -> std::optional<int> {
     const TimePoint now = this->events.Now();
     std::vector<WorkerCandidate> candidates;
     std::vector<int> indexes;
@@ -178,9 +186,10 @@
       const VmId& vm = this->workers.at(i).vm;
       if (!entry.health.IsEjected(vm)) {
         indexes.push_back(i);
-        candidates.push_back({entry.slots->FreeSlots(vm, now),
-                              entry.local.at(i), this->Reported(i), true,
-                              entry.health.IsSuspect(vm, now)});
+        candidates.push_back(
+            {entry.slots->FreeSlots(vm, now), entry.local.at(i),
+             this->Reported(i), true,
+             entry.health.IsSuspect(vm, now) || request.failed_on.contains(i)});
       }
     }
     const auto chosen = ChooseWorker(this->method, candidates, this->random);
@@ -212,7 +221,9 @@
       slot = entry.slots->Acquire(vm, this->events.Now());
     }
     ++this->result.attempts;
-    ++request.attempts;
+    if (++request.attempts == 1) {
+      entry.budget.CountFirstAttempt();
+    }
     ++entry.local.at(index);
     const TimePoint sent = this->events.Now();
     this->events.RunAfter(kHop, [this, request, index, slot, sent] {
@@ -249,24 +260,44 @@
     if (slot) {
       entry.slots->Release(vm, *slot, now);
     }
-    if (!ran) {
-      ++this->result.refused;
-      if (request.attempts < kFirstAttempts) {
-        this->Submit(request);
-      }
-    } else {
+    if (ran) {
       entry.health.RecordAttempt(vm, failed, now - sent, now);
+    }
+    if (ran && !failed) {
+      ObserveServiceTime(entry.observed, now - sent);
       const Duration delay = now - request.arrived;
-      this->result.failed += failed ? 1 : 0;
-      if (!failed) {
-        this->result.in_time += delay <= kDeadline ? 1 : 0;
-        this->result.delays_ms.push_back(
-            std::chrono::duration<double, std::milli>(delay).count());
-      }
+      this->result.in_time += delay <= kDeadline ? 1 : 0;
+      this->result.delays_ms.push_back(
+          std::chrono::duration<double, std::milli>(delay).count());
+    } else {
+      this->result.refused += ran ? 0 : 1;
+      this->result.failed += ran ? 1 : 0;
+      this->RetryIfAllowed(
+          entry, request, index,
+          ran ? this->FailureResult() : AttemptResult::kRefused);
     }
     this->Dispatch(entry);
   }
 
+  [[nodiscard]] auto FailureResult() const -> AttemptResult {
+    return this->config.answers_errors ? AttemptResult::kAnswered
+                                       : AttemptResult::kUnknown;
+  }
+
+  /// As Dispatcher::ContinueAfterFailure() decides it.
+  auto RetryIfAllowed(SimEntry& entry,
+                      Pending request,
+                      int index,
+                      AttemptResult last) -> void {
+    request.failed_on.insert(index);
+    const RetryFacts facts{true, last,
+                           request.arrived + kDeadline - this->events.Now(),
+                           LikelyServiceTime(entry.observed)};
+    if (MayRetry(facts) && entry.budget.TryTake()) {
+      this->Submit(request);
+    }
+  }
+
   /// Loans between entries, as the gateway's loan desk makes them, and probes,
   /// which a failing worker answers well.
   auto PlanTick() -> void {
@@ -348,8 +379,9 @@
       {.name = "even"},
       {.name = "skew", .first_entry = 0.5},
       {.name = "stale 250 ms", .report_age = milliseconds(250)},
-      {.name = "failing worker", .failing = true}};
-  fmt::print("seed {}\n{:<16}{:<16}{:>10}{:>10}{:>10}{:>10}{:>10}\n",
+      {.name = "resetting worker", .failing = true},
+      {.name = "erring worker", .failing = true, .answers_errors = true}};
+  fmt::print("seed {}\n{:<18}{:<16}{:>10}{:>10}{:>10}{:>10}{:>10}\n",
              FLAGS_seed, "case", "method", "in time", "refused", "failed",
              "attempts", "p99 ms");
   for (const Case& each : cases) {
@@ -361,7 +393,7 @@
       const auto share = [&](int count) {
         return static_cast<double>(count) / result.offered;
       };
-      fmt::print("{:<16}{:<16}{:>10.4f}{:>10.4f}{:>10.4f}{:>10.3f}{:>10.1f}\n",
+      fmt::print("{:<18}{:<16}{:>10.4f}{:>10.4f}{:>10.4f}{:>10.3f}{:>10.1f}\n",
                  each.name, MethodName(method), share(result.in_time),
                  share(result.refused), share(result.failed),
                  share(result.attempts), Percentile(result.delays_ms, 99));
