Lend slots for 250 ms instead of 1 s, and ask every 100 ms

Cause: with a failing worker ejected, the rest of the misses in bench-worker-choice were requests that expired in the queue of an entry whose slots were lent. A lender cannot call a slot back, so for up to 1 s an entry waited while slots that it had lent were idle elsewhere.

Asking every 50 ms for loans of 1 s does not help.

The loan messages of an entry that borrows double, to one for each peer in 100 ms.

--- a/bench/worker_choice_main.cc
+++ b/bench/worker_choice_main.cc
@@ -42,8 +42,8 @@
 constexpr Duration kDeadline = milliseconds(500);
 constexpr Duration kHop = milliseconds(1);
 constexpr Duration kLongest = seconds(30);
-constexpr Duration kLoanTime = seconds(1);
-constexpr Duration kAskInterval = milliseconds(200);
+constexpr Duration kLoanTime = milliseconds(250);
+constexpr Duration kAskInterval = milliseconds(100);
 /// After the last arrival. Every request ends: what has not been answered
 /// within kDeadline is not in time.
 constexpr Duration kDrainTime = seconds(5);
--- a/src/fireflythread/gateway/loan_desk.h
+++ b/src/fireflythread/gateway/loan_desk.h
@@ -17,10 +17,13 @@
 /// to them.
 class LoanDesk {
  public:
-  static constexpr Duration kLoanTime = std::chrono::seconds(1);
+  /// Short, because a lender cannot call a slot back: with loans of 1 s,
+  /// entries that lost slots to an ejected worker queued past the deadline
+  /// while slots lent to others idled (bench-worker-choice).
+  static constexpr Duration kLoanTime = std::chrono::milliseconds(250);
   /// A pool asks again this long after it asked, which renews its loans well
   /// before they end.
-  static constexpr Duration kAskInterval = std::chrono::milliseconds(200);
+  static constexpr Duration kAskInterval = std::chrono::milliseconds(100);
   /// One in so many own slots stays free for own requests.
   static constexpr int kKeptShare = 4;
 
