Eject a worker that fails alone after three failures in a row

Three failures in a row now suffice while no other worker of the pool has failed within 1 s; otherwise the limit stays five, so requests that fail anywhere are not blamed on workers. The floor of a third is unchanged.

--- a/src/fireflythread/routing/pool_health.cc
+++ b/src/fireflythread/routing/pool_health.cc
@@ -50,16 +50,28 @@
       worker.ejections = 0;
     }
   }
-  std::string reason = this->FailureReason(worker);
+  std::string reason = this->FailureReason(worker, now);
   if (worker.ejected || reason.empty()) {
     return std::nullopt;
   }
   return this->Eject(vm, worker, std::move(reason), now);
 }
 
-auto PoolHealth::FailureReason(const Worker& worker) const -> std::string {
+auto PoolHealth::FailsAlone(const Worker& worker, TimePoint now) const -> bool {
+  return std::none_of(this->workers.begin(), this->workers.end(),
+                      [&](const auto& entry) {
+                        return &entry.second != &worker &&
+                               entry.second.last_failure != TimePoint::min() &&
+                               now < entry.second.last_failure + kSuspectTime;
+                      });
+}
+
+auto PoolHealth::FailureReason(const Worker& worker, TimePoint now) const
+    -> std::string {
   // One that was ejected lately gets no second series of failures.
   if (worker.consecutive_failures >= kConsecutiveLimit ||
+      (worker.consecutive_failures >= kLoneConsecutiveLimit &&
+       this->FailsAlone(worker, now)) ||
       (worker.ejections > 0 && worker.consecutive_failures > 0)) {
     return "consecutive failures";
   }
--- a/src/fireflythread/routing/pool_health.h
+++ b/src/fireflythread/routing/pool_health.h
@@ -28,6 +28,10 @@
   /// An answer without errors must follow within this many for a worker to
   /// stay.
   static constexpr int kConsecutiveLimit = 5;
+  /// The same while no other worker of the pool has failed for kSuspectTime. A
+  /// request that fails anywhere is spread over the workers and so keeps the
+  /// longer limit.
+  static constexpr int kLoneConsecutiveLimit = 3;
   /// Share of failures among the last attempts, and how many must be known.
   static constexpr double kFailureRatioLimit = 0.5;
   static constexpr int kRatioSamples = 10;
@@ -92,7 +96,10 @@
   };
 
   [[nodiscard]] auto MayEject() const -> bool;
-  [[nodiscard]] auto FailureReason(const Worker& worker) const -> std::string;
+  [[nodiscard]] auto FailureReason(const Worker& worker, TimePoint now) const
+      -> std::string;
+  [[nodiscard]] auto FailsAlone(const Worker& worker, TimePoint now) const
+      -> bool;
   [[nodiscard]] auto IsSlow(const Worker& worker) const -> bool;
   auto Eject(const VmId& vm,
              Worker& worker,
--- a/test/fireflythread/routing/pool_health_test.cc
+++ b/test/fireflythread/routing/pool_health_test.cc
@@ -70,6 +70,17 @@
   CHECK(health.DueProbes(kStart + 2 * PoolHealth::kFirstEjection).size() == 1);
 }
 
+// Guards against a worker that fails many requests before it is out, and
+// against requests that fail anywhere being blamed on the workers they meet.
+TEST_CASE("a worker that fails alone is ejected sooner") {
+  PoolHealth health = MakePool(6);
+  CHECK(Fail(health, Worker(0), 3) == 1);
+  PoolHealth spread = MakePool(6);
+  Fail(spread, Worker(1), 1);
+  CHECK(Fail(spread, Worker(0), 4) == 0);
+  CHECK(Fail(spread, Worker(0), 1) == 1);
+}
+
 // Guards against a false signal, such as a bad request that fails anywhere,
 // that empties a pool.
 TEST_CASE("ejection leaves two thirds of the pool and at least one worker") {
