--- a/standin/common/http_listener.cc
+++ b/standin/common/http_listener.cc
@@ -59,6 +59,7 @@
         g_signal_connect(message, "disconnected", G_CALLBACK(idle), self);
       }),
       this);
+  this->KeepPort();
   this->Open();
 }
 
@@ -69,6 +70,7 @@
   }
   soup_server_disconnect(this->server);
   g_object_unref(this->server);
+  g_object_unref(this->port_keeper);
 }
 
 auto HttpListener::Address() const -> std::string {
@@ -79,6 +81,25 @@
   return static_cast<int>(this->connections.size());
 }
 
+auto HttpListener::KeepPort() -> void {
+  this->port_keeper = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                   G_SOCKET_PROTOCOL_TCP, nullptr);
+  GSocketAddress* wanted = g_inet_socket_address_new_from_string(
+      this->host.c_str(), static_cast<guint>(this->port));
+  GError* error = nullptr;
+  if (this->port_keeper == nullptr || wanted == nullptr ||
+      g_socket_bind(this->port_keeper, wanted, TRUE, &error) == FALSE) {
+    fmt::print(stderr, "cannot bind {}: {}\n", this->Address(),
+               error != nullptr ? error->message : "not an address");
+    std::exit(1);
+  }
+  GSocketAddress* bound =
+      g_socket_get_local_address(this->port_keeper, nullptr);
+  this->port = AddressPort(bound);
+  g_object_unref(bound);
+  g_object_unref(wanted);
+}
+
 auto HttpListener::Open() -> void {
   if (this->service != nullptr) {
     return;
--- a/standin/common/http_listener.h
+++ b/standin/common/http_listener.h
@@ -53,6 +53,9 @@
     GSource* watch = nullptr;
   };
 
+  /// Binds a socket that never listens. While the port is shut, connections
+  /// are refused and no other program can take the port.
+  auto KeepPort() -> void;
   auto Accept(GSocketConnection* connection) -> void;
   auto SetBusy(SoupServerMessage* message, bool busy) -> void;
   auto WatchHangup(GObject* object) -> void;
@@ -63,6 +66,7 @@
   int port;
   Handler handler;
   SoupServer* server;
+  GSocket* port_keeper = nullptr;
   GSocketService* service = nullptr;
   std::map<GObject*, Connection> connections;
   std::set<int> silent_ports;
--- a/standin/platform/platform_faults.cc
+++ b/standin/platform/platform_faults.cc
@@ -43,6 +43,8 @@
   faults.malformed_answers =
       json.value("malformed_answers", faults.malformed_answers);
   faults.cut_listeners = json.value("cut_listeners", faults.cut_listeners);
+  faults.hold_writes = json.value("hold_writes", faults.hold_writes);
+  faults.hold_commands = json.value("hold_commands", faults.hold_commands);
   faults.failing_workers =
       json.value("failing_workers", faults.failing_workers);
   faults.isolated_workers =
--- a/standin/platform/platform_faults.h
+++ b/standin/platform/platform_faults.h
@@ -42,6 +42,10 @@
   int malformed_answers = 0;
   /// Listeners, by index, that are cut off: silent.
   std::set<int> cut_listeners;
+  /// Listeners whose transactions of a controller, or whose VM commands, are
+  /// held on their way and arrive when the listener is no longer named.
+  std::set<int> hold_writes;
+  std::set<int> hold_commands;
   std::set<std::string> failing_workers;
   /// Workers that are cut off from the platform while they run on.
   std::set<std::string> isolated_workers;
--- a/standin/platform/platform_service.cc
+++ b/standin/platform/platform_service.cc
@@ -78,6 +78,14 @@
     exchange->GoSilent();
     return;
   }
+  if (this->IsHeld(listener, exchange)) {
+    const bool reboot = exchange->Body().find("reboot") != std::string::npos;
+    const bool fleet = exchange->Body().find("\"fleet\"") != std::string::npos;
+    this->counts["held_reboots"] += reboot ? 1 : 0;
+    this->counts["held_fleet_writes"] += fleet ? 1 : 0;
+    this->held.push_back({listener, exchange});
+    return;
+  }
   if (this->faults.silence_connections > 0) {
     --this->faults.silence_connections;
     exchange->GoSilent();
@@ -95,6 +103,33 @@
   }
 }
 
+auto PlatformService::IsHeld(int listener, const Exchange& exchange) const
+    -> bool {
+  const std::vector<std::string> path = exchange->Segments();
+  if (exchange->Method() != "POST" || path.size() < 3) {
+    return false;
+  }
+  if (path[1] == "table") {
+    // What a controller writes has a condition on one of these tables.
+    const std::string& body = exchange->Body();
+    return this->faults.hold_writes.contains(listener) &&
+           (body.find("\"lease\"") != std::string::npos ||
+            body.find("\"fleet\"") != std::string::npos);
+  }
+  return path.back() == "commands" &&
+         this->faults.hold_commands.contains(listener);
+}
+
+auto PlatformService::ReleaseHeld() -> void {
+  std::vector<HeldRequest> requests = std::move(this->held);
+  this->held.clear();
+  this->releasing = true;
+  for (const HeldRequest& request : requests) {
+    this->HandleApi(request.listener, request.exchange);
+  }
+  this->releasing = false;
+}
+
 auto PlatformService::Dispatch(const Exchange& exchange) -> void {
   const std::vector<std::string> path = exchange->Segments();
   if (path.size() < 2 || path[0] != "v1") {
@@ -177,7 +212,9 @@
   Json outcomes = Json::array();
   for (const Transaction& transaction : transactions) {
     outcomes.push_back(OutcomeToJson(this->table.Apply(transaction)));
-    ++this->counts[outcomes.back().at("outcome").get<std::string>()];
+    const auto outcome = outcomes.back().at("outcome").get<std::string>();
+    ++this->counts[outcome];
+    this->counts["late_" + outcome] += this->releasing ? 1 : 0;
   }
   if (this->TakeLostAnswer(transactions)) {
     ++this->counts["lost_answers"];
@@ -298,6 +335,7 @@
   for (const Json& id : json.value("return", Json::array())) {
     this->vms.Return(id);
   }
+  this->ReleaseHeld();
 }
 
 auto PlatformService::Counters() const -> Json {
--- a/standin/platform/platform_service.h
+++ b/standin/platform/platform_service.h
@@ -39,7 +39,16 @@
   auto Advance() -> void { this->tasks.Advance(); }
 
  private:
+  struct HeldRequest {
+    int listener;
+    Exchange exchange;
+  };
+
   auto Dispatch(const Exchange& exchange) -> void;
+  [[nodiscard]] auto IsHeld(int listener, const Exchange& exchange) const
+      -> bool;
+  /// Handles the requests that are no longer to be held.
+  auto ReleaseHeld() -> void;
   auto HandleTable(const Exchange& exchange,
                    const std::vector<std::string>& path) -> void;
   auto HandleTransactions(const Exchange& exchange, bool batch) -> void;
@@ -57,6 +66,8 @@
   TaskBoard tasks;
   VmRegistry vms;
   PlatformFaults faults;
+  std::vector<HeldRequest> held;
+  bool releasing = false;
   std::function<void()> silence_established = [] {};
   /// Requests by kind and transactions by outcome, for tests.
   std::map<std::string, std::uint64_t> counts;
