--- a/test/process/peer_link_test.cc
+++ b/test/process/peer_link_test.cc
@@ -31,7 +31,7 @@
   REQUIRE(WaitUntil([&site] { return !site.IsReady(0); }));
   for (std::size_t entry = 0; entry < 3; ++entry) {
     CAPTURE(entry);
-    CHECK(site.WaitReady(entry));
+    REQUIRE(site.WaitReady(entry));
     const auto served = [&site, entry] {
       return site.Call(entry, "GET", "take-order", {{"X-Standin-Work-Ms", "1"}})
                  .status == 200;
