Read the history in pages

Cause: GET /v1/history read the whole table for each answer, and fireflythreadctl could not go back beyond the first page.

Change: HistoryReader reads pages of the table by descending key; 100 edits by default, 1000 at most.

--- a/src/fireflythread/admin/history_query.h
+++ b/src/fireflythread/admin/history_query.h
@@ -14,7 +14,7 @@
   /// Only versions before this one; 0 begins at the newest.
   std::uint64_t before = 0;
   /// 1 to 1000.
-  int limit = 50;
+  int limit = 100;
   /// Only edits of one object, when both are given.
   std::optional<ObjectKind> kind;
   std::string name;
--- a/src/fireflythread/ctl/fireflythreadctl_main.cc
+++ b/src/fireflythread/ctl/fireflythreadctl_main.cc
@@ -33,6 +33,7 @@
 DEFINE_string(state, "", "state of VMs");
 DEFINE_string(reason, "", "why the maintenance is done");
 DEFINE_string(limit, "", "number of edits");
+DEFINE_string(before, "", "only edits before this version");
 
 namespace fireflythread::ctl {
 namespace {
@@ -117,6 +118,7 @@
   options.state = FLAGS_state;
   options.reason = FLAGS_reason;
   options.limit = FLAGS_limit;
+  options.before = FLAGS_before;
   return options;
 }
 
--- a/src/fireflythread/ctl/options.h
+++ b/src/fireflythread/ctl/options.h
@@ -22,6 +22,7 @@
   std::string state;
   std::string reason;
   std::string limit;
+  std::string before;
 };
 
 }  // namespace fireflythread::ctl
--- a/src/fireflythread/ctl/verbs.cc
+++ b/src/fireflythread/ctl/verbs.cc
@@ -139,7 +139,9 @@
      "  --timeout=T  how long to wait (30s); exit code 5 after it\n",
      0, 1, &WaitForConfig},
     {"history", "", "[KIND/NAME]", "list the edits, newest first",
-     "  --limit=N  at most N edits (50)\n", 0, 1, &ShowHistory},
+     "  --limit=N   at most N edits (100), up to 1000\n"
+     "  --before=N  only edits before version N\n",
+     0, 1, &ShowHistory},
     {"trace", "show", "ID", "show a request's spans as a tree with times",
      "ID is the trace id in logs and in the request's traceparent header.\n", 1,
      1, &ShowTrace},
--- a/src/fireflythread/ctl/view_verbs.cc
+++ b/src/fireflythread/ctl/view_verbs.cc
@@ -138,6 +138,7 @@
                  Output& output) -> ExitCode {
   std::string query;
   AddToQuery("limit", options.limit, query);
+  AddToQuery("before", options.before, query);
   if (!arguments.empty()) {
     const std::size_t slash = arguments[0].find('/');
     if (slash == std::string::npos) {
--- a/src/fireflythread/daemon/admin_task.cc
+++ b/src/fireflythread/daemon/admin_task.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "fireflythread/base/io_clock.h"
@@ -14,6 +13,7 @@
 #include "fireflythread/daemon/controller_report_codec.h"
 #include "fireflythread/daemon/controller_task.h"
 #include "fireflythread/daemon/gateway_task.h"
+#include "fireflythread/daemon/history_reader.h"
 #include "fireflythread/daemon/peer_message.h"
 #include "fireflythread/daemon/registration_task.h"
 #include "fireflythread/daemon/state_task.h"
@@ -29,7 +29,6 @@
 namespace {
 
 using admin::AdminError;
-using nlohmann::json;
 
 constexpr std::chrono::milliseconds kWaiterPeriod{50};
 constexpr std::chrono::milliseconds kReportTimeout{700};
@@ -38,10 +37,6 @@
   return {AdminError::Kind::kNotFound, what + " does not exist", {}};
 }
 
-auto Unavailable(const std::string& reason) -> AdminError {
-  return {AdminError::Kind::kUnavailable, reason, {}};
-}
-
 template <typename Map, typename Encode>
 auto Encoded(admin::ObjectKind kind, const Map& objects, Encode encode)
     -> std::vector<admin::ConfigObject> {
@@ -53,37 +48,6 @@
   return result;
 }
 
-auto BodyText(const json& object, const char* field) -> std::string {
-  const auto found = object.find(field);
-  return found == object.end() || found->is_null() ? std::string()
-                                                   : found->dump();
-}
-
-auto HistoryFrom(const Row& row) -> std::optional<admin::HistoryEntry> {
-  const json object = json::parse(row.value, nullptr, false);
-  if (!object.is_object()) {
-    return std::nullopt;
-  }
-  const std::string key = object.value("object", "");
-  const std::size_t slash = key.find('/');
-  const std::optional<ConfigKind> kind =
-      ParseConfigKind(key.substr(0, std::min(slash, key.size())));
-  if (slash == std::string::npos || !kind) {
-    return std::nullopt;
-  }
-  admin::HistoryEntry entry;
-  entry.version = std::strtoull(row.key.c_str(), nullptr, 10);
-  entry.kind = static_cast<admin::ObjectKind>(*kind);
-  entry.name = key.substr(slash + 1);
-  entry.who = object.value("who", "");
-  entry.when = WallTime(
-      std::chrono::milliseconds(object.value("at_ms", std::int64_t{0})));
-  entry.from_version = object.value("from_version", std::uint64_t{0});
-  entry.old_body = BodyText(object, "old");
-  entry.new_body = BodyText(object, "new");
-  return entry;
-}
-
 }  // namespace
 
 AdminTask::AdminTask(Dependencies dependencies, std::uint64_t incarnation)
@@ -288,35 +252,9 @@
 auto AdminTask::ListHistory(admin::HistoryQuery query,
                             Callback<std::vector<admin::HistoryEntry>> callback)
     -> void {
-  this->deps.platform.Scan(
-      kHistoryTable, 0, this->deps.settings.platform.read_timeout,
-      [query, callback](auto result) {
-        const auto* scan = std::get_if<ScanResult>(&result);
-        if (scan == nullptr) {
-          callback(Unavailable("the store cannot be read"));
-          return;
-        }
-        std::vector<admin::HistoryEntry> entries;
-        for (const Row& row : scan->rows) {
-          std::optional<admin::HistoryEntry> entry = HistoryFrom(row);
-          const bool wanted =
-              entry && (query.before == 0 || entry->version < query.before) &&
-              (!query.kind ||
-               (entry->kind == *query.kind && entry->name == query.name));
-          if (!wanted) {
-            continue;
-          }
-          entries.push_back(std::move(*entry));
-        }
-        std::sort(entries.begin(), entries.end(),
-                  [](const auto& left, const auto& right) {
-                    return left.version > right.version;
-                  });
-        if (entries.size() > static_cast<std::size_t>(query.limit)) {
-          entries.resize(static_cast<std::size_t>(query.limit));
-        }
-        callback(std::move(entries));
-      });
+  HistoryReader::Start(this->deps.platform,
+                       this->deps.settings.platform.read_timeout,
+                       std::move(query), std::move(callback));
 }
 
 }  // namespace fireflythread
--- a/test/process/retention_test.cc
+++ b/test/process/retention_test.cc
@@ -84,4 +84,33 @@
   CHECK(Count(site, "history", Key(1050), Key(1100)) == 50);
 }
 
+// Guards against a history that misses edits between two pages or reads the
+// whole table for one.
+TEST_CASE("the history is read in pages") {
+  Site site;
+  Rows edits;
+  for (int i = 1; i <= 250; ++i) {
+    edits[Key(i + 1000000)] = HistoryRow(1);
+  }
+  site.Platform().WriteRows("history", edits);
+  std::set<std::uint64_t> versions;
+  std::string before = "0";
+  for (const std::size_t expected : {100U, 100U, 50U}) {
+    const Json page = site.Admin(0, "GET", "/v1/history?before=" + before)
+                          .Json()
+                          .at("history");
+    REQUIRE(page.size() >= expected);
+    for (const Json& entry : page) {
+      versions.insert(entry.at("version").get<std::uint64_t>());
+    }
+    before = std::to_string(page.back().at("version").get<std::uint64_t>());
+  }
+  CHECK(versions.lower_bound(1000001) != versions.end());
+  CHECK(std::distance(versions.lower_bound(1000001), versions.end()) == 250);
+  const Json small = site.Admin(1, "GET", "/v1/history?limit=3").Json();
+  CHECK(small.at("history").size() == 3);
+  CHECK(small.at("history")[0].at("version") == 1000250);
+  CHECK(site.Admin(1, "GET", "/v1/history?limit=1001").status == 400);
+}
+
 }  // namespace fireflythread::test
