Pass the removals by reference, as clang-tidy asks

Cause: scripts/lint failed on src/fireflythread/daemon/retention_task.cc. Change: a const reference in place of a copied pointer. Conclusion: no change in behaviour.

--- a/src/fireflythread/daemon/retention_task.cc
+++ b/src/fireflythread/daemon/retention_task.cc
@@ -72,16 +72,16 @@
       facts.stopped.insert(id);
     }
   }
-  auto removals = std::make_shared<std::vector<Removal>>(
+  const auto removals = std::make_shared<std::vector<Removal>>(
       TakeRetentionPage(this->scan, this->limits, page, facts, now));
   if (!removals->empty()) {
     this->busy = true;
-    this->DeleteObjects(std::move(removals), 0);
+    this->DeleteObjects(removals, 0);
   }
 }
 
 auto RetentionTask::DeleteObjects(
-    std::shared_ptr<std::vector<Removal>> removals,
+    const std::shared_ptr<std::vector<Removal>>& removals,
     std::size_t next) -> void {
   while (next < removals->size() && (*removals)[next].objects.empty()) {
     ++next;
--- a/src/fireflythread/daemon/retention_task.h
+++ b/src/fireflythread/daemon/retention_task.h
@@ -40,7 +40,7 @@
  private:
   auto TakePage(const RowPage& page) -> void;
   /// Deletes the objects of the removals from `next` on, then commits.
-  auto DeleteObjects(std::shared_ptr<std::vector<Removal>> removals,
+  auto DeleteObjects(const std::shared_ptr<std::vector<Removal>>& removals,
                      std::size_t next) -> void;
   auto Commit(const std::vector<Removal>& removals) -> void;
 
