Hedge after the observed 95th percentile

Cause: the mean and four deviations is so late with a slow worker, whose own answers widen the deviation, that the p99 rises above that without hedges. ServiceTime now estimates the 95th percentile with each answer.

--- a/bench/hedging_main.cc
+++ b/bench/hedging_main.cc
@@ -50,11 +50,11 @@
 /// The fault is on for the second half of each such time.
 constexpr Duration kFaultPeriod = seconds(20);
 
-enum class Hedging { kNone, kFixed, kPercentile, kDeviations };
+enum class Hedging { kNone, kFixed, kPercentile, kDaemon };
 enum class Fault { kNone, kFrozen, kSlowWorker, kSlowPool };
 
 constexpr std::array<const char*, 4> kHedgingNames = {
-    "no hedge", "fixed 100 ms", "percentile 95", "mean + 4 deviations"};
+    "no hedge", "fixed 100 ms", "percentile 95", "HedgeDelay()"};
 constexpr std::array<const char*, 4> kFaultNames = {"no fault", "frozen worker",
                                                     "slow worker", "slow pool"};
 
@@ -262,7 +262,7 @@
         return std::nullopt;
       case Hedging::kFixed:
         return kFixedDelay;
-      case Hedging::kDeviations:
+      case Hedging::kDaemon:
         return HedgeDelay(RequestClass::kCounter, true, this->observed);
       case Hedging::kPercentile:
         break;
--- a/src/fireflythread/admission/service_time.cc
+++ b/src/fireflythread/admission/service_time.cc
@@ -8,6 +8,25 @@
 
 /// The newest of about the last 50 observations.
 constexpr double kNewest = 0.04;
+/// Of the deviation; larger steps follow faster and wander more.
+constexpr double kPercentileStep = 0.2;
+constexpr double kPercentile = 0.95;
+/// Until then the percentile is taken from mean and deviation.
+constexpr std::uint64_t kSamplesForPercentile = 20;
+constexpr int kFirstDeviations = 2;
+
+/// Moves the estimate up and down so that it rests where a twentieth of the
+/// observations lie above it.
+auto ObservePercentile(ServiceTime& time, Duration observed) -> void {
+  if (time.samples < kSamplesForPercentile) {
+    time.percentile95 = time.mean + kFirstDeviations * time.deviation;
+    return;
+  }
+  const double part =
+      observed > time.percentile95 ? kPercentile : kPercentile - 1;
+  time.percentile95 += std::chrono::duration_cast<Duration>(
+      kPercentileStep * part * time.deviation);
+}
 
 }  // namespace
 
@@ -21,6 +40,7 @@
       difference < Duration::zero() ? -difference : difference;
   time.deviation += std::chrono::duration_cast<Duration>(
       weight * (distance - time.deviation));
+  ObservePercentile(time, observed);
 }
 
 auto LikelyServiceTime(const ServiceTime& time) -> Duration {
--- a/src/fireflythread/admission/service_time.h
+++ b/src/fireflythread/admission/service_time.h
@@ -8,10 +8,12 @@
 namespace fireflythread {
 
 /// Observed time that requests take on a worker: exponentially weighted mean
-/// and mean deviation. Declared run times are too inaccurate to be used.
+/// and mean deviation, and an estimate of the 95th percentile. Declared run
+/// times are too inaccurate to be used.
 struct ServiceTime {
   Duration mean{0};
   Duration deviation{0};
+  Duration percentile95{0};
   std::uint64_t samples = 0;
 };
 
--- a/src/fireflythread/retry/retry_policy.cc
+++ b/src/fireflythread/retry/retry_policy.cc
@@ -8,9 +8,6 @@
 
 /// Fewer observations say little about how long an answer may take.
 constexpr std::uint64_t kSamplesForHedge = 20;
-/// With a mean deviation of 0.74 (exponential times) about 2% of the answers
-/// take longer than the mean and four deviations, well within the budget.
-constexpr int kHedgeDeviations = 4;
 constexpr Duration kShortestHedgeDelay = std::chrono::milliseconds(5);
 /// Half of the time left is enough if it is so many times the likely time.
 constexpr int kComfortFactor = 4;
@@ -33,9 +30,9 @@
       observed.samples < kSamplesForHedge) {
     return std::nullopt;
   }
-  return std::max<Duration>(
-      kShortestHedgeDelay,
-      observed.mean + kHedgeDeviations * observed.deviation);
+  // A twentieth of the requests is hedged, which leaves half of the budget for
+  // retries.
+  return std::max<Duration>(kShortestHedgeDelay, observed.percentile95);
 }
 
 auto AttemptTimeLimit(bool idempotent,
--- a/test/fireflythread/retry/retry_test.cc
+++ b/test/fireflythread/retry/retry_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
+#include <random>
 
+#include "fireflythread/base/random.h"
 #include "fireflythread/retry/retry_budget.h"
 #include "fireflythread/retry/retry_policy.h"
 
@@ -68,6 +70,25 @@
   CHECK_FALSE(HedgeDelay(RequestClass::kBatch, true, time).has_value());
 }
 
+// Guards against hedges that use up the budget that retries need.
+TEST_CASE("about a twentieth of the answers take longer than the hedge delay") {
+  Random random(20261204);
+  std::exponential_distribution<double> milliseconds_drawn(1.0 / 40);
+  ServiceTime time;
+  int longer = 0;
+  constexpr int kAnswers = 10000;
+  for (int i = 0; i < kAnswers; ++i) {
+    const std::chrono::duration<double, std::milli> drawn(
+        milliseconds_drawn(random));
+    const auto answer = std::chrono::duration_cast<Duration>(drawn);
+    const auto delay = HedgeDelay(RequestClass::kCounter, true, time);
+    longer += delay && answer > *delay ? 1 : 0;
+    ObserveServiceTime(time, answer);
+  }
+  CHECK(longer > kAnswers * 0.03);
+  CHECK(longer < kAnswers * 0.07);
+}
+
 // Guards against a silent connection that takes an idempotent request's whole
 // time, so that nothing is left for another worker.
 TEST_CASE("an attempt of an idempotent request leaves time for another") {
