--- a/test/process/task_test.cc
+++ b/test/process/task_test.cc
@@ -148,6 +148,22 @@
   CHECK(WaitForState(site, id, "done"));
 }
 
+// Guards against a task that stays with a worker for good when only the
+// platform's reports and commands no longer reach that worker.
+TEST_CASE("a long task leaves a worker that is cut off from the platform") {
+  Site site;
+  site.Platform().SetFaults({{"report_lag_ms", 200}});
+  const HttpAnswer accepted = Submit(site, 0, "seams", {{"work_ms", 15000}});
+  REQUIRE(accepted.status == kAccepted);
+  const std::string id = accepted.Json().at("id");
+  const std::string vm = WaitForProgress(site, id);
+  REQUIRE(!vm.empty());
+  site.Platform().SetFaults({{"isolated_workers", {vm}}});
+  REQUIRE(WaitUntil([&] { return site.Platform().Runs().size() == 2; }));
+  CheckLeases(site.Platform().Runs());
+  CHECK(WaitForState(site, id, "done"));
+}
+
 // Guards against cancellations that a burst, lost answers or a race with the
 // controller's placement lets go unheeded.
 TEST_CASE("a wave of cancellations ends every long task") {
