Give up a long task's worker that answers no command

Cause: a worker that was cut off from the platform stayed in its list with the last report "running", so the controller renewed a lease that nobody held and the task never moved.

--- a/src/fireflythread/daemon/long_task_scheduler.cc
+++ b/src/fireflythread/daemon/long_task_scheduler.cc
@@ -15,6 +15,7 @@
 #include "fireflythread/tasks/task_codec.h"
 #include "fireflythread/tasks/task_inputs.h"
 #include "fireflythread/tasks/task_scheduler.h"
+#include "fireflythread/tasks/task_step.h"
 #include "fireflythread/telemetry/logger.h"
 
 namespace fireflythread {
@@ -184,8 +185,14 @@
   for (const WorkerTaskCommand& command : commands) {
     this->deps.platform.CommandTask(
         command, this->deps.settings.platform.commit_timeout,
-        [this, vm = command.vm, task = command.task](auto result) {
-          if (const auto* error = std::get_if<PlatformError>(&result)) {
+        [this, vm = command.vm, task = command.task, fence = command.fence,
+         asked_in = this->term](auto result) {
+          const auto* error = std::get_if<PlatformError>(&result);
+          if (asked_in == this->term) {
+            NoteCommandResult(this->memory, task, fence, error == nullptr,
+                              ReadBootClock());
+          }
+          if (error != nullptr) {
             this->deps.logger.Warning(
                 kComponent, "task_command_failed",
                 {{"vm", vm}, {"task", task}, {"reason", error->reason}});
--- a/src/fireflythread/tasks/task_limits.h
+++ b/src/fireflythread/tasks/task_limits.h
@@ -17,6 +17,9 @@
   /// A worker that reports nothing of a lease for this long has failed the
   /// task.
   Duration start = std::chrono::seconds(30);
+  /// A worker that has answered no command of a lease for this long, while the
+  /// platform answers, is cut off: the lease is not renewed any more.
+  Duration unanswered = std::chrono::seconds(5);
   /// Share of a worker's slots that long tasks may occupy; at least one slot.
   double slot_share = 0.25;
   /// A task that this many different workers failed never runs.
--- a/src/fireflythread/tasks/task_memory.h
+++ b/src/fireflythread/tasks/task_memory.h
@@ -20,6 +20,9 @@
   std::optional<TimePoint> last_command;
   /// Since when reports have shown nothing of this lease.
   std::optional<TimePoint> unreported_since;
+  /// The first of the commands that the worker has not answered since the last
+  /// answered one.
+  std::optional<TimePoint> unanswered_since;
 };
 
 /// What the controller remembers between steps; may be lost.
--- a/src/fireflythread/tasks/task_step.cc
+++ b/src/fireflythread/tasks/task_step.cc
@@ -41,7 +41,7 @@
              TaskMemory& memory) -> TaskTimer& {
   TaskTimer& timer = memory.timers[task.id];
   if (timer.fence != task.fence) {
-    timer = {task.fence, inputs.now, std::nullopt, std::nullopt};
+    timer = {task.fence, inputs.now, {}, {}, {}};
   }
   return timer;
 }
@@ -161,6 +161,17 @@
   return inputs.now - *timer.unreported_since >= inputs.limits.start;
 }
 
+/// Whether the worker is cut off although the platform still lists it and
+/// repeats its last report. While the platform itself does not answer, nothing
+/// is known of its workers.
+auto IsCutOff(const TaskInputs& inputs, TaskTimer& timer) -> bool {
+  if (!inputs.reports.has_value()) {
+    timer.unanswered_since.reset();
+  }
+  return timer.unanswered_since.has_value() &&
+         inputs.now - *timer.unanswered_since >= inputs.limits.unanswered;
+}
+
 auto CommandFor(const TaskRecord& task, bool started) -> WorkerTaskCommandKind {
   if (task.state == TaskState::kCancelling) {
     return WorkerTaskCommandKind::kStop;
@@ -173,6 +184,19 @@
 
 }  // namespace
 
+auto NoteCommandResult(TaskMemory& memory,
+                       const TaskId& task,
+                       std::uint64_t fence,
+                       bool answered,
+                       TimePoint now) -> void {
+  const auto timer = memory.timers.find(task);
+  if (timer == memory.timers.end() || timer->second.fence != fence) {
+    return;
+  }
+  std::optional<TimePoint>& since = timer->second.unanswered_since;
+  since = answered ? std::nullopt : std::optional(since.value_or(now));
+}
+
 auto StepLeasedTask(const TaskInputs& inputs,
                     const TaskRecord& task,
                     const WorkerTaskReport* report,
@@ -187,10 +211,17 @@
   }
   const WorkerCondition condition = FindCondition(inputs, task.worker);
   const bool unreported = IsUnreported(inputs, report, timer);
-  const bool lost = condition == WorkerCondition::kLost || unreported;
+  const bool cut_off = IsCutOff(inputs, timer);
+  const bool lost =
+      condition == WorkerCondition::kLost || unreported || cut_off;
   if (lost || task.state != TaskState::kRunning) {
     // Not renewed any more: the worker must finish this or lose the lease.
     if (HasLeaseEnded(inputs, task, timer)) {
+      if (cut_off) {
+        // The task is not at fault, but must not come back to this worker.
+        memory.failures[task.worker].paused_until =
+            inputs.now + inputs.limits.failure_pause;
+      }
       return unreported ? AfterFailure(inputs, task, memory) : Requeue(task);
     }
   }
