--- a/src/fireflythread/base/ids.h
+++ b/src/fireflythread/base/ids.h
@@ -5,6 +5,7 @@
 
 namespace fireflythread {
 
+using CellName = Id<struct CellTag>;
 using EntryId = Id<struct EntryTag>;
 using PoolName = Id<struct PoolTag>;
 using ProfileName = Id<struct ProfileTag>;
