Judge acceptance across cells; do not start on a conflicting claim

An edit was reported as accepted by the own cell's majority alone, so a cell that is cut off from the store could serve by the older configuration after it.

CellTask writes the cell's row before a starting entry reads the configuration, the controller raises it at most once a second under its epoch condition to what a majority had in force, and ConfigEditor and GET /v1/config/version (config wait) judge by the rows of all cells, read after the own majority has the edit. Pending answers name `missing_cells`. Settings [cell] name and zones; the registration row states both. An entry whose claim conflicts with an earlier entry's neither registers nor becomes ready, and /readyz says why. Lease and fleet rows are not per cell yet, so an entry of another cell counts as a conflict for now.

No process test shows yet that the row is written before the configuration is read; the specification does (READ_BEFORE_ROW).

--- a/src/fireflythread/admin/config_version_status.h
+++ b/src/fireflythread/admin/config_version_status.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "fireflythread/base/ids.h"
@@ -13,12 +14,15 @@
 struct ConfigVersionStatus {
   /// The newest version that the answering entry knows to be committed.
   std::uint64_t committed = 0;
-  /// The newest version that a majority of members have applied.
+  /// The newest version that a majority of the members of every cell have
+  /// applied.
   std::uint64_t accepted = 0;
   /// The version that each member serves by, as far as known.
   std::map<EntryId, std::uint64_t> in_force;
   /// Members that serve and have an older version than the one asked for.
   std::vector<EntryId> behind;
+  /// Cells that may still serve with an older version than that.
+  std::set<CellName> missing_cells;
 };
 
 }  // namespace fireflythread::admin
--- a/src/fireflythread/admin/edit_result.h
+++ b/src/fireflythread/admin/edit_result.h
@@ -2,21 +2,26 @@
 #define FIREFLYTHREAD_ADMIN_EDIT_RESULT_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <variant>
 
 #include "fireflythread/admin/admin_error.h"
+#include "fireflythread/base/ids.h"
 
 namespace fireflythread::admin {
 
-/// The edit is committed. `accepted` says that a majority of the members have
-/// applied it; otherwise it is pending.
+/// The edit is committed. `accepted` says that a majority of the members of
+/// every cell have applied it; otherwise it is pending.
 struct EditDone {
   /// The number in `config/head` after the edit.
   std::uint64_t config_version = 0;
   /// The object's new version; 0 when it was deleted.
   std::uint64_t object_version = 0;
   bool accepted = false;
+  /// While it is pending: the cells that may still serve with an older
+  /// version, as far as known.
+  std::set<CellName> missing_cells = {};
 };
 
 /// Somebody else changed the object since `expected_version`.
--- a/src/fireflythread/admin/encode_status.cc
+++ b/src/fireflythread/admin/encode_status.cc
@@ -163,10 +163,15 @@
   for (const auto& [entry, version] : status.in_force) {
     in_force[entry.value] = version;
   }
+  Json cells = Json::array();
+  for (const CellName& cell : status.missing_cells) {
+    cells.push_back(cell.value);
+  }
   return {{"committed", status.committed},
           {"accepted", status.accepted},
           {"in_force", in_force},
-          {"behind", EncodeIds(status.behind)}};
+          {"behind", EncodeIds(status.behind)},
+          {"missing_cells", cells}};
 }
 
 auto Encode(const HistoryEntry& entry) -> Json {
--- a/src/fireflythread/admin/object_calls.cc
+++ b/src/fireflythread/admin/object_calls.cc
@@ -83,11 +83,17 @@
     return MakeErrorResponse(*error);
   }
   const EditDone& done = std::get<EditDone>(result);
-  return MakeJsonResponse(done.accepted ? 200 : 202,
-                          {{"name", name},
-                           {"version", done.object_version},
-                           {"config_version", done.config_version},
-                           {"state", done.accepted ? "accepted" : "pending"}});
+  nlohmann::json body = {{"name", name},
+                         {"version", done.object_version},
+                         {"config_version", done.config_version},
+                         {"state", done.accepted ? "accepted" : "pending"}};
+  if (!done.accepted) {
+    body["missing_cells"] = nlohmann::json::array();
+    for (const CellName& cell : done.missing_cells) {
+      body["missing_cells"].push_back(cell.value);
+    }
+  }
+  return MakeJsonResponse(done.accepted ? 200 : 202, std::move(body));
 }
 
 }  // namespace
--- a/src/fireflythread/cells/cell_acceptance.cc
+++ b/src/fireflythread/cells/cell_acceptance.cc
@@ -1,5 +1,6 @@
 #include "fireflythread/cells/cell_acceptance.h"
 
+#include <algorithm>
 #include <variant>
 
 #include "fireflythread/cells/cell_record.h"
@@ -30,4 +31,20 @@
   return acceptance;
 }
 
+auto AcceptedInAllCells(const CellName& own_cell,
+                        std::uint64_t own,
+                        const std::vector<Row>& rows) -> std::uint64_t {
+  std::uint64_t accepted = own;
+  for (const Row& row : rows) {
+    if (row.table != kCellTable || row.key == own_cell.value) {
+      continue;
+    }
+    const auto decoded = DecodeCellRecord(row);
+    const auto* record = std::get_if<CellRecord>(&decoded);
+    accepted =
+        std::min(accepted, record == nullptr ? 0 : record->config_version);
+  }
+  return accepted;
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/cells/cell_acceptance.h
+++ b/src/fireflythread/cells/cell_acceptance.h
@@ -28,6 +28,13 @@
                               const std::vector<Row>& rows,
                               std::uint64_t config_version) -> CellAcceptance;
 
+/// The highest version that the own cell's majority has in force (`own`) and
+/// the rows of all other cells show; a malformed row counts as version 0.
+[[nodiscard]] auto AcceptedInAllCells(const CellName& own_cell,
+                                      std::uint64_t own,
+                                      const std::vector<Row>& rows)
+    -> std::uint64_t;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_CELLS_CELL_ACCEPTANCE_H_
--- a/src/fireflythread/ctl/config_verbs.cc
+++ b/src/fireflythread/ctl/config_verbs.cc
@@ -52,6 +52,13 @@
   return code;
 }
 
+/// The cells that hold up acceptance, e.g. "; cells missing: east"; empty when
+/// there are none.
+auto MissingCells(const nlohmann::json& status) -> std::string {
+  const nlohmann::json cells = List(status, "missing_cells");
+  return cells.empty() ? "" : "; cells missing: " + Printable(Text(cells));
+}
+
 }  // namespace
 
 auto ShowConfigVersion(const Options& options,
@@ -90,7 +97,8 @@
     return code;
   }
   output.err += "not in force everywhere in time; behind: " +
-                Printable(Text(List(reply.json, "behind"))) + "\n";
+                Printable(Text(List(reply.json, "behind"))) +
+                MissingCells(reply.json) + "\n";
   return ExitCode::kNotAcceptedInTime;
 }
 
@@ -98,12 +106,14 @@
                        Duration timeout,
                        Api& api,
                        Output& output) -> ExitCode {
+  std::string missing;
   for (Duration left = timeout; left > Duration(0); left -= kPoll) {
     const ApiReply reply = AskForVersion(version, Duration(0), api);
     const ExitCode code = CheckReply(reply, output);
     if (code != ExitCode::kOk) {
       return code;
     }
+    missing = MissingCells(reply.json);
     if (Number(reply.json, "accepted") >= static_cast<double>(version)) {
       output.out +=
           fmt::format("configuration version {}: accepted\n", version);
@@ -112,8 +122,8 @@
     api.Sleep(kPoll);
   }
   output.err += fmt::format(
-      "configuration version {} is committed but not accepted in time\n",
-      version);
+      "configuration version {} is committed but not accepted in time{}\n",
+      version, missing);
   return ExitCode::kNotAcceptedInTime;
 }
 
--- a/src/fireflythread/daemon/admin_task.cc
+++ b/src/fireflythread/daemon/admin_task.cc
@@ -6,11 +6,13 @@
 #include <utility>
 
 #include "fireflythread/base/io_clock.h"
+#include "fireflythread/cells/cell_acceptance.h"
 #include "fireflythread/config/codec.h"
 #include "fireflythread/config/config_snapshot.h"
 #include "fireflythread/config/plan_edit.h"
 #include "fireflythread/config/tables.h"
 #include "fireflythread/daemon/admin_task_waiters.h"
+#include "fireflythread/daemon/cell_task.h"
 #include "fireflythread/daemon/controller_report_codec.h"
 #include "fireflythread/daemon/controller_task.h"
 #include "fireflythread/daemon/gateway_task.h"
@@ -33,6 +35,7 @@
 
 constexpr std::chrono::milliseconds kWaiterPeriod{50};
 constexpr std::chrono::milliseconds kReportTimeout{700};
+constexpr std::chrono::milliseconds kCellReadPeriod{200};
 
 auto NotFound(const std::string& what) -> AdminError {
   return {AdminError::Kind::kNotFound, what + " does not exist", {}};
@@ -92,7 +95,8 @@
              incarnation,
              this->deps.platform,
              this->deps.logger,
-             this->deps.state) {}
+             this->deps.state,
+             this->deps.cells) {}
 
 AdminTask::~AdminTask() = default;
 
@@ -164,6 +168,10 @@
     return {admin::Readiness::State::kStopping,
             "finishing the requests in flight"};
   }
+  if (const std::string& conflict = this->deps.registration.ClaimConflict();
+      !conflict.empty()) {
+    return {admin::Readiness::State::kStarting, conflict};
+  }
   if (membership.recovering) {
     return {admin::Readiness::State::kStarting,
             "neither the store nor a majority of peers has given the control "
@@ -210,23 +218,50 @@
                               Duration wait,
                               Callback<admin::ConfigVersionStatus> callback)
     -> void {
-  this->config_waiters.push_back(
-      {version, ReadBootClock() + wait, std::move(callback)});
-  this->CheckWaiters();
+  this->CheckConfigWaiter(
+      {version, ReadBootClock() + wait, std::move(callback), {}});
+}
+
+auto AdminTask::CheckConfigWaiter(ConfigWaiter waiter) -> void {
+  // The own cell is looked at before the rows are read, so that the rows are
+  // newer than the commit of each version that the own cell has in force.
+  admin::ConfigVersionStatus status = this->ConfigStatus(waiter.version);
+  this->deps.cells.ReadRows(
+      [this, waiter = std::move(waiter), status = std::move(status)](
+          const std::optional<std::vector<Row>>& rows) mutable {
+        const CellName& own = this->deps.settings.cell.name;
+        const std::uint64_t wanted =
+            waiter.version == 0 ? status.committed : waiter.version;
+        if (rows) {
+          this->accepted_config =
+              std::max(this->accepted_config,
+                       AcceptedInAllCells(own, status.accepted, *rows));
+          status.missing_cells =
+              JudgeCells(own, status.accepted >= wanted, *rows, wanted).missing;
+        }
+        status.accepted = this->accepted_config;
+        const bool reached = status.behind.empty() &&
+                             status.accepted >= wanted &&
+                             status.committed >= wanted;
+        const TimePoint now = ReadBootClock();
+        if (reached || now >= waiter.deadline) {
+          waiter.callback(std::move(status));
+          return;
+        }
+        waiter.next = now + kCellReadPeriod;
+        this->config_waiters.push_back(std::move(waiter));
+      });
 }
 
 auto AdminTask::CheckWaiters() -> void {
   const TimePoint now = ReadBootClock();
   std::vector<std::function<void()>> ready;
   std::erase_if(this->config_waiters, [&](ConfigWaiter& waiter) {
-    admin::ConfigVersionStatus status = this->ConfigStatus(waiter.version);
-    const bool reached =
-        status.behind.empty() && status.committed >= waiter.version;
-    if (!reached && now < waiter.deadline) {
+    if (now < waiter.next && now < waiter.deadline) {
       return false;
     }
-    ready.emplace_back([callback = std::move(waiter.callback),
-                        status = std::move(status)] { callback(status); });
+    ready.emplace_back(
+        [this, due = std::move(waiter)] { this->CheckConfigWaiter(due); });
     return true;
   });
   std::erase_if(this->report_waiters, [&](auto& item) {
--- a/src/fireflythread/daemon/admin_task.h
+++ b/src/fireflythread/daemon/admin_task.h
@@ -21,6 +21,7 @@
 
 namespace fireflythread {
 
+class CellTask;
 class ControllerTask;
 class GatewayTask;
 class Logger;
@@ -40,6 +41,7 @@
     ControllerTask& controller;
     GatewayTask& gateway;
     const RegistrationTask& registration;
+    CellTask& cells;
     const Tracer& tracer;
     const MetricsRegistry& metrics;
     std::function<void(const EntryId&, peer::Envelope)> send;
@@ -116,12 +118,17 @@
                    const std::vector<WaveRecord>& waves) const
       -> admin::FleetStatus;
   auto CheckWaiters() -> void;
+  /// Reads the rows of all cells, and answers when the version is in force
+  /// everywhere or the time is over.
+  auto CheckConfigWaiter(ConfigWaiter waiter) -> void;
 
   Dependencies deps;
   ConfigEditor editor;
   std::uint64_t report_requests = 0;
   std::map<std::uint64_t, ReportWaiter> report_waiters;
   std::vector<ConfigWaiter> config_waiters;
+  /// The highest version that was seen accepted by all cells.
+  std::uint64_t accepted_config = 0;
   std::unique_ptr<PeriodicTimer> timer;
   bool stopping = false;
 };
--- a/src/fireflythread/daemon/admin_task_waiters.h
+++ b/src/fireflythread/daemon/admin_task_waiters.h
@@ -16,6 +16,8 @@
   std::uint64_t version = 0;
   TimePoint deadline;
   Callback<admin::ConfigVersionStatus> callback;
+  /// When the rows of table `cell` are read next.
+  TimePoint next;
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/daemon/config_editor.cc
+++ b/src/fireflythread/daemon/config_editor.cc
@@ -14,6 +14,7 @@
 #include "fireflythread/config/config_snapshot.h"
 #include "fireflythread/config/edit_result.h"
 #include "fireflythread/config/tables.h"
+#include "fireflythread/daemon/cell_task.h"
 #include "fireflythread/daemon/state_task.h"
 #include "fireflythread/platform/platform_client.h"
 #include "fireflythread/telemetry/logger.h"
@@ -89,12 +90,14 @@
                            std::uint64_t process_incarnation,
                            PlatformClient& platform_client,
                            const Logger& log,
-                           StateTask& state_task)
+                           StateTask& state_task,
+                           CellTask& cell_task)
     : settings(daemon_settings),
       incarnation(process_incarnation),
       platform(platform_client),
       logger(log),
-      state(state_task) {}
+      state(state_task),
+      cells(cell_task) {}
 
 auto ConfigEditor::Edit(const admin::EditRequest& request, Callback callback)
     -> void {
@@ -207,12 +210,12 @@
                     {{"version", committed.version},
                      {"object", attempt->plan.key},
                      {"who", attempt->edit.who}});
-  this->state.WatchAcceptance(
+  this->cells.WatchAcceptance(
       committed.version, ReadBootClock() + attempt->wait,
-      [attempt, committed](bool accepted) {
+      [attempt, committed](bool accepted, const std::set<CellName>& missing) {
         attempt->callback(admin::EditDone{
             committed.version, attempt->edit.value ? committed.row_version : 0,
-            accepted});
+            accepted, missing});
       });
 }
 
--- a/src/fireflythread/daemon/config_editor.h
+++ b/src/fireflythread/daemon/config_editor.h
@@ -15,6 +15,7 @@
 
 namespace fireflythread {
 
+class CellTask;
 class Logger;
 class PlatformClient;
 class StateTask;
@@ -29,7 +30,8 @@
                std::uint64_t incarnation,
                PlatformClient& platform,
                const Logger& logger,
-               StateTask& state);
+               StateTask& state,
+               CellTask& cells);
 
   auto Edit(const admin::EditRequest& request, Callback callback) -> void;
 
@@ -50,6 +52,7 @@
   PlatformClient& platform;
   const Logger& logger;
   StateTask& state;
+  CellTask& cells;
   std::uint64_t edits = 0;
 };
 
--- a/src/fireflythread/daemon/controller_task.cc
+++ b/src/fireflythread/daemon/controller_task.cc
@@ -96,6 +96,10 @@
   return HoldsLease(this->lease, ReadBootClock());
 }
 
+auto ControllerTask::Fence() const -> std::optional<Condition> {
+  return FenceCondition(this->lease, ReadBootClock());
+}
+
 auto ControllerTask::Epoch() const -> std::uint64_t {
   return this->lease.watched ? this->lease.watched->epoch : 0;
 }
@@ -241,7 +245,9 @@
   std::map<EntryId, MemberState> members;
   const TimePoint term_start = this->term_began.value_or(now);
   for (const auto& [id, entry] : this->deps.registration.Entries()) {
-    members[id] = {entry.incarnation, term_start, 0};
+    if (entry.claim.cell == this->deps.settings.cell.name) {
+      members[id] = {entry.incarnation, term_start, 0};
+    }
   }
   for (const auto& [id, peer_report] : membership.peers) {
     // An entry that recovered from its peers while the store was down serves
@@ -250,9 +256,10 @@
                    peer_report.versions.fleet};
   }
   for (const auto& [id, entry] : this->deps.registration.Entries()) {
-    if (entry.state == EntryState::kStopped &&
-        members[id].incarnation == entry.incarnation) {
-      members.erase(id);
+    const auto member = members.find(id);
+    if (entry.state == EntryState::kStopped && member != members.end() &&
+        member->second.incarnation == entry.incarnation) {
+      members.erase(member);
     }
   }
   members[this->lease.self] = {this->lease.incarnation, now,
--- a/src/fireflythread/daemon/controller_task.h
+++ b/src/fireflythread/daemon/controller_task.h
@@ -63,6 +63,8 @@
   /// The entry that holds the lease as far as this entry knows.
   [[nodiscard]] auto Holder() const -> std::optional<EntryId>;
   [[nodiscard]] auto IsController() const -> bool;
+  /// The condition of the controller's writes; no value on other entries.
+  [[nodiscard]] auto Fence() const -> std::optional<Condition>;
   [[nodiscard]] auto Epoch() const -> std::uint64_t;
   /// Time since the lease row was last seen to change.
   [[nodiscard]] auto SinceRenewal() const -> Duration;
--- a/src/fireflythread/daemon/daemon.cc
+++ b/src/fireflythread/daemon/daemon.cc
@@ -12,6 +12,7 @@
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/config/config_snapshot.h"
 #include "fireflythread/daemon/admin_task.h"
+#include "fireflythread/daemon/cell_task.h"
 #include "fireflythread/daemon/controller_task.h"
 #include "fireflythread/daemon/curve_key_files.h"
 #include "fireflythread/daemon/entry_record.h"
@@ -67,6 +68,7 @@
   record.id = settings.entry.id;
   record.incarnation = incarnation;
   record.zone = settings.entry.zone;
+  record.claim = {settings.cell.name, settings.cell.zones};
   record.caller_address = FormatEndpoint(settings.entry.caller_listen);
   record.admin_address = FormatEndpoint(settings.entry.admin_listen);
   record.peer_address = FormatEndpoint(settings.peers.listen);
@@ -130,7 +132,14 @@
   this->registration = std::make_unique<RegistrationTask>(
       this->settings, OwnRecord(this->settings, this->incarnation),
       *this->platform, this->logger,
-      [this] { this->gateway->Requests().SetPredecessorGone(); });
+      [this] { this->gateway->Requests().SetPredecessorGone(); },
+      [this] {
+        this->cells->Start([this] { this->state->StartStoreReads(); });
+      });
+
+  this->cells = std::make_unique<CellTask>(
+      this->settings, *this->platform, this->logger, *this->state,
+      [this] { return this->controller->Fence(); });
 
   this->vm_list = std::make_unique<VmListTask>(
       this->settings, *this->platform,
@@ -150,8 +159,8 @@
   this->admin = std::make_unique<AdminTask>(
       AdminTask::Dependencies{this->settings, *this->platform, this->logger,
                               *this->state, *this->controller, *this->gateway,
-                              *this->registration, *this->tracer, this->metrics,
-                              send},
+                              *this->registration, *this->cells, *this->tracer,
+                              this->metrics, send},
       this->incarnation);
 }
 
--- a/src/fireflythread/daemon/daemon.h
+++ b/src/fireflythread/daemon/daemon.h
@@ -22,6 +22,7 @@
 namespace fireflythread {
 
 class AdminTask;
+class CellTask;
 class ControllerTask;
 class GatewayTask;
 class HttpPlatformClient;
@@ -68,6 +69,7 @@
   std::unique_ptr<PeerTransport> peers;
   std::unique_ptr<StateTask> state;
   std::unique_ptr<RegistrationTask> registration;
+  std::unique_ptr<CellTask> cells;
   std::unique_ptr<VmListTask> vm_list;
   std::unique_ptr<ControllerTask> controller;
   std::unique_ptr<GatewayTask> gateway;
--- a/src/fireflythread/daemon/entry_record.cc
+++ b/src/fireflythread/daemon/entry_record.cc
@@ -16,10 +16,16 @@
 }  // namespace
 
 auto EncodeEntryRecord(const EntryRecord& record) -> std::string {
+  json zones = json::array();
+  for (const ZoneName& zone : record.claim.zones) {
+    zones.push_back(zone.value);
+  }
   const json object = {
       {"incarnation", record.incarnation},
       {"state", record.state == EntryState::kStopped ? "stopped" : "running"},
       {"zone", record.zone.value},
+      {"cell", record.claim.cell.value},
+      {"cell_zones", zones},
       {"caller_address", record.caller_address},
       {"admin_address", record.admin_address},
       {"peer_address", record.peer_address}};
@@ -46,6 +52,19 @@
   record.state =
       state == "stopped" ? EntryState::kStopped : EntryState::kRunning;
   record.zone = ZoneName(TextField(object, "zone"));
+  record.claim.cell = CellName(TextField(object, "cell"));
+  if (record.claim.cell.empty()) {
+    // Rows of programs without cells, which were one cell of this name.
+    record.claim.cell = CellName("main");
+  }
+  if (const auto zones = object.find("cell_zones");
+      zones != object.end() && zones->is_array()) {
+    for (const json& zone : *zones) {
+      if (zone.is_string()) {
+        record.claim.zones.insert(ZoneName(zone.get<std::string>()));
+      }
+    }
+  }
   record.caller_address = TextField(object, "caller_address");
   record.admin_address = TextField(object, "admin_address");
   record.peer_address = TextField(object, "peer_address");
--- a/src/fireflythread/daemon/entry_record.h
+++ b/src/fireflythread/daemon/entry_record.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/cells/cell_claim.h"
 
 namespace fireflythread {
 
@@ -22,6 +23,8 @@
   /// kStopped only after a graceful stop, with no request left in flight.
   EntryState state = EntryState::kRunning;
   ZoneName zone;
+  /// The cell of the entry and the zones that it states for it.
+  CellClaim claim;
   std::string caller_address;
   std::string admin_address;
   std::string peer_address;
--- a/src/fireflythread/daemon/registration_task.cc
+++ b/src/fireflythread/daemon/registration_task.cc
@@ -1,10 +1,14 @@
 #include "fireflythread/daemon/registration_task.h"
 
+#include <fmt/format.h>
+
 #include <chrono>
 #include <string>
 #include <utility>
 #include <variant>
 
+#include "fireflythread/cells/cell_claim.h"
+#include "fireflythread/cells/cell_conflict.h"
 #include "fireflythread/platform/platform_client.h"
 #include "fireflythread/platform/transaction.h"
 #include "fireflythread/telemetry/logger.h"
@@ -21,12 +25,14 @@
                                    EntryRecord own_record,
                                    PlatformClient& platform_client,
                                    const Logger& log,
-                                   std::function<void()> predecessor_callback)
+                                   std::function<void()> predecessor_callback,
+                                   std::function<void()> registered_function)
     : settings(daemon_settings),
       own(std::move(own_record)),
       platform(platform_client),
       logger(log),
-      predecessor_gone(std::move(predecessor_callback)) {}
+      predecessor_gone(std::move(predecessor_callback)),
+      registered_callback(std::move(registered_function)) {}
 
 auto RegistrationTask::Start() -> void {
   this->timer = std::make_unique<PeriodicTimer>(kRefreshPeriod,
@@ -64,12 +70,46 @@
           }
         }
         this->entries = std::move(read);
-        if (!this->registered) {
+        this->CheckClaims();
+        if (!this->registered && this->claim_conflict.empty()) {
           this->Write(EntryState::kRunning, [](bool) {});
         }
       });
 }
 
+auto RegistrationTask::ClaimConflict() const -> const std::string& {
+  return this->claim_conflict;
+}
+
+auto RegistrationTask::CheckClaims() -> void {
+  std::string found;
+  for (const auto& [id, entry] : this->entries) {
+    // Of two entries that registered at the same time the later one yields, so
+    // a wrong setting does not stop the cell that serves already.
+    const bool earlier = !this->registered || entry.version < this->own.version;
+    if (id == this->own.id || entry.state == EntryState::kStopped || !earlier) {
+      continue;
+    }
+    if (entry.claim.cell != this->own.claim.cell) {
+      // Lease and fleet rows are shared by all entries of the table so far, so
+      // two cells would command the same VMs.
+      found =
+          fmt::format("entry {} is of another cell, {}; one cell is allowed",
+                      id.value, entry.claim.cell.value);
+      break;
+    }
+    if (auto conflict = FindClaimConflict(this->own.claim, entry.claim)) {
+      found = fmt::format("{} (entry {})", *conflict, id.value);
+      break;
+    }
+  }
+  if (found != this->claim_conflict) {
+    this->claim_conflict = std::move(found);
+    this->logger.Warning(kComponent, "cell_claim_conflict",
+                         {{"reason", this->claim_conflict}});
+  }
+}
+
 auto RegistrationTask::Write(EntryState state, std::function<void(bool)> done)
     -> void {
   if (this->writing) {
@@ -84,6 +124,8 @@
       previous->incarnation == this->own.incarnation) {
     // An earlier write took effect and its answer was lost.
     this->registered = true;
+    this->own.version = previous->version;
+    this->registered_callback();
     done(true);
     return;
   }
@@ -116,6 +158,7 @@
           if (graceful) {
             this->predecessor_gone();
           }
+          this->registered_callback();
         }
         done(true);
       });
--- a/src/fireflythread/daemon/registration_task.h
+++ b/src/fireflythread/daemon/registration_task.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/daemon/entry_record.h"
@@ -19,12 +20,14 @@
 class RegistrationTask {
  public:
   /// `predecessor_gone` is called once if the row shows that the entry's
-  /// earlier process stopped gracefully, or if there was none.
+  /// earlier process stopped gracefully, or if there was none. `registered`
+  /// is called once when the row is written.
   RegistrationTask(const DaemonSettings& settings,
                    EntryRecord own,
                    PlatformClient& platform,
                    const Logger& logger,
-                   std::function<void()> predecessor_gone);
+                   std::function<void()> predecessor_gone,
+                   std::function<void()> registered);
 
   auto Start() -> void;
   /// Marks the entry as stopped and calls back, also when the store is down.
@@ -32,8 +35,14 @@
 
   [[nodiscard]] auto Entries() const -> const std::map<EntryId, EntryRecord>&;
 
+  /// Why the zones that this entry states for its cell cannot hold beside
+  /// those of an entry that registered earlier, in words; empty while they can.
+  /// An entry that is not registered yet does not register meanwhile.
+  [[nodiscard]] auto ClaimConflict() const -> const std::string&;
+
  private:
   auto Refresh() -> void;
+  auto CheckClaims() -> void;
   auto Write(EntryState state, std::function<void(bool)> done) -> void;
 
   const DaemonSettings& settings;
@@ -41,7 +50,9 @@
   PlatformClient& platform;
   const Logger& logger;
   std::function<void()> predecessor_gone;
+  std::function<void()> registered_callback;
   std::map<EntryId, EntryRecord> entries;
+  std::string claim_conflict;
   bool registered = false;
   bool reading = false;
   bool writing = false;
--- a/src/fireflythread/daemon/state_task.cc
+++ b/src/fireflythread/daemon/state_task.cc
@@ -67,6 +67,10 @@
         this->AskForRecovery();
         this->CheckAcceptance(ReadBootClock());
       });
+}
+
+auto StateTask::StartStoreReads() -> void {
+  this->store_reads_allowed = true;
   this->PollStore();
 }
 
@@ -91,7 +95,7 @@
 }
 
 auto StateTask::PollStore() -> void {
-  if (this->poll) {
+  if (this->poll || !this->store_reads_allowed) {
     return;
   }
   this->poll = std::make_shared<Poll>();
--- a/src/fireflythread/daemon/state_task.h
+++ b/src/fireflythread/daemon/state_task.h
@@ -50,7 +50,11 @@
   StateTask(const StateTask&) = delete;
   auto operator=(const StateTask&) -> StateTask& = delete;
 
+  /// Begins to exchange control state with peers.
   auto Start() -> void;
+  /// Begins to read the store; to be called once the cell's row is in table
+  /// `cell`, so that no accepted configuration is missed.
+  auto StartStoreReads() -> void;
   auto HandlePeer(const PeerMessage& message) -> void;
 
   /// Commits a transaction that raises the head of one table. While the result
@@ -119,6 +123,7 @@
   std::uint64_t config_revision = 0;
   std::uint64_t fleet_revision = 0;
   std::uint64_t fleet_head_row_version = 0;
+  bool store_reads_allowed = false;
   bool store_reachable = false;
   std::shared_ptr<Poll> poll;
   TimePoint started_at;
--- a/src/fireflythread/settings/daemon_settings.h
+++ b/src/fireflythread/settings/daemon_settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "fireflythread/base/ids.h"
@@ -24,6 +25,13 @@
     Endpoint admin_listen;
   };
 
+  /// The cell that this entry is a member of.
+  struct Cell {
+    CellName name{"main"};
+    /// The zones whose VMs the cell manages; empty means all zones.
+    std::set<ZoneName> zones;
+  };
+
   struct Platform {
     Endpoint address;
     Duration read_timeout = std::chrono::seconds(1);
@@ -89,6 +97,7 @@
   };
 
   Entry entry;
+  Cell cell;
   Platform platform;
   Peers peers;
   PeerSecurity peer_security;
--- a/src/fireflythread/settings/setting_key.cc
+++ b/src/fireflythread/settings/setting_key.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <utility>
+
 #include "fireflythread/settings/setting_value.h"
 
 namespace fireflythread {
@@ -71,6 +73,30 @@
   return IsName(text);
 }
 
+auto Apply(const SettingKey::ZoneList& zones,
+           std::string_view text,
+           DaemonSettings& settings) -> bool {
+  std::set<ZoneName> names;
+  while (true) {
+    const std::size_t comma = text.find(',');
+    std::string_view name = text.substr(0, comma);
+    const std::size_t begin = name.find_first_not_of(' ');
+    const std::size_t end = name.find_last_not_of(' ');
+    name = begin == std::string_view::npos
+               ? std::string_view()
+               : name.substr(begin, end - begin + 1);
+    if (!IsName(name) || !names.insert(ZoneName(std::string(name))).second) {
+      return false;
+    }
+    if (comma == std::string_view::npos) {
+      break;
+    }
+    text.remove_prefix(comma + 1);
+  }
+  zones.field(settings) = std::move(names);
+  return true;
+}
+
 auto Apply(const SettingKey::Address& address,
            std::string_view text,
            DaemonSettings& settings) -> bool {
@@ -112,6 +138,10 @@
   return "1 to 63 of a-z, 0-9, -";
 }
 
+auto Range(const SettingKey::ZoneList& /*zones*/) -> std::string {
+  return "different names, separated by commas";
+}
+
 auto Range(const SettingKey::Address& /*address*/) -> std::string {
   return "IP:port";
 }
@@ -144,6 +174,15 @@
   return OrNone(value);
 }
 
+auto Format(const std::set<ZoneName>& value) -> std::string {
+  std::string text;
+  for (const ZoneName& zone : value) {
+    text += text.empty() ? "" : ", ";
+    text += zone.value;
+  }
+  return OrNone(text);
+}
+
 auto Format(const Endpoint& value) -> std::string {
   return OrNone(FormatEndpoint(value));
 }
--- a/src/fireflythread/settings/setting_key.h
+++ b/src/fireflythread/settings/setting_key.h
@@ -2,6 +2,7 @@
 #define FIREFLYTHREAD_SETTINGS_SETTING_KEY_H_
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -43,6 +44,10 @@
   struct Name {
     Field<std::string> field;
   };
+  /// Names separated by commas.
+  struct ZoneList {
+    Field<std::set<ZoneName>> field;
+  };
   struct Address {
     Field<Endpoint> field;
   };
@@ -56,6 +61,7 @@
                               Flag,
                               Path,
                               Name,
+                              ZoneList,
                               Address,
                               Level>;
 
--- a/src/fireflythread/settings/setting_keys.cc
+++ b/src/fireflythread/settings/setting_keys.cc
@@ -24,6 +24,12 @@
     {"entry", "admin_listen", true,
      SettingKey::Address{
          [](Settings& s) -> Endpoint& { return s.entry.admin_listen; }}},
+    {"cell", "name", false, SettingKey::Name{[](Settings& s) -> std::string& {
+       return s.cell.name.value;
+     }}},
+    {"cell", "zones", false,
+     SettingKey::ZoneList{
+         [](Settings& s) -> std::set<ZoneName>& { return s.cell.zones; }}},
     {"platform", "address", true,
      SettingKey::Address{
          [](Settings& s) -> Endpoint& { return s.platform.address; }}},
--- a/test/fireflythread/cells/cells_test.cc
+++ b/test/fireflythread/cells/cells_test.cc
@@ -59,6 +59,9 @@
   rows[1].value = "damaged";
   CHECK(JudgeCells(own, true, rows, 4).missing == std::set{CellName("b")});
   CHECK(JudgeCells(own, true, {}, 4).Accepted());
+  CHECK(AcceptedInAllCells(own, 6, {RowOf("a", 0), RowOf("b", 5)}) == 5);
+  CHECK(AcceptedInAllCells(own, 3, {RowOf("b", 5)}) == 3);
+  CHECK(AcceptedInAllCells(own, 6, rows) == 0);
 }
 
 // Guards against two cells that manage the VMs of one zone.
--- a/test/fireflythread/settings/io_load_settings_test.cc
+++ b/test/fireflythread/settings/io_load_settings_test.cc
@@ -29,6 +29,21 @@
 
 }  // namespace
 
+// Guards against a zone that is left out of the cell's claim, or read as
+// another one, so that two cells could manage its VMs.
+TEST_CASE("settings of the cell take a list of zones") {
+  const auto result =
+      ParseSettings("test.ini", With("[cell]\nname=east\nzones = z1, z2,z3\n"));
+  REQUIRE(std::holds_alternative<DaemonSettings>(result));
+  const auto& cell = std::get<DaemonSettings>(result).cell;
+  CHECK(cell.name == CellName("east"));
+  CHECK(cell.zones == std::set{ZoneName("z1"), ZoneName("z2"), ZoneName("z3")});
+  for (const char* zones : {"", "z1,,z2", "z1,z1", "z1,", "z 1"}) {
+    CHECK_FALSE(AllFaults(With("[cell]\nzones = " + std::string(zones) + "\n"))
+                    .empty());
+  }
+}
+
 // Guards against a default or a given value that does not reach the daemon.
 TEST_CASE("settings keep defaults and take given values") {
   const auto result =
--- a/test/process/site.cc
+++ b/test/process/site.cc
@@ -113,13 +113,23 @@
   this->StartEntry(index);
 }
 
+auto Site::Readiness(std::size_t index) const -> HttpAnswer {
+  return Fetch("GET",
+               "http://127.0.0.1:" +
+                   std::to_string(this->admin_ports.Ports().at(index)) +
+                   "/readyz",
+               "", {}, std::chrono::seconds(2));
+}
+
+auto Site::AddSettings(std::size_t index, const std::string& text) -> void {
+  std::ofstream file(
+      this->directory.Path("entry-" + std::to_string(index + 1) + ".ini"),
+      std::ios::app);
+  file << "\n" << text;
+}
+
 auto Site::IsReady(std::size_t index) const -> bool {
-  const HttpAnswer answer =
-      Fetch("GET",
-            "http://127.0.0.1:" +
-                std::to_string(this->admin_ports.Ports().at(index)) + "/readyz",
-            "", {}, std::chrono::seconds(2));
-  return answer.status == 200;
+  return this->Readiness(index).status == 200;
 }
 
 auto Site::WaitReady(std::size_t index) const -> bool {
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -40,6 +40,10 @@
   /// Starts the entry again after its end.
   auto Restart(std::size_t index) -> void;
   [[nodiscard]] auto IsReady(std::size_t index) const -> bool;
+  /// The answer of /readyz.
+  [[nodiscard]] auto Readiness(std::size_t index) const -> HttpAnswer;
+  /// Adds text to an entry's settings, for its next start.
+  auto AddSettings(std::size_t index, const std::string& text) -> void;
   [[nodiscard]] auto WaitReady(std::size_t index) const -> bool;
   /// The index of the entry that holds the controller lease, by the table.
   [[nodiscard]] auto Controller() const -> std::size_t;
