--- a/src/fireflythread/daemon/admin_task.h
+++ b/src/fireflythread/daemon/admin_task.h
@@ -22,6 +22,7 @@
 
 namespace fireflythread {
 
+class CellTask;
 class ControllerTask;
 class GatewayTask;
 class Logger;
@@ -41,6 +42,7 @@
     ControllerTask& controller;
     GatewayTask& gateway;
     const RegistrationTask& registration;
+    CellTask& cells;
     const Tracer& tracer;
     const MetricsRegistry& metrics;
     std::function<void(const EntryId&, peer::Envelope)> send;
@@ -118,6 +120,9 @@
                    const std::vector<WaveRecord>& waves) const
       -> admin::FleetStatus;
   auto CheckWaiters() -> void;
+  /// Reads the rows of all cells, and answers when the version is in force
+  /// everywhere or the time is over.
+  auto CheckConfigWaiter(ConfigWaiter waiter) -> void;
 
   Dependencies deps;
   ConfigEditor editor;
@@ -125,6 +130,8 @@
   std::uint64_t report_requests = 0;
   std::map<std::uint64_t, ReportWaiter> report_waiters;
   std::vector<ConfigWaiter> config_waiters;
+  /// The highest version that was seen accepted by all cells.
+  std::uint64_t accepted_config = 0;
   std::unique_ptr<PeriodicTimer> timer;
   bool stopping = false;
 };
--- a/test/fireflythread/tasks/task_scheduler_test.cc
+++ b/test/fireflythread/tasks/task_scheduler_test.cc
@@ -12,6 +12,7 @@
 #include "fireflythread/fleet/fleet_view.h"
 #include "fireflythread/platform/row.h"
 #include "fireflythread/tasks/task_codec.h"
+#include "fireflythread/tasks/task_step.h"
 
 namespace fireflythread {
 namespace {
@@ -139,6 +140,8 @@
   TaskDecision decision = DecideTasks(inputs, cell.memory);
   for (const WorkerTaskCommand& command : decision.commands) {
     RunCommand(cell, command);
+    NoteCommandResult(cell.memory, command.task, command.fence,
+                      !cell.dead.contains(command.vm), cell.now);
   }
   cell.most_transactions =
       std::max(cell.most_transactions, decision.transactions.size());
@@ -201,6 +204,22 @@
   CHECK(cell.runs == 2);
 }
 
+// Guards against a lease that is renewed for ever at a worker which the
+// platform lists but cannot reach, and against a task that comes back to it.
+TEST_CASE("a cut-off worker's task is leased anew elsewhere") {
+  VirtualWorkers cell = MakeWorkers(2);
+  Submit(cell, "t");
+  RunFor(cell, seconds(3));
+  const VmId worker = cell.tasks.at(TaskId("t")).worker;
+  cell.dead.insert(worker);
+  RunFor(cell, seconds(45));
+  const TaskRecord& task = cell.tasks.at(TaskId("t"));
+  CHECK(task.state == TaskState::kDone);
+  CHECK(task.worker != worker);
+  CHECK(task.failed_on.empty());
+  CHECK(cell.runs == 2);
+}
+
 // Guards against work lost or repeated when a VM is taken for maintenance.
 TEST_CASE("a task is checkpointed and moved when its VM drains") {
   VirtualWorkers cell = MakeWorkers(2);
