--- a/src/fireflythread/admin/object_calls.cc
+++ b/src/fireflythread/admin/object_calls.cc
@@ -93,7 +93,7 @@
       body["missing_cells"].push_back(cell.value);
     }
   }
-  return MakeJsonResponse(done.accepted ? 200 : 202, std::move(body));
+  return MakeJsonResponse(done.accepted ? 200 : 202, body);
 }
 
 }  // namespace
