Keep one definition of the retention limits; record the measurements

RetentionLimits and DaemonSettings::Retention were the same struct twice. The settings now hold the former.

--- a/src/fireflythread/daemon/retention_task.cc
+++ b/src/fireflythread/daemon/retention_task.cc
@@ -20,14 +20,8 @@
 
 }  // namespace
 
-RetentionTask::RetentionTask(Dependencies dependencies) : deps(dependencies) {
-  const DaemonSettings::Retention& settings = this->deps.settings.retention;
-  this->limits.records = settings.records;
-  this->limits.history = settings.history;
-  this->limits.ended = settings.ended;
-  this->limits.rows_per_second = settings.rows_per_second;
-  this->limits.pass_pause = settings.pass_pause;
-}
+RetentionTask::RetentionTask(Dependencies dependencies)
+    : deps(dependencies), limits(dependencies.settings.retention) {}
 
 auto RetentionTask::BeginTerm() -> void {
   ++this->term;
--- a/src/fireflythread/settings/daemon_settings.h
+++ b/src/fireflythread/settings/daemon_settings.h
@@ -9,6 +9,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/retention/retention_limits.h"
 #include "fireflythread/settings/endpoint.h"
 #include "fireflythread/telemetry/log_level.h"
 
@@ -87,14 +88,6 @@
     Duration margin = std::chrono::milliseconds(500);
   };
 
-  struct Retention {
-    Duration records = std::chrono::hours(30 * 24);
-    Duration history = std::chrono::hours(90 * 24);
-    Duration ended = std::chrono::hours(30 * 24);
-    int rows_per_second = 50;
-    Duration pass_pause = std::chrono::minutes(10);
-  };
-
   struct Telemetry {
     LogLevel log_level = LogLevel::kInfo;
     /// Empty writes no span file.
@@ -113,7 +106,7 @@
   Limits limits;
   Freshness freshness;
   Lease lease;
-  Retention retention;
+  RetentionLimits retention;
   Telemetry telemetry;
 };
 
