--- a/test/process/config_test.cc
+++ b/test/process/config_test.cc
@@ -15,7 +15,7 @@
 
 /// Moves the service take-order to the new pool through an entry.
 auto MoveService(Site& site, std::size_t entry) -> HttpAnswer {
-  return site.Admin(entry, "PUT", "/v1/services/take-order?wait=10s",
+  return site.Admin(entry, "PUT", "/v1/services/take-order?wait_ms=10000",
                     Json({{"pool", kNewPool},
                           {"profile", "counter"},
                           {"default_deadline_ms", 2000}})
--- a/test/process/schedule_test.cc
+++ b/test/process/schedule_test.cc
@@ -23,7 +23,7 @@
   // Shorter than the VMs have run, so that all are due at once.
   profile["maintenance_interval_days"] = 0.00002;
   const HttpAnswer edited =
-      site.Admin(0, "PUT", "/v1/profiles/counter?wait=10s", profile.dump(),
+      site.Admin(0, "PUT", "/v1/profiles/counter?wait_ms=10000", profile.dump(),
                  {{"If-Match", "\"" + version.dump() + "\""}});
   INFO(edited.body);
   REQUIRE(edited.status == 200);
