--- a/standin/caller/call.cc
+++ b/standin/caller/call.cc
@@ -43,7 +43,7 @@
   const CallPlan& plan = this->record.plan;
   this->message = soup_message_new(
       plan.method.c_str(),
-      fmt::format("http://{}/s/{}/work/{}", address, plan.service,
+      fmt::format("http://{}/s/{}/jobs/{}", address, plan.service,
                   plan.repeats.empty() ? plan.id : plan.repeats)
           .c_str());
   // libsoup reuses a connection for a POST only if it may resend it; Start()
