--- a/src/fireflythread/base/ids.h
+++ b/src/fireflythread/base/ids.h
@@ -7,14 +7,17 @@
 
 using CellName = Id<struct CellTag>;
 using EntryId = Id<struct EntryTag>;
+using JobId = Id<struct JobTag>;
 using PoolName = Id<struct PoolTag>;
 using ProfileName = Id<struct ProfileTag>;
+using QueueName = Id<struct QueueTag>;
 using RackName = Id<struct RackTag>;
 using ServiceName = Id<struct ServiceTag>;
 using TaskId = Id<struct TaskTag>;
 using TeamName = Id<struct TeamTag>;
 using VmId = Id<struct VmTag>;
 using WaveId = Id<struct WaveTag>;
+using WorkerId = Id<struct WorkerTag>;
 using ZoneName = Id<struct ZoneTag>;
 
 }  // namespace fireflythread
--- a/src/fireflythread/daemon/periodic_timer.cc
+++ b/src/fireflythread/base/io_periodic_timer.cc
@@ -1,4 +1,4 @@
-#include "fireflythread/daemon/periodic_timer.h"
+#include "fireflythread/base/io_periodic_timer.h"
 
 #include <utility>
 
--- a/src/fireflythread/daemon/admin_task.h
+++ b/src/fireflythread/daemon/admin_task.h
@@ -16,7 +16,7 @@
 #include "fireflythread/control/controller_report.h"
 #include "fireflythread/control/wave_record.h"
 #include "fireflythread/daemon/config_editor.h"
-#include "fireflythread/daemon/periodic_timer.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/daemon/trace_collector.h"
 #include "fireflythread/peer/generated/peer.pb.h"
 
--- a/src/fireflythread/daemon/cell_task.h
+++ b/src/fireflythread/daemon/cell_task.h
@@ -10,7 +10,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
-#include "fireflythread/daemon/periodic_timer.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/platform/fwd.h"
 #include "fireflythread/platform/row.h"
 #include "fireflythread/platform/transaction.h"
--- a/src/fireflythread/daemon/controller_task.h
+++ b/src/fireflythread/daemon/controller_task.h
@@ -15,7 +15,7 @@
 #include "fireflythread/control/controller_memory.h"
 #include "fireflythread/control/controller_report.h"
 #include "fireflythread/control/wave_record.h"
-#include "fireflythread/daemon/periodic_timer.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/daemon/vm_prober.h"
 #include "fireflythread/lease/lease_settings.h"
 #include "fireflythread/lease/lease_state.h"
--- a/src/fireflythread/daemon/daemon.h
+++ b/src/fireflythread/daemon/daemon.h
@@ -10,7 +10,7 @@
 
 #include "fireflythread/daemon/mailbox.h"
 #include "fireflythread/daemon/peer_message.h"
-#include "fireflythread/daemon/periodic_timer.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/settings/daemon_settings.h"
 #include "fireflythread/telemetry/logger.h"
 #include "fireflythread/telemetry/metrics_registry.h"
--- a/src/fireflythread/daemon/vm_list_task.h
+++ b/src/fireflythread/daemon/vm_list_task.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "fireflythread/base/ids.h"
-#include "fireflythread/daemon/periodic_timer.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/platform/fwd.h"
 #include "fireflythread/platform/listed_vm.h"
 #include "fireflythread/settings/daemon_settings.h"
--- /dev/null
+++ b/src/fireflythread/entry/alive_token.h
@@ -0,0 +1,29 @@
+#ifndef FIREFLYTHREAD_ENTRY_ALIVE_TOKEN_H_
+#define FIREFLYTHREAD_ENTRY_ALIVE_TOKEN_H_
+
+#include <memory>
+#include <utility>
+
+namespace fireflythread {
+
+/// Member of a task whose callbacks may come after its end: Guard() wraps a
+/// callback so that it does nothing once the token is destroyed.
+class AliveToken {
+ public:
+  template <typename Function>
+  [[nodiscard]] auto Guard(Function function) const {
+    return [weak = std::weak_ptr<bool>(this->token),
+            inner = std::move(function)](auto&&... arguments) mutable -> void {
+      if (!weak.expired()) {
+        inner(std::forward<decltype(arguments)>(arguments)...);
+      }
+    };
+  }
+
+ private:
+  std::shared_ptr<bool> token = std::make_shared<bool>(true);
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_ALIVE_TOKEN_H_
--- /dev/null
+++ b/src/fireflythread/entry/fwd.h
@@ -0,0 +1,15 @@
+#ifndef FIREFLYTHREAD_ENTRY_FWD_H_
+#define FIREFLYTHREAD_ENTRY_FWD_H_
+
+namespace fireflythread {
+
+class ConfigTask;
+class JobDesk;
+class OwnershipTask;
+class ShardTask;
+class WorkerDirectory;
+struct EntryLimits;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_FWD_H_
--- /dev/null
+++ b/src/fireflythread/entry/job_desk.cc
@@ -0,0 +1,274 @@
+#include "fireflythread/entry/job_desk.h"
+
+#include <glib.h>
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/job_tables.h"
+#include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/jobs/job_codec.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Pause before a store call for a caller is made again.
+constexpr milliseconds kCallerRetry{100};
+
+auto RunLater(milliseconds delay, std::function<void()> function) -> void {
+  g_timeout_add_full(
+      G_PRIORITY_DEFAULT, static_cast<guint>(delay.count()),
+      +[](gpointer data) -> gboolean {
+        (*static_cast<std::function<void()>*>(data))();
+        return G_SOURCE_REMOVE;
+      },
+      new std::function<void()>(std::move(function)),
+      +[](gpointer data) -> void {
+        delete static_cast<std::function<void()>*>(data);
+      });
+}
+
+/// Time for one store call of a request with this deadline.
+auto CallTime(TimePoint deadline) -> Duration {
+  const Duration left = deadline - ReadBootClock();
+  return std::clamp<Duration>(left, milliseconds(1), kStoreTimeout);
+}
+
+auto HasTimeToRetry(TimePoint deadline) -> bool {
+  return deadline - ReadBootClock() > 2 * kCallerRetry;
+}
+
+}  // namespace
+
+struct JobDesk::Submission {
+  ServiceName shard;
+  JobId job;
+  Transaction transaction;
+  TimePoint deadline;
+  OutcomeCallback callback;
+  /// An earlier try got no answer and may be carried out later.
+  bool uncertain = false;
+};
+
+struct JobDesk::Lookup {
+  std::vector<ServiceName> shards;
+  std::size_t next = 0;
+  JobId job;
+  TimePoint deadline;
+  StateCallback callback;
+};
+
+JobDesk::JobDesk(TableStore& table_store, const Logger& log)
+    : store(table_store), logger(log) {}
+
+auto JobDesk::Submit(const ServiceName& shard,
+                     const JobRequest& job,
+                     TimePoint deadline,
+                     OutcomeCallback callback) -> void {
+  auto submission = std::make_shared<Submission>();
+  submission->shard = shard;
+  submission->job = job.id;
+  submission->deadline = deadline;
+  submission->callback = std::move(callback);
+  const std::string table = JobTable(shard);
+  const std::string key = JobKey(job.id);
+  submission->transaction.conditions.push_back({table, key, 0, shard.value});
+  submission->transaction.writes.push_back(
+      {table, key, EncodeJobRequest(job), shard.value});
+  this->TrySubmit(submission);
+}
+
+auto JobDesk::TrySubmit(const std::shared_ptr<Submission>& submission) -> void {
+  this->store.Commit(
+      submission->transaction, CallTime(submission->deadline),
+      this->alive.Guard([this, submission](const TransactionOutcome& outcome) {
+        this->TakeSubmit(submission, outcome);
+      }));
+}
+
+auto JobDesk::TakeSubmit(const std::shared_ptr<Submission>& submission,
+                         const TransactionOutcome& outcome) -> void {
+  // A conflict means that the job is there: stored by this request's earlier
+  // try or by an earlier request.
+  if (std::holds_alternative<Committed>(outcome) ||
+      std::holds_alternative<Conflict>(outcome)) {
+    submission->callback(DeskOutcome::kStored);
+    return;
+  }
+  if (std::holds_alternative<CommitUnknown>(outcome)) {
+    submission->uncertain = true;
+  }
+  if (!submission->uncertain) {
+    submission->callback(DeskOutcome::kNotStored);
+    return;
+  }
+  if (!HasTimeToRetry(submission->deadline)) {
+    submission->callback(DeskOutcome::kUnknown);
+    return;
+  }
+  RunLater(kCallerRetry, this->alive.Guard([this, submission]() {
+    this->TrySubmit(submission);
+  }));
+}
+
+auto JobDesk::ReadState(std::vector<ServiceName> shards,
+                        const JobId& job,
+                        TimePoint deadline,
+                        StateCallback callback) -> void {
+  auto lookup = std::make_shared<Lookup>();
+  lookup->shards = std::move(shards);
+  lookup->job = job;
+  lookup->deadline = deadline;
+  lookup->callback = std::move(callback);
+  this->TryRead(lookup);
+}
+
+auto JobDesk::TryRead(const std::shared_ptr<Lookup>& lookup) -> void {
+  const ServiceName& shard = lookup->shards[lookup->next];
+  RangeRequest range{std::string(kProgressTable), shard.value,
+                     lookup->job.value, lookup->job.value + '\x01'};
+  this->store.ReadRange(
+      std::move(range), CallTime(lookup->deadline),
+      this->alive.Guard([this, lookup](auto&& result) {
+        const auto* page = std::get_if<RangePage>(&result);
+        if (page == nullptr) {
+          this->RetryRead(lookup);
+          return;
+        }
+        if (page->rows.empty()) {
+          this->TryReadJob(lookup);
+          return;
+        }
+        const auto state = DecodeJobState(page->rows.front().value);
+        if (state) {
+          lookup->callback(*state);
+        } else {
+          this->logger.Error("desk", "unreadable_progress",
+                             {{"job", lookup->job}});
+          lookup->callback(DeskOutcome::kUnknown);
+        }
+      }));
+}
+
+auto JobDesk::TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void {
+  const ServiceName& shard = lookup->shards[lookup->next];
+  RangeRequest range{JobTable(shard), shard.value, lookup->job.value + "/",
+                     lookup->job.value + "0"};
+  this->store.ReadRange(
+      std::move(range), CallTime(lookup->deadline),
+      this->alive.Guard([this, lookup](auto&& result) {
+        const auto* page = std::get_if<RangePage>(&result);
+        if (page == nullptr) {
+          this->RetryRead(lookup);
+          return;
+        }
+        if (page->rows.empty()) {
+          this->NextShard(lookup);
+          return;
+        }
+        const bool cancelled =
+            std::any_of(page->rows.begin(), page->rows.end(),
+                        [](const Row& row) -> bool {
+                          const auto key = ParseJobTableKey(row.key);
+                          return key && key->is_cancel;
+                        });
+        lookup->callback(cancelled ? JobState::kCancelled : JobState::kQueued);
+      }));
+}
+
+auto JobDesk::NextShard(const std::shared_ptr<Lookup>& lookup) -> void {
+  ++lookup->next;
+  if (lookup->next >= lookup->shards.size()) {
+    lookup->callback(DeskOutcome::kNoJob);
+    return;
+  }
+  this->TryRead(lookup);
+}
+
+auto JobDesk::RetryRead(const std::shared_ptr<Lookup>& lookup) -> void {
+  if (!HasTimeToRetry(lookup->deadline)) {
+    lookup->callback(DeskOutcome::kUnknown);
+    return;
+  }
+  RunLater(kCallerRetry,
+           this->alive.Guard([this, lookup]() { this->TryRead(lookup); }));
+}
+
+auto JobDesk::Cancel(std::vector<ServiceName> shards,
+                     const JobId& job,
+                     TimePoint deadline,
+                     OutcomeCallback callback) -> void {
+  auto lookup = std::make_shared<Lookup>();
+  lookup->shards = std::move(shards);
+  lookup->job = job;
+  lookup->deadline = deadline;
+  // The lookup refers to itself by the callback only weakly.
+  lookup->callback = [this, weak = std::weak_ptr<Lookup>(lookup), job, deadline,
+                      done = std::move(callback)](
+                         const std::variant<JobState, DeskOutcome>& result) {
+    if (const auto* outcome = std::get_if<DeskOutcome>(&result)) {
+      done(*outcome);
+      return;
+    }
+    const auto owner = weak.lock();
+    this->StoreCancel(owner->shards[owner->next], job, deadline, done);
+  };
+  this->TryRead(lookup);
+}
+
+auto JobDesk::StoreCancel(const ServiceName& shard,
+                          const JobId& job,
+                          TimePoint deadline,
+                          OutcomeCallback callback) -> void {
+  Transaction transaction;
+  transaction.writes.push_back(
+      {JobTable(shard), CancelKey(job), "{}", shard.value});
+  this->store.Commit(
+      std::move(transaction), CallTime(deadline),
+      this->alive.Guard([this, shard, job, deadline,
+                         done = std::move(callback)](
+                            const TransactionOutcome& outcome) {
+        if (std::holds_alternative<Committed>(outcome)) {
+          done(DeskOutcome::kStored);
+          return;
+        }
+        if (!HasTimeToRetry(deadline)) {
+          done(DeskOutcome::kUnknown);
+          return;
+        }
+        RunLater(kCallerRetry,
+                 this->alive.Guard([this, shard, job, deadline, done]() {
+                   this->StoreCancel(shard, job, deadline, done);
+                 }));
+      }));
+}
+
+auto JobDesk::ReadWaiting(const ServiceName& shard,
+                          const QueueName& queue,
+                          CountCallback callback) -> void {
+  this->store.ReadRange(
+      {std::string(kWaitingTable), shard.value}, kStoreTimeout,
+      this->alive.Guard([queue, done = std::move(callback)](auto&& result) {
+        const auto* page = std::get_if<RangePage>(&result);
+        if (page == nullptr) {
+          done(std::nullopt);
+          return;
+        }
+        int waiting = 0;
+        if (!page->rows.empty()) {
+          const auto counts =
+              nlohmann::json::parse(page->rows.front().value, nullptr, false);
+          if (counts.is_object()) {
+            waiting = counts.value(queue.value, 0);
+          }
+        }
+        done(waiting);
+      }));
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/entry/job_desk.h
@@ -0,0 +1,94 @@
+#ifndef FIREFLYTHREAD_ENTRY_JOB_DESK_H_
+#define FIREFLYTHREAD_ENTRY_JOB_DESK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fireflythread/base/time.h"
+#include "fireflythread/entry/alive_token.h"
+#include "fireflythread/jobs/configuration.h"
+#include "fireflythread/jobs/job_progress.h"
+#include "fireflythread/jobs/job_request.h"
+#include "fireflythread/platform/table_store.h"
+#include "fireflythread/telemetry/logger.h"
+
+namespace fireflythread {
+
+/// What became of a caller's request. Each caller gets exactly one of these.
+enum class DeskOutcome : std::uint8_t {
+  /// Stored: the job was accepted, or its cancellation.
+  kStored,
+  /// Nothing was stored, now or later.
+  kNotStored,
+  /// It may have been stored; a repeat of the request finds out.
+  kUnknown,
+  /// No such job.
+  kNoJob
+};
+
+/// Answers the callers' requests about jobs from the store. Any entry can
+/// answer for any job.
+class JobDesk {
+ public:
+  using OutcomeCallback = std::function<void(DeskOutcome)>;
+  using StateCallback =
+      std::function<void(std::variant<JobState, DeskOutcome>)>;
+  using CountCallback = std::function<void(std::optional<int>)>;
+
+  JobDesk(TableStore& store, const Logger& logger);
+  JobDesk(const JobDesk&) = delete;
+  auto operator=(const JobDesk&) -> JobDesk& = delete;
+
+  /// Stores an accepted job. A job that is stored already is accepted again.
+  auto Submit(const ServiceName& shard,
+              const JobRequest& job,
+              TimePoint deadline,
+              OutcomeCallback callback) -> void;
+
+  /// Reads a job's state. `shards` are searched in turn.
+  auto ReadState(std::vector<ServiceName> shards,
+                 const JobId& job,
+                 TimePoint deadline,
+                 StateCallback callback) -> void;
+
+  /// Stores a cancellation.
+  auto Cancel(std::vector<ServiceName> shards,
+              const JobId& job,
+              TimePoint deadline,
+              OutcomeCallback callback) -> void;
+
+  /// Reads how many jobs of a queue wait. No value when the store gives none.
+  auto ReadWaiting(const ServiceName& shard,
+                   const QueueName& queue,
+                   CountCallback callback) -> void;
+
+ private:
+  struct Submission;
+  struct Lookup;
+
+  auto TrySubmit(const std::shared_ptr<Submission>& submission) -> void;
+  auto TakeSubmit(const std::shared_ptr<Submission>& submission,
+                  const TransactionOutcome& outcome) -> void;
+  auto TryRead(const std::shared_ptr<Lookup>& lookup) -> void;
+  auto TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void;
+  auto NextShard(const std::shared_ptr<Lookup>& lookup) -> void;
+  auto RetryRead(const std::shared_ptr<Lookup>& lookup) -> void;
+  auto StoreCancel(const ServiceName& shard,
+                   const JobId& job,
+                   TimePoint deadline,
+                   OutcomeCallback callback) -> void;
+
+  TableStore& store;
+  const Logger& logger;
+  AliveToken alive;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_JOB_DESK_H_
--- /dev/null
+++ b/src/fireflythread/entry/job_tables.h
@@ -0,0 +1,37 @@
+#ifndef FIREFLYTHREAD_ENTRY_JOB_TABLES_H_
+#define FIREFLYTHREAD_ENTRY_JOB_TABLES_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "fireflythread/base/ids.h"
+
+namespace fireflythread {
+
+/// Progress of jobs: part is the shard, key the job. Written by the shard's
+/// owner only.
+inline constexpr std::string_view kProgressTable = "progress";
+
+/// Jobs that wait, by queue: key is the shard. Written by its owner.
+inline constexpr std::string_view kWaitingTable = "waiting";
+
+/// A shard's accepted jobs and cancellations. Each shard has a table of its
+/// own, so that an owner follows only what concerns it. The part is the shard.
+[[nodiscard]] auto JobTable(const ServiceName& shard) -> std::string;
+
+[[nodiscard]] auto JobKey(const JobId& job) -> std::string;
+[[nodiscard]] auto CancelKey(const JobId& job) -> std::string;
+
+/// A row's key in a job table.
+struct JobTableKey {
+  JobId job;
+  bool is_cancel = false;
+};
+
+[[nodiscard]] auto ParseJobTableKey(std::string_view key)
+    -> std::optional<JobTableKey>;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_JOB_TABLES_H_
--- /dev/null
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -0,0 +1,176 @@
+#include "fireflythread/entry/ownership_task.h"
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/store_timeouts.h"
+
+namespace fireflythread {
+
+OwnershipTask::OwnershipTask(TableStore& table_store,
+                             const Logger& log,
+                             EntryId self,
+                             std::uint64_t incarnation,
+                             Events on_events)
+    : store(table_store),
+      logger(log),
+      events(std::move(on_events)),
+      retry_shards([this] { this->ReadShards(); }),
+      timer(kEntryRenewal, [this] { this->Renew(); }) {
+  this->state.self = std::move(self);
+  this->state.incarnation = incarnation;
+}
+
+auto OwnershipTask::Start() -> void {
+  this->Renew();
+  this->ReadShards();
+}
+
+auto OwnershipTask::SetWanted(std::set<ServiceName> shards) -> void {
+  this->state.wanted = std::move(shards);
+  this->Claim();
+}
+
+auto OwnershipTask::Leave() -> void {
+  this->state.stopping = true;
+  this->renewing = false;
+  this->Renew();
+}
+
+auto OwnershipTask::Renew() -> void {
+  if (this->renewing) {
+    return;
+  }
+  this->renewing = true;
+  const TimePoint sent_at = ReadBootClock();
+  this->store.Commit(
+      MakeRenewal(this->state), kStoreTimeout,
+      this->alive.Guard([this, sent_at](const TransactionOutcome& outcome) {
+        this->renewing = false;
+        if (std::holds_alternative<Committed>(outcome)) {
+          this->confirmed_at = sent_at;
+        }
+        this->ReadEntries();
+      }));
+}
+
+auto OwnershipTask::ReadEntries() -> void {
+  if (this->reading_entries) {
+    return;
+  }
+  this->reading_entries = true;
+  this->store.ReadRange(
+      {std::string(kEntryTable)}, kStoreTimeout,
+      this->alive.Guard([this](auto&& result) {
+        this->reading_entries = false;
+        if (const auto* page = std::get_if<RangePage>(&result)) {
+          TakeEntryRows(this->state, page->rows, ReadBootClock());
+          this->Claim();
+        }
+      }));
+}
+
+auto OwnershipTask::ReadShards() -> void {
+  this->store.ReadRange({std::string(kShardTable)}, kStoreTimeout,
+                        this->alive.Guard([this](auto&& result) {
+                          const auto* page = std::get_if<RangePage>(&result);
+                          if (page == nullptr) {
+                            this->retry_shards.Start(kStoreRetry);
+                            return;
+                          }
+                          this->shard_revision = page->revision;
+                          this->state.shards_read = true;
+                          this->TakeShards(page->rows);
+                          this->FollowShards();
+                        }));
+}
+
+auto OwnershipTask::FollowShards() -> void {
+  this->store.Follow(
+      std::string(kShardTable), this->shard_revision, kFollowWait,
+      kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
+        const auto* page = std::get_if<FeedPage>(&result);
+        if (page == nullptr || page->history_lost) {
+          this->retry_shards.Start(kStoreRetry);
+          return;
+        }
+        this->shard_revision = page->revision;
+        this->TakeShards(page->changed);
+        this->FollowShards();
+      }));
+}
+
+auto OwnershipTask::TakeShards(const std::vector<Row>& rows) -> void {
+  for (const Row& row : rows) {
+    TakeShardRow(this->state, row);
+    this->CompareOwned(ServiceName(row.key));
+  }
+  this->Claim();
+}
+
+auto OwnershipTask::Claim() -> void {
+  for (ShardClaim& claim : NextClaims(this->state, ReadBootClock())) {
+    const ServiceName shard = claim.shard;
+    if (!this->claiming.insert(shard).second) {
+      continue;
+    }
+    this->store.Commit(
+        std::move(claim.transaction), kStoreTimeout,
+        this->alive.Guard([this, shard](const TransactionOutcome& outcome) {
+          this->claiming.erase(shard);
+          this->TakeClaim(shard, outcome);
+        }));
+  }
+}
+
+auto OwnershipTask::CompareOwned(const ServiceName& shard) -> void {
+  const bool owns = OwnsShard(this->state, shard);
+  if (owns && this->owned.insert(shard).second) {
+    // The version of the shard's row is the revision of the claim.
+    const std::uint64_t fence = this->state.shards.at(shard).version;
+    this->logger.Info("ownership", "shard_gained",
+                      {{"shard", shard}, {"fence", fence}});
+    this->events.gained(shard, fence);
+  }
+  if (!owns && this->owned.erase(shard) > 0) {
+    this->logger.Info("ownership", "shard_lost", {{"shard", shard}});
+    this->events.lost(shard);
+  }
+}
+
+auto OwnershipTask::TakeClaim(const ServiceName& shard,
+                              const TransactionOutcome& outcome) -> void {
+  if (const auto* committed = std::get_if<Committed>(&outcome)) {
+    ShardOwner& known = this->state.shards[shard];
+    if (known.version < committed->revision) {
+      known = {this->state.self, this->state.incarnation, committed->revision};
+    }
+    this->CompareOwned(shard);
+    return;
+  }
+  // After a lost answer, the feed of the shard table tells the outcome.
+  this->logger.Info(
+      "ownership", "claim_failed",
+      {{"shard", shard},
+       {"conflict", std::holds_alternative<Conflict>(outcome)}});
+}
+
+auto OwnershipTask::Release(const ServiceName& shard,
+                            std::uint64_t token,
+                            std::function<void()> done) -> void {
+  this->owned.erase(shard);
+  this->store.Commit(
+      MakeRelease(shard, token), kStoreTimeout,
+      this->alive.Guard([this, shard, finished = std::move(done)](
+                            const TransactionOutcome& outcome) {
+        this->logger.Info(
+            "ownership", "shard_released",
+            {{"shard", shard},
+             {"confirmed", std::holds_alternative<Committed>(outcome)}});
+        finished();
+      }));
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/entry/shard_task.cc
@@ -0,0 +1,422 @@
+#include "fireflythread/entry/shard_task.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/job_tables.h"
+#include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/shard_jobs.h"
+#include "fireflythread/jobs/shard_orders.h"
+#include "fireflythread/jobs/shard_plan.h"
+#include "fireflythread/jobs/shard_record.h"
+#include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/ownership/ownership.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Events within this time are handled together.
+constexpr milliseconds kWakeDelay{5};
+
+/// Period of the checks that no event brings about.
+constexpr milliseconds kTick{100};
+
+/// An order without an answer for this long counts as unanswered.
+constexpr milliseconds kOrderTimeout{1000};
+
+/// Beyond its wait, a look may take this long.
+constexpr milliseconds kLookSlack{800};
+
+/// Least time between two writings of the counts of waiting jobs.
+constexpr milliseconds kPublishPeriod{800};
+
+/// A transaction holds at most 100 entries; each job takes two and the fence
+/// one.
+constexpr std::size_t kJobsPerTransaction = 45;
+
+}  // namespace
+
+ShardTask::ShardTask(Environment env, ServiceName shard, std::uint64_t fence)
+    : environment(std::move(env)),
+      wake([this] { this->Step(); }),
+      follow_retry(
+          [this] { this->loaded ? this->FollowJobs() : this->LoadJobs(); }),
+      tick(kTick, [this] { this->Wake(); }) {
+  this->state.service = std::move(shard);
+  this->state.fence = fence;
+  this->state.owned_since = ReadBootClock();
+  this->stored_at = this->state.owned_since;
+}
+
+auto ShardTask::Start() -> void {
+  this->LoadJobs();
+}
+
+auto ShardTask::SetQueues(std::map<QueueName, Queue> queues) -> void {
+  this->state.queues = std::move(queues);
+  this->Wake();
+}
+
+auto ShardTask::SetWorkers(const std::vector<WorkerView>& workers) -> void {
+  std::vector<WorkerView> mine;
+  std::copy_if(workers.begin(), workers.end(), std::back_inserter(mine),
+               [this](const WorkerView& worker) -> bool {
+                 return worker.service == this->state.service;
+               });
+  TakeWorkers(this->state, mine, ReadBootClock());
+  this->Wake();
+}
+
+auto ShardTask::Drain(std::function<void()> done) -> void {
+  this->draining = true;
+  this->drained = std::move(done);
+  this->Wake();
+}
+
+auto ShardTask::LoadJobs() -> void {
+  const std::string part = this->state.service.value;
+  this->progress_loader = std::make_unique<RangeLoader>(
+      this->environment.store, RangeRequest{std::string(kProgressTable), part},
+      [this, part](std::vector<Row> rows, std::uint64_t) {
+        this->loaded_progress.clear();
+        for (Row& row : rows) {
+          std::string key = row.key;
+          this->loaded_progress.emplace(std::move(key), std::move(row));
+        }
+        this->job_loader = std::make_unique<RangeLoader>(
+            this->environment.store,
+            RangeRequest{JobTable(this->state.service), part},
+            [this](std::vector<Row> jobs, std::uint64_t revision) {
+              this->TakeLoaded(std::move(jobs), revision);
+            });
+        this->job_loader->Start();
+      });
+  this->progress_loader->Start();
+}
+
+auto ShardTask::TakeLoaded(std::vector<Row> jobs, std::uint64_t revision)
+    -> void {
+  // Cancellations come after their jobs.
+  std::stable_partition(jobs.begin(), jobs.end(), [](const Row& row) -> bool {
+    const auto key = ParseJobTableKey(row.key);
+    return key && !key->is_cancel;
+  });
+  for (const Row& row : jobs) {
+    this->TakeJobRow(row, this->loaded_progress);
+  }
+  this->loaded_progress.clear();
+  this->loaded = true;
+  this->job_revision = revision;
+  if (!this->loaded_once) {
+    this->loaded_once = true;
+    this->environment.logger.Info(
+        "shard", "loaded",
+        {{"shard", this->state.service},
+         {"fence", this->state.fence},
+         {"open_jobs", this->state.jobs.size()},
+         {"finished_jobs", this->state.finished.size()},
+         {"revision", revision}});
+  }
+  this->FollowJobs();
+  this->Wake();
+}
+
+auto ShardTask::TakeJobRow(const Row& row,
+                           const std::map<std::string, Row>& progress) -> void {
+  const auto key = ParseJobTableKey(row.key);
+  if (!key) {
+    this->environment.logger.Warning(
+        "shard", "unreadable_row", {{"table", row.table}, {"key", row.key}});
+    return;
+  }
+  const TimePoint now = ReadBootClock();
+  if (key->is_cancel) {
+    CancelJob(this->state, key->job, now);
+    return;
+  }
+  auto request = DecodeJobRequest(key->job, row.value);
+  if (!request) {
+    this->environment.logger.Warning(
+        "shard", "unreadable_row", {{"table", row.table}, {"key", row.key}});
+    return;
+  }
+  std::optional<JobProgress> known;
+  std::uint64_t version = 0;
+  const auto found = progress.find(key->job.value);
+  if (found != progress.end()) {
+    version = found->second.version;
+    known = DecodeJobProgress(found->second.value, TaskCount(*request));
+    if (!known) {
+      this->environment.logger.Error(
+          "shard", "unreadable_progress",
+          {{"job", key->job}, {"version", version}});
+      return;
+    }
+  }
+  AddJob(this->state, std::move(*request), std::move(known), version, now);
+}
+
+auto ShardTask::FollowJobs() -> void {
+  this->environment.store.Follow(
+      JobTable(this->state.service), this->job_revision, kFollowWait,
+      kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
+        const auto* page = std::get_if<FeedPage>(&result);
+        if (page == nullptr) {
+          this->follow_retry.Start(kStoreRetry);
+          return;
+        }
+        if (page->history_lost) {
+          this->loaded = false;
+          this->follow_retry.Start(milliseconds(0));
+          return;
+        }
+        this->job_revision = page->revision;
+        for (const Row& row : page->changed) {
+          this->TakeJobRow(row, {});
+        }
+        if (!page->changed.empty()) {
+          this->Wake();
+        }
+        this->FollowJobs();
+      }));
+}
+
+auto ShardTask::Wake() -> void {
+  this->wake.Start(kWakeDelay);
+}
+
+auto ShardTask::Step() -> void {
+  if (this->state.fenced_off) {
+    return;
+  }
+  const TimePoint now = ReadBootClock();
+  StepWorkers(this->state, now);
+  if (this->loaded_once) {
+    if (!this->draining) {
+      PlanRuns(this->state, std::chrono::system_clock::now(), now);
+    }
+    this->SendStops();
+    this->LookAtWorkers();
+    this->PublishWaiting();
+  }
+  this->Flush();
+  this->FinishDrain();
+}
+
+auto ShardTask::FinishDrain() -> void {
+  if (this->draining && this->drained && !this->flushing &&
+      this->state.dirty.empty()) {
+    std::exchange(this->drained, nullptr)();
+  }
+}
+
+auto ShardTask::Flush() -> void {
+  if (this->flushing || this->state.dirty.empty()) {
+    return;
+  }
+  const RecordBatch batch = TakeBatch(this->state, kJobsPerTransaction);
+  const std::string& part = this->state.service.value;
+  Transaction transaction;
+  transaction.conditions.push_back({std::string(kFenceTable),
+                                    std::string(kFenceKey), this->state.fence,
+                                    part});
+  for (const JobRecord& record : batch.records) {
+    transaction.conditions.push_back({std::string(kProgressTable),
+                                      record.job.value, record.version, part});
+    transaction.writes.push_back({std::string(kProgressTable), record.job.value,
+                                  record.value, part});
+  }
+  this->flushing = true;
+  const TimePoint sent_at = ReadBootClock();
+  this->environment.store.Commit(
+      std::move(transaction), kStoreTimeout,
+      this->alive.Guard(
+          [this, batch, sent_at](const TransactionOutcome& outcome) {
+            this->flushing = false;
+            this->TakeFlush(batch, outcome, sent_at);
+            this->Wake();
+          }));
+}
+
+auto ShardTask::TakeFlush(const RecordBatch& batch,
+                          const TransactionOutcome& outcome,
+                          TimePoint sent_at) -> void {
+  if (const auto* committed = std::get_if<Committed>(&outcome)) {
+    this->stored_at = sent_at;
+    for (const StartCommand& start :
+         TakeStored(this->state, batch, committed->revision, ReadBootClock())) {
+      this->SendStart(start);
+    }
+    return;
+  }
+  TakeNotStored(this->state, batch);
+  if (const auto* conflict = std::get_if<Conflict>(&outcome)) {
+    this->TakeConflict(batch, *conflict);
+    return;
+  }
+  this->environment.logger.Warning("shard", "progress_not_stored",
+                                   {{"shard", this->state.service},
+                                    {"jobs", batch.records.size()}});
+}
+
+auto ShardTask::TakeConflict(const RecordBatch& batch, const Conflict& conflict)
+    -> void {
+  for (const Row& row : conflict.current) {
+    if (row.table == kFenceTable && row.version != this->state.fence) {
+      this->state.fenced_off = true;
+    }
+    const auto job = this->state.jobs.find(JobId(row.key));
+    if (row.table == kProgressTable && job != this->state.jobs.end()) {
+      // An earlier transaction without an answer took effect.
+      job->second.version = row.version;
+    }
+  }
+  this->environment.logger.Warning("shard", "progress_conflict",
+                                   {{"shard", this->state.service},
+                                    {"jobs", batch.records.size()},
+                                    {"fenced", this->state.fenced_off}});
+  this->CheckFence();
+}
+
+auto ShardTask::SendStart(const StartCommand& start) -> void {
+  this->environment.workers.Start(
+      start, kOrderTimeout,
+      this->alive.Guard([this, start](const OrderReply& reply) {
+        if (reply.verdict != OrderVerdict::kDone) {
+          this->environment.logger.Info(
+              "shard", "start_not_confirmed",
+              {{"job", start.task.job},
+               {"task", FormatTaskName(start.task)},
+               {"run", start.run},
+               {"worker", start.worker},
+               {"fence", start.fence},
+               {"verdict", static_cast<int>(reply.verdict)}});
+        }
+        TakeStartReply(this->state, start, reply, ReadBootClock());
+        this->CheckFence();
+        this->Wake();
+      }));
+}
+
+auto ShardTask::SendStops() -> void {
+  for (const StopCommand& stop : NextStops(this->state, ReadBootClock())) {
+    this->SendStop(stop);
+  }
+}
+
+auto ShardTask::SendStop(const StopCommand& stop) -> void {
+  this->environment.workers.Stop(
+      stop, kOrderTimeout,
+      this->alive.Guard([this, stop](const OrderReply& reply) {
+        this->environment.logger.Info(
+            "shard", "run_stopped",
+            {{"job", stop.task.job},
+             {"task", FormatTaskName(stop.task)},
+             {"run", stop.run},
+             {"worker", stop.worker},
+             {"verdict", static_cast<int>(reply.verdict)}});
+        TakeStopReply(this->state, stop, reply, ReadBootClock());
+        this->CheckFence();
+        this->Wake();
+      }));
+}
+
+auto ShardTask::LookAtWorkers() -> void {
+  const TimePoint now = ReadBootClock();
+  const TimePoint confirmed =
+      std::max(this->environment.confirmed_at(), this->stored_at);
+  const bool may_extend =
+      now - confirmed < this->state.limits.extend_without_store;
+  std::vector<HoldCommand> looks;
+  for (const auto& [id, worker] : this->state.workers) {
+    // Ends that are being stored would be reported once more.
+    const bool storing = worker.ended_stored < worker.ended_seen &&
+                         now - worker.next_look < milliseconds(1000);
+    if (storing) {
+      continue;
+    }
+    if (auto look = NextLook(this->state, id, may_extend, now)) {
+      looks.push_back(std::move(*look));
+    }
+  }
+  for (const HoldCommand& look : looks) {
+    this->SendHold(look);
+  }
+}
+
+auto ShardTask::SendHold(const HoldCommand& hold) -> void {
+  const TimePoint sent_at = ReadBootClock();
+  this->environment.workers.Hold(
+      hold, hold.wait + kLookSlack,
+      this->alive.Guard([this, hold, sent_at](auto&& result) {
+        const TimePoint now = ReadBootClock();
+        if (const auto* report = std::get_if<WorkerReport>(&result)) {
+          TakeReport(this->state, hold.worker, *report, sent_at, now);
+        } else {
+          const OrderVerdict verdict = std::get<OrderVerdict>(result);
+          this->environment.logger.Info(
+              "shard", "worker_look_failed",
+              {{"worker", hold.worker},
+               {"verdict", static_cast<int>(verdict)}});
+          if (verdict == OrderVerdict::kFenced) {
+            this->state.fenced_off = true;
+          }
+          if (verdict == OrderVerdict::kOtherInstance) {
+            TakeWorkerGone(this->state, hold.worker, now);
+          } else {
+            TakeLookFailure(this->state, hold.worker, now);
+          }
+        }
+        this->CheckFence();
+        this->Wake();
+      }));
+}
+
+auto ShardTask::PublishWaiting() -> void {
+  const TimePoint now = ReadBootClock();
+  if (this->publishing || now - this->published_at < kPublishPeriod) {
+    return;
+  }
+  std::map<QueueName, int> counts = CountWaiting(this->state);
+  if (this->published_once && counts == this->published) {
+    return;
+  }
+  nlohmann::json value = nlohmann::json::object();
+  for (const auto& [queue, count] : counts) {
+    value[queue.value] = count;
+  }
+  Transaction transaction;
+  transaction.conditions.push_back({std::string(kFenceTable),
+                                    std::string(kFenceKey), this->state.fence,
+                                    this->state.service.value});
+  transaction.writes.push_back({std::string(kWaitingTable), "counts",
+                                value.dump(), this->state.service.value});
+  this->publishing = true;
+  this->published_at = now;
+  this->environment.store.Commit(
+      std::move(transaction), kStoreTimeout,
+      this->alive.Guard(
+          [this, counts](const TransactionOutcome& outcome) -> void {
+            this->publishing = false;
+            if (std::holds_alternative<Committed>(outcome)) {
+              this->published = counts;
+              this->published_once = true;
+            }
+          }));
+}
+
+auto ShardTask::CheckFence() -> void {
+  if (this->state.fenced_off) {
+    this->environment.on_fenced(this->state.service);
+  }
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/entry/shard_task.h
@@ -0,0 +1,99 @@
+#ifndef FIREFLYTHREAD_ENTRY_SHARD_TASK_H_
+#define FIREFLYTHREAD_ENTRY_SHARD_TASK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/entry/alive_token.h"
+#include "fireflythread/entry/one_shot_timer.h"
+#include "fireflythread/entry/range_loader.h"
+#include "fireflythread/jobs/record_batch.h"
+#include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/jobs/start_command.h"
+#include "fireflythread/jobs/stop_command.h"
+#include "fireflythread/platform/table_store.h"
+#include "fireflythread/platform/worker_client.h"
+#include "fireflythread/telemetry/logger.h"
+
+namespace fireflythread {
+
+/// Runs the jobs of one shard for as long as this entry owns it.
+class ShardTask {
+ public:
+  struct Environment {
+    TableStore& store;
+    WorkerClient& workers;
+    const Logger& logger;
+    /// When the entry's row was last confirmed.
+    std::function<TimePoint()> confirmed_at;
+    /// A newer owner exists. Must not destroy the task before it returns.
+    std::function<void(const ServiceName&)> on_fenced;
+  };
+
+  ShardTask(Environment environment, ServiceName shard, std::uint64_t fence);
+  ShardTask(const ShardTask&) = delete;
+  auto operator=(const ShardTask&) -> ShardTask& = delete;
+
+  auto Start() -> void;
+  auto SetQueues(std::map<QueueName, Queue> queues) -> void;
+  /// Takes the workers of all services.
+  auto SetWorkers(const std::vector<WorkerView>& workers) -> void;
+
+  /// Starts nothing more, stores what is known and calls back.
+  auto Drain(std::function<void()> done) -> void;
+
+  [[nodiscard]] auto Fence() const -> std::uint64_t {
+    return this->state.fence;
+  }
+
+ private:
+  auto LoadJobs() -> void;
+  auto TakeLoaded(std::vector<Row> jobs, std::uint64_t revision) -> void;
+  auto TakeJobRow(const Row& row, const std::map<std::string, Row>& progress)
+      -> void;
+  auto FollowJobs() -> void;
+  auto Wake() -> void;
+  auto Step() -> void;
+  auto FinishDrain() -> void;
+  auto Flush() -> void;
+  auto TakeFlush(const RecordBatch& batch,
+                 const TransactionOutcome& outcome,
+                 TimePoint sent_at) -> void;
+  auto TakeConflict(const RecordBatch& batch, const Conflict& conflict) -> void;
+  auto SendStart(const StartCommand& start) -> void;
+  auto SendStops() -> void;
+  auto SendStop(const StopCommand& stop) -> void;
+  auto LookAtWorkers() -> void;
+  auto SendHold(const HoldCommand& hold) -> void;
+  auto PublishWaiting() -> void;
+  auto CheckFence() -> void;
+
+  Environment environment;
+  ShardState state;
+  std::unique_ptr<RangeLoader> progress_loader;
+  std::unique_ptr<RangeLoader> job_loader;
+  std::map<std::string, Row> loaded_progress;
+  bool loaded = false;
+  bool loaded_once = false;
+  std::uint64_t job_revision = 0;
+  bool flushing = false;
+  bool draining = false;
+  std::function<void()> drained;
+  TimePoint stored_at;
+  TimePoint published_at;
+  std::map<QueueName, int> published;
+  bool publishing = false;
+  bool published_once = false;
+  OneShotTimer wake;
+  OneShotTimer follow_retry;
+  PeriodicTimer tick;
+  AliveToken alive;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_SHARD_TASK_H_
--- /dev/null
+++ b/src/fireflythread/jobs/job_request.h
@@ -0,0 +1,44 @@
+#ifndef FIREFLYTHREAD_JOBS_JOB_REQUEST_H_
+#define FIREFLYTHREAD_JOBS_JOB_REQUEST_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/jobs/job_step.h"
+
+namespace fireflythread {
+
+/// A job as its caller submitted it. It never changes once accepted.
+struct JobRequest {
+  JobId id;
+  QueueName queue;
+  /// Opaque input that every task gets.
+  std::string spec;
+  std::vector<JobStep> steps;
+  /// Occurrences of a scheduled job; 0 for a job that runs once, at once.
+  int repeat_count = 0;
+  WallTime first_due;
+  std::chrono::milliseconds interval{0};
+  WallTime accepted_at;
+};
+
+/// Times that the steps run: at least 1.
+[[nodiscard]] inline auto OccurrenceCount(const JobRequest& job) -> int {
+  return job.repeat_count > 0 ? job.repeat_count : 1;
+}
+
+/// When an occurrence may start.
+[[nodiscard]] inline auto DueAt(const JobRequest& job, int occurrence)
+    -> WallTime {
+  if (job.repeat_count <= 0) {
+    return WallTime{};
+  }
+  return job.first_due + occurrence * job.interval;
+}
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_JOB_REQUEST_H_
--- /dev/null
+++ b/src/fireflythread/jobs/job_step.h
@@ -0,0 +1,49 @@
+#ifndef FIREFLYTHREAD_JOBS_JOB_STEP_H_
+#define FIREFLYTHREAD_JOBS_JOB_STEP_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "fireflythread/jobs/task_size.h"
+
+namespace fireflythread {
+
+/// One step of a job: `count` tasks of the same kind.
+struct JobStep {
+  int count = 0;
+  TaskSize size;
+  /// The caller's rough estimate of a task's run time.
+  std::chrono::milliseconds estimate{0};
+  /// Numbers of earlier steps whose tasks must all be done first.
+  std::vector<int> after;
+  /// Tasks save checkpoints from which a later run resumes.
+  bool checkpointing = false;
+  /// All tasks run together or not at all.
+  bool gang = false;
+  /// Tasks take longer when they are spread over several racks.
+  bool same_rack = false;
+  /// Copies of a task may run at the same time.
+  bool speculative = false;
+  /// Tasks run until the job is cancelled and are restarted whenever they end.
+  bool long_running = false;
+  /// Tasks use what others leave: their cores are not counted as used.
+  bool filler = false;
+  /// Label that the worker must have; empty for none.
+  std::string required_label;
+  /// Rack that holds the data; empty for none.
+  std::string data_rack;
+  /// Most tasks of one occurrence of this step on a worker; 0 for no limit.
+  int max_per_worker = 0;
+  /// Name of what the tasks run; tasks of one image behave alike.
+  std::string image;
+  /// Tail latency that a serving task must keep; zero for none.
+  std::chrono::milliseconds latency_target{0};
+  /// Tasks that the system may have away at the same time.
+  int disruption_budget = 0;
+  bool has_disruption_budget = false;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_JOB_STEP_H_
--- /dev/null
+++ b/src/fireflythread/jobs/shard_jobs.cc
@@ -0,0 +1,110 @@
+#include "fireflythread/jobs/shard_jobs.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace fireflythread {
+namespace {
+
+/// Calls `visit` with the name and state of each task of a job.
+template <typename Visit>
+auto ForEachTask(ShardJob& job, Visit visit) -> void {
+  const JobId id = job.request.id;
+  const int occurrences = OccurrenceCount(job.request);
+  const auto steps = static_cast<int>(job.request.steps.size());
+  for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
+    for (int step = 0; step < steps; ++step) {
+      const int count =
+          job.request.steps[static_cast<std::size_t>(step)].count;
+      for (int index = 0; index < count; ++index) {
+        visit(TaskName{id, occurrence, step, index},
+              job.progress.tasks[TaskPlace(job, occurrence, step, index)]);
+      }
+    }
+  }
+}
+
+auto AssignedTasks(ShardJob& job) -> std::vector<TaskName> {
+  std::vector<TaskName> names;
+  ForEachTask(job, [&names](const TaskName& name, const TaskState& task) {
+    if (!task.worker.empty()) {
+      names.push_back(name);
+    }
+  });
+  return names;
+}
+
+auto AdoptRuns(ShardState& state, ShardJob& job, TimePoint now) -> void {
+  for (const TaskName& name : AssignedTasks(job)) {
+    const WorkerId worker = FindTask(job, name)->worker;
+    AssignTask(state, name, worker, RunPhase::kUnresolved, now);
+    FindTask(job, name)->inherited = true;
+  }
+}
+
+}  // namespace
+
+auto AddJob(ShardState& state,
+            JobRequest request,
+            std::optional<JobProgress> progress,
+            std::uint64_t version,
+            TimePoint now) -> void {
+  const JobId id = request.id;
+  if (state.jobs.contains(id) || state.finished.contains(id)) {
+    return;
+  }
+  ShardJob& job =
+      state.jobs.emplace(id, MakeShardJob(std::move(request))).first->second;
+  job.version = version;
+  if (!progress) {
+    return;
+  }
+  job.progress = std::move(*progress);
+  job.began = std::any_of(
+      job.progress.tasks.begin(), job.progress.tasks.end(),
+      [](const TaskState& task) { return task.run > 0 || task.done; });
+  AdoptRuns(state, job, now);
+  if (IsFinal(job.progress.state)) {
+    for (const TaskName& name : AssignedTasks(job)) {
+      BeginStop(state, name, now);
+    }
+    ForgetIfFinished(state, id);
+  }
+}
+
+auto CancelJob(ShardState& state, const JobId& id, TimePoint now) -> void {
+  FinishJob(state, id, JobState::kCancelled, now);
+}
+
+auto FinishJob(ShardState& state,
+               const JobId& id,
+               JobState final_state,
+               TimePoint now) -> void {
+  const auto found = state.jobs.find(id);
+  if (found == state.jobs.end() || IsFinal(found->second.progress.state)) {
+    return;
+  }
+  ShardJob& job = found->second;
+  job.progress.state = final_state;
+  state.dirty.insert(id);
+  for (const TaskName& name : AssignedTasks(job)) {
+    if (FindTask(job, name)->phase == RunPhase::kPlanned) {
+      ReleaseTask(state, name, now);
+    } else {
+      BeginStop(state, name, now);
+    }
+  }
+}
+
+auto CountWaiting(const ShardState& state) -> std::map<QueueName, int> {
+  std::map<QueueName, int> counts;
+  for (const auto& [id, job] : state.jobs) {
+    if (!job.began && !IsFinal(job.progress.state)) {
+      ++counts[job.request.queue];
+    }
+  }
+  return counts;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -0,0 +1,140 @@
+#include "fireflythread/jobs/shard_orders.h"
+
+#include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/jobs/worker_lease.h"
+
+namespace fireflythread {
+namespace {
+
+/// The worker of an order, unless it was forgotten meanwhile.
+auto WorkerOf(ShardState& state, const WorkerId& id) -> ShardWorker* {
+  const auto found = state.workers.find(id);
+  return found == state.workers.end() ? nullptr : &found->second;
+}
+
+auto IsNewestRun(const TaskState* task, const WorkerId& worker, int run)
+    -> bool {
+  return task != nullptr && task->worker == worker && task->run == run;
+}
+
+auto TakeRefusal(ShardState& state,
+                 const StartCommand& start,
+                 OrderVerdict verdict,
+                 TimePoint now) -> void {
+  ShardWorker* worker = WorkerOf(state, start.worker);
+  if (worker != nullptr && (verdict == OrderVerdict::kNoRoom ||
+                            verdict == OrderVerdict::kUnhealthy ||
+                            verdict == OrderVerdict::kInvalid)) {
+    worker->cooldown_until = now + state.limits.refused_pause;
+  }
+  if (worker != nullptr && verdict == OrderVerdict::kLate) {
+    worker->clock.reset();
+    worker->next_look = now;
+  }
+  const TaskState* task = FindTask(state, start.task);
+  if (task->phase == RunPhase::kStarting) {
+    ReleaseTask(state, start.task, now);
+    ForgetIfFinished(state, start.task.job);
+  }
+}
+
+auto TakeUnknownStart(TaskState& task, ShardWorker* worker, TimePoint now)
+    -> void {
+  if (task.phase == RunPhase::kStarting) {
+    task.phase = RunPhase::kUnresolved;
+    task.since = now;
+  }
+  if (worker != nullptr) {
+    worker->next_look = now;
+  }
+}
+
+}  // namespace
+
+auto TakeStartReply(ShardState& state,
+                    const StartCommand& start,
+                    const OrderReply& reply,
+                    TimePoint now) -> void {
+  ShardWorker* worker = WorkerOf(state, start.worker);
+  if (worker != nullptr && reply.clock) {
+    TakeClock(*worker, *reply.clock, now);
+  }
+  if (reply.verdict == OrderVerdict::kFenced) {
+    state.fenced_off = true;
+    return;
+  }
+  if (reply.verdict == OrderVerdict::kOtherInstance) {
+    TakeWorkerGone(state, start.worker, now);
+    return;
+  }
+  TaskState* task = FindTask(state, start.task);
+  if (!IsNewestRun(task, start.worker, start.run)) {
+    return;
+  }
+  switch (reply.verdict) {
+    case OrderVerdict::kDone:
+      if (task->phase == RunPhase::kStarting) {
+        task->phase = RunPhase::kRunning;
+        task->since = now;
+      }
+      state.jobs.at(start.task.job).began = true;
+      if (worker != nullptr && !worker->look_in_flight) {
+        worker->next_look = now;
+      }
+      break;
+    case OrderVerdict::kUnknown:
+      TakeUnknownStart(*task, worker, now);
+      break;
+    default:
+      TakeRefusal(state, start, reply.verdict, now);
+      break;
+  }
+}
+
+auto NextStops(ShardState& state, TimePoint now) -> std::vector<StopCommand> {
+  std::vector<StopCommand> stops;
+  for (const TaskName& name : state.stopping) {
+    TaskState* task = FindTask(state, name);
+    const ShardWorker& worker = state.workers.at(task->worker);
+    if (task->stop_confirmed || task->stop_in_flight ||
+        now < task->not_before || worker.gone || worker.view.address.empty()) {
+      continue;
+    }
+    task->stop_in_flight = true;
+    stops.push_back(StopCommand{task->worker, worker.view.address, name,
+                                task->run, state.fence});
+  }
+  return stops;
+}
+
+auto TakeStopReply(ShardState& state,
+                   const StopCommand& stop,
+                   const OrderReply& reply,
+                   TimePoint now) -> void {
+  if (reply.verdict == OrderVerdict::kFenced) {
+    state.fenced_off = true;
+    return;
+  }
+  if (reply.verdict == OrderVerdict::kOtherInstance) {
+    TakeWorkerGone(state, stop.worker, now);
+    return;
+  }
+  TaskState* task = FindTask(state, stop.task);
+  if (!IsNewestRun(task, stop.worker, stop.run) ||
+      task->phase != RunPhase::kStopping) {
+    return;
+  }
+  task->stop_in_flight = false;
+  if (reply.verdict == OrderVerdict::kDone) {
+    task->stop_confirmed = true;
+    task->stop_confirmed_at = now;
+    ShardWorker* worker = WorkerOf(state, stop.worker);
+    if (worker != nullptr && !worker->look_in_flight) {
+      worker->next_look = now;
+    }
+    return;
+  }
+  task->not_before = now + state.limits.stop_retry;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/jobs/shard_orders.h
@@ -0,0 +1,31 @@
+#ifndef FIREFLYTHREAD_JOBS_SHARD_ORDERS_H_
+#define FIREFLYTHREAD_JOBS_SHARD_ORDERS_H_
+
+#include <vector>
+
+#include "fireflythread/jobs/order_verdict.h"
+#include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/jobs/start_command.h"
+#include "fireflythread/jobs/stop_command.h"
+
+namespace fireflythread {
+
+/// Takes in the answer to a start.
+auto TakeStartReply(ShardState& state,
+                    const StartCommand& start,
+                    const OrderReply& reply,
+                    TimePoint now) -> void;
+
+/// The stops that are due; each counts as sent.
+[[nodiscard]] auto NextStops(ShardState& state, TimePoint now)
+    -> std::vector<StopCommand>;
+
+/// Takes in the answer to a stop.
+auto TakeStopReply(ShardState& state,
+                   const StopCommand& stop,
+                   const OrderReply& reply,
+                   TimePoint now) -> void;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_SHARD_ORDERS_H_
--- /dev/null
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -0,0 +1,200 @@
+#include "fireflythread/jobs/shard_plan.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+#include <vector>
+
+#include "fireflythread/jobs/worker_choice.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// One step of one occurrence whose turn has come.
+struct ReadyStep {
+  ShardJob* job = nullptr;
+  int occurrence = 0;
+  int step = 0;
+  int priority = 0;
+  bool hopeless = false;
+  WallTime deadline;
+
+  [[nodiscard]] auto Key() const {
+    return std::make_tuple(this->hopeless, this->priority, this->deadline,
+                           this->job->request.id, this->occurrence, this->step);
+  }
+};
+
+/// Jobs that are later than this many times their objective come last.
+constexpr int kHopelessFactor = 3;
+
+/// The longest chain of estimated work through the steps.
+auto LongestChain(const JobRequest& job) -> milliseconds {
+  std::vector<milliseconds> chains;
+  milliseconds longest{0};
+  for (const JobStep& step : job.steps) {
+    milliseconds before{0};
+    for (const int earlier : step.after) {
+      before = std::max(before, chains[static_cast<std::size_t>(earlier)]);
+    }
+    chains.push_back(before + step.estimate);
+    longest = std::max(longest, chains.back());
+  }
+  return longest;
+}
+
+auto Objective(const JobRequest& job, const Queue& queue) -> milliseconds {
+  const auto work =
+      static_cast<double>(LongestChain(job).count()) * queue.stretch;
+  return milliseconds(static_cast<std::int64_t>(work)) +
+         queue.latency_objective;
+}
+
+auto IsTurn(const ShardJob& job, int occurrence, int step) -> bool {
+  const JobStep& spec = job.request.steps[static_cast<std::size_t>(step)];
+  return std::all_of(spec.after.begin(), spec.after.end(),
+                     [&](int earlier) -> bool {
+                       return IsStepDone(job, occurrence, earlier);
+                     });
+}
+
+auto HasWaitingTask(const ShardJob& job,
+                    int occurrence,
+                    int step,
+                    TimePoint now) -> bool {
+  const int count = job.request.steps[static_cast<std::size_t>(step)].count;
+  for (int index = 0; index < count; ++index) {
+    const TaskState& task =
+        job.progress.tasks[TaskPlace(job, occurrence, step, index)];
+    if (task.phase == RunPhase::kWaiting && now >= task.not_before) {
+      return true;
+    }
+  }
+  return false;
+}
+
+auto CollectReady(ShardState& state, WallTime wall_now, TimePoint now)
+    -> std::vector<ReadyStep> {
+  std::vector<ReadyStep> ready;
+  for (auto& [id, job] : state.jobs) {
+    const auto queue = state.queues.find(job.request.queue);
+    if (IsFinal(job.progress.state) || queue == state.queues.end()) {
+      continue;
+    }
+    const milliseconds objective = Objective(job.request, queue->second);
+    const auto steps = static_cast<int>(job.request.steps.size());
+    for (int occurrence = 0; occurrence < OccurrenceCount(job.request);
+         ++occurrence) {
+      const WallTime due = DueAt(job.request, occurrence);
+      if (due > wall_now) {
+        break;
+      }
+      const WallTime begin = std::max(due, job.request.accepted_at);
+      for (int step = 0; step < steps; ++step) {
+        if (HasWaitingTask(job, occurrence, step, now) &&
+            IsTurn(job, occurrence, step)) {
+          ReadyStep unit;
+          unit.job = &job;
+          unit.occurrence = occurrence;
+          unit.step = step;
+          unit.priority = queue->second.priority;
+          unit.deadline = begin + objective;
+          unit.hopeless =
+              !job.request.steps[static_cast<std::size_t>(step)].long_running &&
+              wall_now > begin + kHopelessFactor * objective;
+          ready.push_back(unit);
+        }
+      }
+    }
+  }
+  std::sort(ready.begin(), ready.end(),
+            [](const ReadyStep& left, const ReadyStep& right) -> bool {
+              return left.Key() < right.Key();
+            });
+  return ready;
+}
+
+auto PlanTask(ShardState& state,
+              const TaskName& name,
+              const WorkerId& worker,
+              int run,
+              TimePoint now) -> void {
+  AssignTask(state, name, worker, RunPhase::kPlanned, now);
+  FindTask(state, name)->run = run;
+  ShardJob& job = state.jobs.at(name.job);
+  job.progress.state = JobState::kRunning;
+  state.dirty.insert(name.job);
+}
+
+auto PlanSingles(ShardState& state, const ReadyStep& ready, TimePoint now)
+    -> void {
+  ShardJob& job = *ready.job;
+  const JobStep& step =
+      job.request.steps[static_cast<std::size_t>(ready.step)];
+  for (int index = 0; index < step.count; ++index) {
+    const TaskName name{job.request.id, ready.occurrence, ready.step, index};
+    const TaskState& task = *FindTask(job, name);
+    if (task.phase != RunPhase::kWaiting || now < task.not_before) {
+      continue;
+    }
+    const auto worker = ChooseWorker(state, name, now);
+    if (!worker) {
+      return;
+    }
+    PlanTask(state, name, *worker, task.run + 1, now);
+  }
+}
+
+/// All members of a gang get workers, or none.
+auto PlanGang(ShardState& state, const ReadyStep& ready, TimePoint now)
+    -> void {
+  ShardJob& job = *ready.job;
+  const int count =
+      job.request.steps[static_cast<std::size_t>(ready.step)].count;
+  int run = 0;
+  for (int index = 0; index < count; ++index) {
+    const TaskState& member =
+        job.progress
+            .tasks[TaskPlace(job, ready.occurrence, ready.step, index)];
+    if (member.phase != RunPhase::kWaiting || now < member.not_before) {
+      return;
+    }
+    run = std::max(run, member.run);
+  }
+  std::vector<TaskName> planned;
+  for (int index = 0; index < count; ++index) {
+    const TaskName name{job.request.id, ready.occurrence, ready.step, index};
+    const auto worker = ChooseWorker(state, name, now);
+    if (!worker) {
+      for (const TaskName& member : planned) {
+        ReleaseTask(state, member, now);
+      }
+      return;
+    }
+    AssignTask(state, name, *worker, RunPhase::kPlanned, now);
+    planned.push_back(name);
+  }
+  for (const TaskName& member : planned) {
+    FindTask(state, member)->run = run + 1;
+  }
+  job.progress.state = JobState::kRunning;
+  state.dirty.insert(job.request.id);
+}
+
+}  // namespace
+
+auto PlanRuns(ShardState& state, WallTime wall_now, TimePoint now) -> void {
+  for (const ReadyStep& ready : CollectReady(state, wall_now, now)) {
+    const JobStep& step =
+        ready.job->request.steps[static_cast<std::size_t>(ready.step)];
+    if (step.gang) {
+      PlanGang(state, ready, now);
+    } else {
+      PlanSingles(state, ready, now);
+    }
+  }
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -0,0 +1,94 @@
+#include "fireflythread/jobs/shard_state.h"
+
+#include "fireflythread/base/assert.h"
+
+namespace fireflythread {
+namespace {
+
+/// What a task takes from its worker's room: a filler's cores do not count.
+auto RoomOf(const JobStep& step) -> TaskSize {
+  TaskSize room = step.size;
+  if (step.filler) {
+    room.millicores = 0;
+  }
+  return room;
+}
+
+}  // namespace
+
+auto FindTask(ShardState& state, const TaskName& name) -> TaskState* {
+  const auto job = state.jobs.find(name.job);
+  return job == state.jobs.end() ? nullptr : FindTask(job->second, name);
+}
+
+auto StepOf(const ShardState& state, const TaskName& name) -> const JobStep& {
+  const auto job = state.jobs.find(name.job);
+  FIREFLYTHREAD_ASSERT(job != state.jobs.end(), "the job must exist");
+  return job->second.request.steps.at(static_cast<std::size_t>(name.step));
+}
+
+auto AssignTask(ShardState& state,
+                const TaskName& name,
+                const WorkerId& worker,
+                RunPhase phase,
+                TimePoint now) -> void {
+  TaskState* task = FindTask(state, name);
+  FIREFLYTHREAD_ASSERT(task != nullptr, "an assigned task must exist");
+  ShardWorker& target = state.workers[worker];
+  target.view.id = worker;
+  const bool inserted = target.tasks.insert(name).second;
+  FIREFLYTHREAD_ASSERT(inserted, "a task has one run at a time");
+  target.used = Plus(target.used, RoomOf(StepOf(state, name)));
+  task->worker = worker;
+  task->phase = phase;
+  task->since = now;
+  task->stop_confirmed = false;
+  task->stop_in_flight = false;
+  task->inherited = false;
+  task->pace = 100;
+  task->percent = 0;
+  ++state.jobs.at(name.job).assigned;
+}
+
+auto ReleaseTask(ShardState& state, const TaskName& name, TimePoint now)
+    -> void {
+  TaskState* task = FindTask(state, name);
+  FIREFLYTHREAD_ASSERT(task != nullptr, "a released task must exist");
+  const auto worker = state.workers.find(task->worker);
+  FIREFLYTHREAD_ASSERT(worker != state.workers.end(),
+                       "a released task must have a worker");
+  const std::size_t erased = worker->second.tasks.erase(name);
+  FIREFLYTHREAD_ASSERT(erased == 1, "the worker must have the task");
+  worker->second.used = Minus(worker->second.used, RoomOf(StepOf(state, name)));
+  state.stopping.erase(name);
+  task->worker = WorkerId();
+  task->phase = task->done ? RunPhase::kDone : RunPhase::kWaiting;
+  task->since = now;
+  --state.jobs.at(name.job).assigned;
+}
+
+auto BeginStop(ShardState& state, const TaskName& name, TimePoint now) -> void {
+  TaskState* task = FindTask(state, name);
+  FIREFLYTHREAD_ASSERT(task != nullptr, "a stopped task must exist");
+  if (task->phase == RunPhase::kStopping) {
+    return;
+  }
+  task->phase = RunPhase::kStopping;
+  task->since = now;
+  task->not_before = now;
+  task->stop_confirmed = false;
+  task->stop_in_flight = false;
+  state.stopping.insert(name);
+}
+
+auto ForgetIfFinished(ShardState& state, const JobId& id) -> void {
+  const auto job = state.jobs.find(id);
+  if (job == state.jobs.end() || !IsFinal(job->second.progress.state) ||
+      job->second.assigned > 0 || state.dirty.contains(id)) {
+    return;
+  }
+  state.finished.insert(id);
+  state.jobs.erase(job);
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/jobs/shard_state.h
@@ -0,0 +1,67 @@
+#ifndef FIREFLYTHREAD_JOBS_SHARD_STATE_H_
+#define FIREFLYTHREAD_JOBS_SHARD_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/jobs/queue.h"
+#include "fireflythread/jobs/shard_job.h"
+#include "fireflythread/jobs/shard_limits.h"
+#include "fireflythread/jobs/shard_worker.h"
+
+namespace fireflythread {
+
+/// Everything that the owner of a shard knows: the jobs of one service and the
+/// workers that run them. Free functions in this folder change it; none does
+/// input or output.
+struct ShardState {
+  ServiceName service;
+  /// Fencing token of this ownership.
+  std::uint64_t fence = 0;
+  TimePoint owned_since;
+  ShardLimits limits;
+  std::map<QueueName, Queue> queues;
+  std::map<JobId, ShardJob> jobs;
+  /// Jobs that have ended and have no run left.
+  std::set<JobId> finished;
+  std::map<WorkerId, ShardWorker> workers;
+  /// Jobs whose progress row is out of date.
+  std::set<JobId> dirty;
+  /// Tasks in RunPhase::kStopping.
+  std::set<TaskName> stopping;
+  /// A worker answered that a newer owner exists.
+  bool fenced_off = false;
+};
+
+/// Null when the shard has no such job or task.
+[[nodiscard]] auto FindTask(ShardState& state, const TaskName& name)
+    -> TaskState*;
+
+/// The step of a task that exists.
+[[nodiscard]] auto StepOf(const ShardState& state, const TaskName& name)
+    -> const JobStep&;
+
+/// Gives a task's next run a worker and takes the room there.
+auto AssignTask(ShardState& state,
+                const TaskName& name,
+                const WorkerId& worker,
+                RunPhase phase,
+                TimePoint now) -> void;
+
+/// Takes a task off its worker, whose run certainly does not exist any more.
+auto ReleaseTask(ShardState& state, const TaskName& name, TimePoint now)
+    -> void;
+
+/// Orders a stop of a task's newest run.
+auto BeginStop(ShardState& state, const TaskName& name, TimePoint now) -> void;
+
+/// Drops a job that has ended once none of its runs is left.
+auto ForgetIfFinished(ShardState& state, const JobId& id) -> void;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_SHARD_STATE_H_
--- /dev/null
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -0,0 +1,252 @@
+#include "fireflythread/jobs/shard_workers.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "fireflythread/jobs/run_end.h"
+#include "fireflythread/jobs/worker_lease.h"
+
+namespace fireflythread {
+namespace {
+
+/// Releases all runs of a worker: none of them exists any more.
+auto ReleaseAll(ShardState& state, ShardWorker& worker, TimePoint now) -> void {
+  const std::set<TaskName> tasks = worker.tasks;
+  for (const TaskName& name : tasks) {
+    ReleaseTask(state, name, now);
+    ForgetIfFinished(state, name.job);
+  }
+}
+
+/// The worker restarted under its id and knows nothing of before. Runs whose
+/// order got no answer may still begin in the new life and stay unresolved.
+auto TakeRebirth(ShardState& state, ShardWorker& worker, TimePoint now)
+    -> void {
+  worker.ended_seen = 0;
+  worker.ended_stored = 0;
+  worker.clock.reset();
+  worker.latest_deadline = {};
+  worker.confirmed = false;
+  const std::set<TaskName> tasks = worker.tasks;
+  for (const TaskName& name : tasks) {
+    const TaskState* task = FindTask(state, name);
+    const bool certain = task->phase == RunPhase::kRunning ||
+                         (task->phase == RunPhase::kStopping &&
+                          task->stop_confirmed);
+    if (certain) {
+      ReleaseTask(state, name, now);
+      ForgetIfFinished(state, name.job);
+    }
+  }
+}
+
+auto TakeEnds(ShardState& state,
+              ShardWorker& worker,
+              const WorkerReport& report,
+              TimePoint now) -> void {
+  for (const EndedRun& ended : report.ended) {
+    if (ended.number <= worker.ended_seen) {
+      continue;
+    }
+    worker.ended_seen = ended.number;
+    const TaskState* task = FindTask(state, ended.task);
+    const bool newest = task != nullptr && task->run == ended.run &&
+                        task->worker == worker.view.id;
+    if (newest) {
+      TakeRunEnd(state, ended, now);
+    }
+  }
+}
+
+auto TakeRunning(TaskState& task, const RunningRun& running, TimePoint now)
+    -> void {
+  task.percent = running.percent;
+  task.usage = running.usage;
+  if (!running.checkpoint.empty()) {
+    task.checkpoint = running.checkpoint;
+  }
+  if (task.phase == RunPhase::kStarting ||
+      task.phase == RunPhase::kUnresolved) {
+    task.phase = RunPhase::kRunning;
+    task.since = now;
+  }
+}
+
+/// Decides about a task whose run the worker neither lists as running nor as
+/// ended.
+auto TakeAbsence(ShardState& state,
+                 const TaskName& name,
+                 TimePoint sent_at,
+                 TimePoint now) -> void {
+  const TaskState* task = FindTask(state, name);
+  switch (task->phase) {
+    case RunPhase::kRunning:
+      // The run was confirmed before the look was sent, so it has ended.
+      if (task->since < sent_at) {
+        ReleaseTask(state, name, now);
+      }
+      break;
+    case RunPhase::kUnresolved:
+      if (task->inherited) {
+        // A former owner's order: the worker refuses its token by now.
+        ReleaseTask(state, name, now);
+      } else {
+        BeginStop(state, name, now);
+      }
+      break;
+    case RunPhase::kStopping:
+      if (task->stop_confirmed && task->stop_confirmed_at < sent_at) {
+        ReleaseTask(state, name, now);
+      }
+      break;
+    default:
+      break;
+  }
+  ForgetIfFinished(state, name.job);
+}
+
+auto TakeRuns(ShardState& state,
+              ShardWorker& worker,
+              const WorkerReport& report,
+              TimePoint sent_at,
+              TimePoint now) -> void {
+  std::map<TaskName, const RunningRun*> running;
+  for (const RunningRun& run : report.running) {
+    running.emplace(run.task, &run);
+  }
+  const std::set<TaskName> tasks = worker.tasks;
+  for (const TaskName& name : tasks) {
+    TaskState* task = FindTask(state, name);
+    const auto found = running.find(name);
+    if (found != running.end() && found->second->run == task->run) {
+      TakeRunning(*task, *found->second, now);
+      state.jobs.at(name.job).began = true;
+    } else {
+      TakeAbsence(state, name, sent_at, now);
+    }
+  }
+}
+
+}  // namespace
+
+auto TakeWorkers(ShardState& state,
+                 const std::vector<WorkerView>& workers,
+                 TimePoint now) -> void {
+  for (auto& [id, worker] : state.workers) {
+    worker.listed = false;
+  }
+  for (const WorkerView& view : workers) {
+    ShardWorker& worker = state.workers[view.id];
+    const bool reborn = worker.view.born.count() != 0 &&
+                        worker.view.born != view.born;
+    worker.view = view;
+    worker.listed = true;
+    if (reborn && worker.reported_born != view.born) {
+      worker.reported_born = view.born;
+      TakeRebirth(state, worker, now);
+    }
+  }
+  StepWorkers(state, now);
+}
+
+auto StepWorkers(ShardState& state, TimePoint now) -> void {
+  for (auto next = state.workers.begin(); next != state.workers.end();) {
+    ShardWorker& worker = next->second;
+    const bool over = worker.failed_looks > 0 || !worker.listed;
+    if (!worker.tasks.empty() &&
+        (worker.gone || (over && IsLeaseOver(state, worker, now)))) {
+      ReleaseAll(state, worker, now);
+    }
+    const bool forget = worker.tasks.empty() && !worker.look_in_flight &&
+                        (worker.gone || !worker.listed);
+    next = forget ? state.workers.erase(next) : std::next(next);
+  }
+}
+
+auto NextLook(ShardState& state,
+              const WorkerId& worker_id,
+              bool may_extend,
+              TimePoint now) -> std::optional<HoldCommand> {
+  ShardWorker& worker = state.workers.at(worker_id);
+  if (worker.look_in_flight || worker.gone || now < worker.next_look ||
+      worker.view.address.empty()) {
+    return std::nullopt;
+  }
+  HoldCommand look;
+  look.worker = worker_id;
+  look.address = worker.view.address;
+  look.fence = state.fence;
+  look.last_seen = worker.ended_stored;
+  const bool busy = !worker.tasks.empty();
+  if (busy && may_extend && worker.clock) {
+    look.deadline = NextDeadline(state.limits, worker, now);
+  }
+  // A worker with ends that are not stored yet would answer at once anyway.
+  if (busy && worker.confirmed) {
+    look.wait = state.limits.look_wait;
+  }
+  worker.look_in_flight = true;
+  return look;
+}
+
+auto TakeReport(ShardState& state,
+                const WorkerId& worker_id,
+                const WorkerReport& report,
+                TimePoint sent_at,
+                TimePoint now) -> void {
+  const auto found = state.workers.find(worker_id);
+  if (found == state.workers.end()) {
+    return;
+  }
+  ShardWorker& worker = found->second;
+  worker.look_in_flight = false;
+  worker.failed_looks = 0;
+  if (worker.reported_born.count() != 0 &&
+      worker.reported_born != report.born) {
+    TakeRebirth(state, worker, now);
+  }
+  worker.reported_born = report.born;
+  TakeClock(worker, report.clock, now);
+  if (!worker.confirmed) {
+    // A former owner's lease may reach this far; it cannot grow any more.
+    worker.latest_deadline =
+        std::max(worker.latest_deadline, report.clock + state.limits.run_lease);
+  }
+  worker.confirmed = true;
+  TakeEnds(state, worker, report, now);
+  TakeRuns(state, worker, report, sent_at, now);
+  if (state.dirty.empty()) {
+    worker.ended_stored = worker.ended_seen;
+  }
+  worker.next_look =
+      worker.tasks.empty() ? now + state.limits.idle_look : now;
+}
+
+auto TakeLookFailure(ShardState& state,
+                     const WorkerId& worker_id,
+                     TimePoint now) -> void {
+  const auto found = state.workers.find(worker_id);
+  if (found == state.workers.end()) {
+    return;
+  }
+  ShardWorker& worker = found->second;
+  worker.look_in_flight = false;
+  ++worker.failed_looks;
+  worker.next_look = now + state.limits.look_retry;
+}
+
+auto TakeWorkerGone(ShardState& state,
+                    const WorkerId& worker_id,
+                    TimePoint now) -> void {
+  const auto found = state.workers.find(worker_id);
+  if (found == state.workers.end()) {
+    return;
+  }
+  found->second.look_in_flight = false;
+  found->second.gone = true;
+  StepWorkers(state, now);
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/jobs/shard_workers.h
@@ -0,0 +1,46 @@
+#ifndef FIREFLYTHREAD_JOBS_SHARD_WORKERS_H_
+#define FIREFLYTHREAD_JOBS_SHARD_WORKERS_H_
+
+#include <optional>
+#include <vector>
+
+#include "fireflythread/jobs/hold_command.h"
+#include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/jobs/worker_report.h"
+
+namespace fireflythread {
+
+/// Takes in the workers of the shard's service that are registered now.
+auto TakeWorkers(ShardState& state,
+                 const std::vector<WorkerView>& workers,
+                 TimePoint now) -> void;
+
+/// Releases the runs of workers that are gone or whose leases have all run
+/// out, and forgets workers that are not registered and run nothing.
+auto StepWorkers(ShardState& state, TimePoint now) -> void;
+
+/// The next look at a worker, if it is due. `may_extend` is false once the
+/// owner must not extend leases any more.
+[[nodiscard]] auto NextLook(ShardState& state,
+                            const WorkerId& worker,
+                            bool may_extend,
+                            TimePoint now) -> std::optional<HoldCommand>;
+
+/// Takes in a worker's report. `sent_at` is when the look was sent.
+auto TakeReport(ShardState& state,
+                const WorkerId& worker,
+                const WorkerReport& report,
+                TimePoint sent_at,
+                TimePoint now) -> void;
+
+/// A look got no usable answer.
+auto TakeLookFailure(ShardState& state, const WorkerId& worker, TimePoint now)
+    -> void;
+
+/// Another instance answers at the worker's address.
+auto TakeWorkerGone(ShardState& state, const WorkerId& worker, TimePoint now)
+    -> void;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_SHARD_WORKERS_H_
--- /dev/null
+++ b/src/fireflythread/jobs/worker_report.h
@@ -0,0 +1,53 @@
+#ifndef FIREFLYTHREAD_JOBS_WORKER_REPORT_H_
+#define FIREFLYTHREAD_JOBS_WORKER_REPORT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fireflythread/jobs/task_name.h"
+
+namespace fireflythread {
+
+enum class RunEnd : std::uint8_t {
+  kDone,
+  kFailed,
+  kStopped,
+  /// The worker's lease ran out.
+  kLapsed,
+  /// Another member of the gang ended.
+  kBroken,
+  /// The other members of the gang did not arrive in time.
+  kAlone
+};
+
+struct RunningRun {
+  TaskName task;
+  int run = 0;
+  std::string checkpoint;
+  int percent = 0;
+  /// Tail latency in milliseconds of a serving task, millicores of another.
+  std::int64_t usage = 0;
+};
+
+struct EndedRun {
+  /// Numbers the ends of one life of the worker, from 1.
+  std::uint64_t number = 0;
+  TaskName task;
+  int run = 0;
+  RunEnd end = RunEnd::kStopped;
+  std::string checkpoint;
+};
+
+/// A worker's account of its runs. Times are on the worker's own clock.
+struct WorkerReport {
+  std::chrono::milliseconds clock{0};
+  std::chrono::milliseconds born{0};
+  std::vector<RunningRun> running;
+  std::vector<EndedRun> ended;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_WORKER_REPORT_H_
--- /dev/null
+++ b/src/fireflythread/platform/platform_records.h
@@ -0,0 +1,43 @@
+#ifndef FIREFLYTHREAD_PLATFORM_PLATFORM_RECORDS_H_
+#define FIREFLYTHREAD_PLATFORM_PLATFORM_RECORDS_H_
+
+#include <cstdint>
+#include <functional>
+#include <variant>
+#include <vector>
+
+#include "fireflythread/base/time.h"
+#include "fireflythread/jobs/worker_view.h"
+#include "fireflythread/platform/operator_news.h"
+#include "fireflythread/platform/platform_error.h"
+
+namespace fireflythread {
+
+/// What others keep in the platform's store: the operators' configuration and
+/// waves, and the workers' entries.
+class PlatformRecords {
+ public:
+  template <typename T>
+  using Callback = std::function<void(std::variant<T, PlatformError>)>;
+
+  virtual ~PlatformRecords() = default;
+
+  /// Reads the workers' entries; unreadable ones are left out.
+  virtual auto ListWorkers(Duration timeout,
+                           Callback<std::vector<WorkerView>> callback)
+      -> void = 0;
+
+  /// Reads all that operators wrote.
+  virtual auto ReadOperator(Duration timeout, Callback<OperatorNews> callback)
+      -> void = 0;
+
+  /// Reads what operators wrote after a revision; waits up to `wait`.
+  virtual auto FollowOperator(std::uint64_t after,
+                              Duration wait,
+                              Duration timeout,
+                              Callback<OperatorNews> callback) -> void = 0;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_PLATFORM_PLATFORM_RECORDS_H_
--- a/src/fireflythread/platform/transaction.h
+++ b/src/fireflythread/platform/transaction.h
@@ -13,6 +13,7 @@
   std::string table;
   std::string key;
   std::uint64_t version = 0;
+  std::string part = {};
 };
 
 /// Replaces a row's value, or deletes the row when there is no value.
@@ -20,6 +21,7 @@
   std::string table;
   std::string key;
   std::optional<std::string> value;
+  std::string part = {};
 };
 
 /// Writes that the platform's table applies together if all conditions hold.
