--- a/src/fireflythread/daemon/admin_task.h
+++ b/src/fireflythread/daemon/admin_task.h
@@ -12,11 +12,11 @@
 
 #include "fireflythread/admin/admin_backend.h"
 #include "fireflythread/admin/readiness.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/base/time.h"
 #include "fireflythread/control/controller_report.h"
 #include "fireflythread/control/wave_record.h"
 #include "fireflythread/daemon/config_editor.h"
-#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/daemon/trace_collector.h"
 #include "fireflythread/peer/generated/peer.pb.h"
 
--- a/src/fireflythread/daemon/cell_task.h
+++ b/src/fireflythread/daemon/cell_task.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "fireflythread/base/ids.h"
-#include "fireflythread/base/time.h"
 #include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/base/time.h"
 #include "fireflythread/platform/fwd.h"
 #include "fireflythread/platform/row.h"
 #include "fireflythread/platform/transaction.h"
--- a/src/fireflythread/daemon/controller_task.h
+++ b/src/fireflythread/daemon/controller_task.h
@@ -11,11 +11,11 @@
 #include <vector>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/control/controller_inputs.h"
 #include "fireflythread/control/controller_memory.h"
 #include "fireflythread/control/controller_report.h"
 #include "fireflythread/control/wave_record.h"
-#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/daemon/vm_prober.h"
 #include "fireflythread/lease/lease_settings.h"
 #include "fireflythread/lease/lease_state.h"
--- a/src/fireflythread/daemon/daemon.h
+++ b/src/fireflythread/daemon/daemon.h
@@ -8,9 +8,9 @@
 #include <set>
 #include <string>
 
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/daemon/mailbox.h"
 #include "fireflythread/daemon/peer_message.h"
-#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/settings/daemon_settings.h"
 #include "fireflythread/telemetry/logger.h"
 #include "fireflythread/telemetry/metrics_registry.h"
--- a/src/fireflythread/daemon/gateway_task.h
+++ b/src/fireflythread/daemon/gateway_task.h
@@ -9,9 +9,9 @@
 #include <variant>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/base/time.h"
 #include "fireflythread/daemon/control_state.h"
-#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/gateway/gateway.h"
 #include "fireflythread/peer/generated/peer.pb.h"
 
--- a/src/fireflythread/daemon/registration_task.h
+++ b/src/fireflythread/daemon/registration_task.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "fireflythread/base/ids.h"
-#include "fireflythread/daemon/entry_record.h"
 #include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/daemon/entry_record.h"
 #include "fireflythread/platform/fwd.h"
 #include "fireflythread/settings/daemon_settings.h"
 
--- a/src/fireflythread/daemon/state_task.h
+++ b/src/fireflythread/daemon/state_task.h
@@ -8,11 +8,11 @@
 #include <string>
 #include <vector>
 
+#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/base/time.h"
 #include "fireflythread/config/fwd.h"
 #include "fireflythread/daemon/control_state.h"
 #include "fireflythread/daemon/head_write.h"
-#include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/fleet/fwd.h"
 #include "fireflythread/membership/acceptance_watch.h"
 #include "fireflythread/membership/membership.h"
--- a/src/fireflythread/entry/config_task.cc
+++ b/src/fireflythread/entry/config_task.cc
@@ -24,17 +24,17 @@
 }
 
 auto ConfigTask::Read() -> void {
-  this->records.ReadOperator(
-      kStoreTimeout, this->alive.Guard([this](auto&& result) {
-        auto* news = std::get_if<OperatorNews>(&result);
-        if (news == nullptr) {
-          this->retry.Start(kStoreRetry);
-          return;
-        }
-        this->must_read = false;
-        this->Take(std::move(*news));
-        this->Follow();
-      }));
+  this->records.ReadOperator(kStoreTimeout,
+                             this->alive.Guard([this](auto&& result) {
+                               auto* news = std::get_if<OperatorNews>(&result);
+                               if (news == nullptr) {
+                                 this->retry.Start(kStoreRetry);
+                                 return;
+                               }
+                               this->must_read = false;
+                               this->Take(std::move(*news));
+                               this->Follow();
+                             }));
 }
 
 auto ConfigTask::Follow() -> void {
--- a/src/fireflythread/entry/job_desk.cc
+++ b/src/fireflythread/entry/job_desk.cc
@@ -132,27 +132,27 @@
   const ServiceName& shard = lookup->shards[lookup->next];
   RangeRequest range{std::string(kProgressTable), shard.value,
                      lookup->job.value, lookup->job.value + '\x01'};
-  this->store.ReadRange(
-      std::move(range), CallTime(lookup->deadline),
-      this->alive.Guard([this, lookup](auto&& result) {
-        const auto* page = std::get_if<RangePage>(&result);
-        if (page == nullptr) {
-          this->RetryRead(lookup);
-          return;
-        }
-        if (page->rows.empty()) {
-          this->TryReadJob(lookup);
-          return;
-        }
-        const auto state = DecodeJobState(page->rows.front().value);
-        if (state) {
-          lookup->callback(*state);
-        } else {
-          this->logger.Error("desk", "unreadable_progress",
-                             {{"job", lookup->job}});
-          lookup->callback(DeskOutcome::kUnknown);
-        }
-      }));
+  this->store.ReadRange(std::move(range), CallTime(lookup->deadline),
+                        this->alive.Guard([this, lookup](auto&& result) {
+                          const auto* page = std::get_if<RangePage>(&result);
+                          if (page == nullptr) {
+                            this->RetryRead(lookup);
+                            return;
+                          }
+                          if (page->rows.empty()) {
+                            this->TryReadJob(lookup);
+                            return;
+                          }
+                          const auto state =
+                              DecodeJobState(page->rows.front().value);
+                          if (state) {
+                            lookup->callback(*state);
+                          } else {
+                            this->logger.Error("desk", "unreadable_progress",
+                                               {{"job", lookup->job}});
+                            lookup->callback(DeskOutcome::kUnknown);
+                          }
+                        }));
 }
 
 auto JobDesk::TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void {
@@ -171,12 +171,11 @@
           this->NextShard(lookup);
           return;
         }
-        const bool cancelled =
-            std::any_of(page->rows.begin(), page->rows.end(),
-                        [](const Row& row) -> bool {
-                          const auto key = ParseJobTableKey(row.key);
-                          return key && key->is_cancel;
-                        });
+        const bool cancelled = std::any_of(
+            page->rows.begin(), page->rows.end(), [](const Row& row) -> bool {
+              const auto key = ParseJobTableKey(row.key);
+              return key && key->is_cancel;
+            });
         lookup->callback(cancelled ? JobState::kCancelled : JobState::kQueued);
       }));
 }
@@ -230,22 +229,22 @@
       {JobTable(shard), CancelKey(job), "{}", shard.value});
   this->store.Commit(
       std::move(transaction), CallTime(deadline),
-      this->alive.Guard([this, shard, job, deadline,
-                         done = std::move(callback)](
-                            const TransactionOutcome& outcome) {
-        if (std::holds_alternative<Committed>(outcome)) {
-          done(DeskOutcome::kStored);
-          return;
-        }
-        if (!HasTimeToRetry(deadline)) {
-          done(DeskOutcome::kUnknown);
-          return;
-        }
-        RunLater(kCallerRetry,
-                 this->alive.Guard([this, shard, job, deadline, done]() {
-                   this->StoreCancel(shard, job, deadline, done);
-                 }));
-      }));
+      this->alive.Guard(
+          [this, shard, job, deadline,
+           done = std::move(callback)](const TransactionOutcome& outcome) {
+            if (std::holds_alternative<Committed>(outcome)) {
+              done(DeskOutcome::kStored);
+              return;
+            }
+            if (!HasTimeToRetry(deadline)) {
+              done(DeskOutcome::kUnknown);
+              return;
+            }
+            RunLater(kCallerRetry,
+                     this->alive.Guard([this, shard, job, deadline, done]() {
+                       this->StoreCancel(shard, job, deadline, done);
+                     }));
+          }));
 }
 
 auto JobDesk::ReadWaiting(const ServiceName& shard,
--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -88,18 +88,18 @@
 }
 
 auto OwnershipTask::FollowShards() -> void {
-  this->store.Follow(
-      std::string(kShardTable), this->shard_revision, kFollowWait,
-      kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
-        const auto* page = std::get_if<FeedPage>(&result);
-        if (page == nullptr || page->history_lost) {
-          this->retry_shards.Start(kStoreRetry);
-          return;
-        }
-        this->shard_revision = page->revision;
-        this->TakeShards(page->changed);
-        this->FollowShards();
-      }));
+  this->store.Follow(std::string(kShardTable), this->shard_revision,
+                     kFollowWait, kFollowWait + kFollowSlack,
+                     this->alive.Guard([this](auto&& result) {
+                       const auto* page = std::get_if<FeedPage>(&result);
+                       if (page == nullptr || page->history_lost) {
+                         this->retry_shards.Start(kStoreRetry);
+                         return;
+                       }
+                       this->shard_revision = page->revision;
+                       this->TakeShards(page->changed);
+                       this->FollowShards();
+                     }));
 }
 
 auto OwnershipTask::TakeShards(const std::vector<Row>& rows) -> void {
@@ -151,10 +151,9 @@
     return;
   }
   // After a lost answer, the feed of the shard table tells the outcome.
-  this->logger.Info(
-      "ownership", "claim_failed",
-      {{"shard", shard},
-       {"conflict", std::holds_alternative<Conflict>(outcome)}});
+  this->logger.Info("ownership", "claim_failed",
+                    {{"shard", shard},
+                     {"conflict", std::holds_alternative<Conflict>(outcome)}});
 }
 
 auto OwnershipTask::Release(const ServiceName& shard,
--- a/src/fireflythread/entry/ownership_task.h
+++ b/src/fireflythread/entry/ownership_task.h
@@ -5,8 +5,8 @@
 #include <functional>
 #include <set>
 
-#include "fireflythread/base/time.h"
 #include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/base/time.h"
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/ownership/ownership.h"
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -133,8 +133,8 @@
                            const std::map<std::string, Row>& progress) -> void {
   const auto key = ParseJobTableKey(row.key);
   if (!key) {
-    this->environment.logger.Warning(
-        "shard", "unreadable_row", {{"table", row.table}, {"key", row.key}});
+    this->environment.logger.Warning("shard", "unreadable_row",
+                                     {{"table", row.table}, {"key", row.key}});
     return;
   }
   const TimePoint now = ReadBootClock();
@@ -144,8 +144,8 @@
   }
   auto request = DecodeJobRequest(key->job, row.value);
   if (!request) {
-    this->environment.logger.Warning(
-        "shard", "unreadable_row", {{"table", row.table}, {"key", row.key}});
+    this->environment.logger.Warning("shard", "unreadable_row",
+                                     {{"table", row.table}, {"key", row.key}});
     return;
   }
   std::optional<JobProgress> known;
@@ -155,9 +155,8 @@
     version = found->second.version;
     known = DecodeJobProgress(found->second.value, TaskCount(*request));
     if (!known) {
-      this->environment.logger.Error(
-          "shard", "unreadable_progress",
-          {{"job", key->job}, {"version", version}});
+      this->environment.logger.Error("shard", "unreadable_progress",
+                                     {{"job", key->job}, {"version", version}});
       return;
     }
   }
@@ -229,10 +228,10 @@
                                     std::string(kFenceKey), this->state.fence,
                                     part});
   for (const JobRecord& record : batch.records) {
-    transaction.conditions.push_back({std::string(kProgressTable),
-                                      record.job.value, record.version, part});
-    transaction.writes.push_back({std::string(kProgressTable), record.job.value,
-                                  record.value, part});
+    transaction.conditions.push_back(
+        {std::string(kProgressTable), record.job.value, record.version, part});
+    transaction.writes.push_back(
+        {std::string(kProgressTable), record.job.value, record.value, part});
   }
   this->flushing = true;
   const TimePoint sent_at = ReadBootClock();
@@ -262,9 +261,9 @@
     this->TakeConflict(batch, *conflict);
     return;
   }
-  this->environment.logger.Warning("shard", "progress_not_stored",
-                                   {{"shard", this->state.service},
-                                    {"jobs", batch.records.size()}});
+  this->environment.logger.Warning(
+      "shard", "progress_not_stored",
+      {{"shard", this->state.service}, {"jobs", batch.records.size()}});
 }
 
 auto ShardTask::TakeConflict(const RecordBatch& batch, const Conflict& conflict)
--- a/src/fireflythread/jobs/job_codec.cc
+++ b/src/fireflythread/jobs/job_codec.cc
@@ -70,8 +70,7 @@
       json.at("latency_target_ms").get<std::int64_t>());
   const Json& budget = json.at("disruption_budget");
   step.has_disruption_budget = !budget.is_null();
-  step.disruption_budget =
-      step.has_disruption_budget ? budget.get<int>() : 0;
+  step.disruption_budget = step.has_disruption_budget ? budget.get<int>() : 0;
   return step;
 }
 
@@ -99,8 +98,7 @@
   task.failures = json.at(1).get<int>();
   task.worker = WorkerId(json.at(2).get<std::string>());
   task.checkpoint = json.at(3).get<std::string>();
-  task.phase =
-      task.worker.empty() ? RunPhase::kWaiting : RunPhase::kUnresolved;
+  task.phase = task.worker.empty() ? RunPhase::kWaiting : RunPhase::kUnresolved;
   return task;
 }
 
--- a/src/fireflythread/jobs/run_end.cc
+++ b/src/fireflythread/jobs/run_end.cc
@@ -22,8 +22,7 @@
       job.request.steps[static_cast<std::size_t>(name.step)].count;
   for (int index = 0; index < count; ++index) {
     TaskState& member =
-        job.progress
-            .tasks[TaskPlace(job, name.occurrence, name.step, index)];
+        job.progress.tasks[TaskPlace(job, name.occurrence, name.step, index)];
     member.done = true;
     if (member.worker.empty()) {
       member.phase = RunPhase::kDone;
--- a/src/fireflythread/jobs/shard_job.cc
+++ b/src/fireflythread/jobs/shard_job.cc
@@ -42,8 +42,8 @@
           job.request.steps[static_cast<std::size_t>(name.step)].count) {
     return nullptr;
   }
-  return &job.progress.tasks[TaskPlace(job, name.occurrence, name.step,
-                                       name.index)];
+  return &job.progress
+              .tasks[TaskPlace(job, name.occurrence, name.step, name.index)];
 }
 
 auto IsStepDone(const ShardJob& job, int occurrence, int step) -> bool {
--- a/src/fireflythread/jobs/shard_jobs.cc
+++ b/src/fireflythread/jobs/shard_jobs.cc
@@ -15,8 +15,7 @@
   const auto steps = static_cast<int>(job.request.steps.size());
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
     for (int step = 0; step < steps; ++step) {
-      const int count =
-          job.request.steps[static_cast<std::size_t>(step)].count;
+      const int count = job.request.steps[static_cast<std::size_t>(step)].count;
       for (int index = 0; index < count; ++index) {
         visit(TaskName{id, occurrence, step, index},
               job.progress.tasks[TaskPlace(job, occurrence, step, index)]);
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -1,7 +1,7 @@
 #include "fireflythread/jobs/shard_plan.h"
 
 #include <algorithm>
-#include <map>
+#include <set>
 #include <tuple>
 #include <vector>
 
@@ -17,13 +17,17 @@
   ShardJob* job = nullptr;
   int occurrence = 0;
   int step = 0;
+  /// Tasks that are to run all the time come first: each second without them
+  /// is lost for good.
+  bool finite = false;
   int priority = 0;
   bool hopeless = false;
   WallTime deadline;
 
   [[nodiscard]] auto Key() const {
-    return std::make_tuple(this->hopeless, this->priority, this->deadline,
-                           this->job->request.id, this->occurrence, this->step);
+    return std::make_tuple(this->finite, this->hopeless, this->priority,
+                           this->deadline, this->job->request.id,
+                           this->occurrence, this->step);
   }
 };
 
@@ -99,11 +103,12 @@
           unit.job = &job;
           unit.occurrence = occurrence;
           unit.step = step;
+          unit.finite =
+              !job.request.steps[static_cast<std::size_t>(step)].long_running;
           unit.priority = queue->second.priority;
           unit.deadline = begin + objective;
           unit.hopeless =
-              !job.request.steps[static_cast<std::size_t>(step)].long_running &&
-              wall_now > begin + kHopelessFactor * objective;
+              unit.finite && wall_now > begin + kHopelessFactor * objective;
           ready.push_back(unit);
         }
       }
@@ -128,19 +133,34 @@
   state.dirty.insert(name.job);
 }
 
-auto PlanSingles(ShardState& state, const ReadyStep& ready, TimePoint now)
-    -> void {
+/// Keeps the next room on a worker for a task that must not wait behind the
+/// stream of short tasks.
+auto ReserveWorker(const ShardState& state,
+                   const TaskName& name,
+                   std::set<WorkerId>& reserved,
+                   TimePoint now) -> void {
+  if (const auto worker = ChooseWorkerToClear(state, name, reserved, now)) {
+    reserved.insert(*worker);
+  }
+}
+
+auto PlanSingles(ShardState& state,
+                 const ReadyStep& ready,
+                 std::set<WorkerId>& reserved,
+                 TimePoint now) -> void {
   ShardJob& job = *ready.job;
-  const JobStep& step =
-      job.request.steps[static_cast<std::size_t>(ready.step)];
+  const JobStep& step = job.request.steps[static_cast<std::size_t>(ready.step)];
   for (int index = 0; index < step.count; ++index) {
     const TaskName name{job.request.id, ready.occurrence, ready.step, index};
     const TaskState& task = *FindTask(job, name);
     if (task.phase != RunPhase::kWaiting || now < task.not_before) {
       continue;
     }
-    const auto worker = ChooseWorker(state, name, now);
+    const auto worker = ChooseWorker(state, name, reserved, now);
     if (!worker) {
+      if (step.long_running) {
+        ReserveWorker(state, name, reserved, now);
+      }
       return;
     }
     PlanTask(state, name, *worker, task.run + 1, now);
@@ -148,16 +168,17 @@
 }
 
 /// All members of a gang get workers, or none.
-auto PlanGang(ShardState& state, const ReadyStep& ready, TimePoint now)
-    -> void {
+auto PlanGang(ShardState& state,
+              const ReadyStep& ready,
+              const std::set<WorkerId>& reserved,
+              TimePoint now) -> void {
   ShardJob& job = *ready.job;
   const int count =
       job.request.steps[static_cast<std::size_t>(ready.step)].count;
   int run = 0;
   for (int index = 0; index < count; ++index) {
     const TaskState& member =
-        job.progress
-            .tasks[TaskPlace(job, ready.occurrence, ready.step, index)];
+        job.progress.tasks[TaskPlace(job, ready.occurrence, ready.step, index)];
     if (member.phase != RunPhase::kWaiting || now < member.not_before) {
       return;
     }
@@ -166,7 +187,7 @@
   std::vector<TaskName> planned;
   for (int index = 0; index < count; ++index) {
     const TaskName name{job.request.id, ready.occurrence, ready.step, index};
-    const auto worker = ChooseWorker(state, name, now);
+    const auto worker = ChooseWorker(state, name, reserved, now);
     if (!worker) {
       for (const TaskName& member : planned) {
         ReleaseTask(state, member, now);
@@ -186,13 +207,14 @@
 }  // namespace
 
 auto PlanRuns(ShardState& state, WallTime wall_now, TimePoint now) -> void {
+  std::set<WorkerId> reserved;
   for (const ReadyStep& ready : CollectReady(state, wall_now, now)) {
     const JobStep& step =
         ready.job->request.steps[static_cast<std::size_t>(ready.step)];
     if (step.gang) {
-      PlanGang(state, ready, now);
+      PlanGang(state, ready, reserved, now);
     } else {
-      PlanSingles(state, ready, now);
+      PlanSingles(state, ready, reserved, now);
     }
   }
 }
--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -14,8 +14,7 @@
   const auto steps = static_cast<int>(job.request.steps.size());
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
     for (int step = 0; step < steps; ++step) {
-      const int count =
-          job.request.steps[static_cast<std::size_t>(step)].count;
+      const int count = job.request.steps[static_cast<std::size_t>(step)].count;
       for (int index = 0; index < count; ++index) {
         const TaskState& task =
             job.progress.tasks[TaskPlace(job, occurrence, step, index)];
@@ -52,12 +51,12 @@
 
 auto TakeBatch(ShardState& state, std::size_t max_jobs) -> RecordBatch {
   RecordBatch batch;
+  state.storing = true;
   while (!state.dirty.empty() && batch.records.size() < max_jobs) {
     const JobId id = *state.dirty.begin();
     state.dirty.erase(state.dirty.begin());
     const ShardJob& job = state.jobs.at(id);
-    batch.records.push_back(
-        {id, job.version, EncodeJobProgress(job.progress)});
+    batch.records.push_back({id, job.version, EncodeJobProgress(job.progress)});
     AddPlannedRuns(job, batch);
   }
   // An end counts as stored only when no job of it is left out.
@@ -73,6 +72,7 @@
                 const RecordBatch& batch,
                 std::uint64_t version,
                 TimePoint now) -> std::vector<StartCommand> {
+  state.storing = false;
   for (const JobRecord& record : batch.records) {
     const auto job = state.jobs.find(record.job);
     if (job != state.jobs.end()) {
@@ -95,8 +95,8 @@
       continue;
     }
     ShardWorker& worker = state.workers.at(task->worker);
-    const bool usable = worker.listed && !worker.view.draining &&
-                        !worker.gone && worker.clock;
+    const bool usable =
+        worker.listed && !worker.view.draining && !worker.gone && worker.clock;
     if (usable) {
       starts.push_back(MakeStart(state, planned.task, *task, worker, now));
     } else {
@@ -110,6 +110,7 @@
 }
 
 auto TakeNotStored(ShardState& state, const RecordBatch& batch) -> void {
+  state.storing = false;
   for (const JobRecord& record : batch.records) {
     if (state.jobs.contains(record.job)) {
       state.dirty.insert(record.job);
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -31,6 +31,8 @@
   std::map<WorkerId, ShardWorker> workers;
   /// Jobs whose progress row is out of date.
   std::set<JobId> dirty;
+  /// A batch of records is on its way to the store.
+  bool storing = false;
   /// Tasks in RunPhase::kStopping.
   std::set<TaskName> stopping;
   /// A worker answered that a newer owner exists.
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -32,9 +32,9 @@
   const std::set<TaskName> tasks = worker.tasks;
   for (const TaskName& name : tasks) {
     const TaskState* task = FindTask(state, name);
-    const bool certain = task->phase == RunPhase::kRunning ||
-                         (task->phase == RunPhase::kStopping &&
-                          task->stop_confirmed);
+    const bool certain =
+        task->phase == RunPhase::kRunning ||
+        (task->phase == RunPhase::kStopping && task->stop_confirmed);
     if (certain) {
       ReleaseTask(state, name, now);
       ForgetIfFinished(state, name.job);
@@ -139,8 +139,8 @@
   }
   for (const WorkerView& view : workers) {
     ShardWorker& worker = state.workers[view.id];
-    const bool reborn = worker.view.born.count() != 0 &&
-                        worker.view.born != view.born;
+    const bool reborn =
+        worker.view.born.count() != 0 && worker.view.born != view.born;
     worker.view = view;
     worker.listed = true;
     if (reborn && worker.reported_born != view.born) {
@@ -180,7 +180,9 @@
   look.fence = state.fence;
   look.last_seen = worker.ended_stored;
   const bool busy = !worker.tasks.empty();
-  if (busy && may_extend && worker.clock) {
+  // An extension without an answer may still be carried out, so each further
+  // one would put off the time when the worker's runs are certainly over.
+  if (busy && may_extend && worker.clock && worker.failed_looks == 0) {
     look.deadline = NextDeadline(state.limits, worker, now);
   }
   // A worker with ends that are not stored yet would answer at once anyway.
@@ -217,11 +219,10 @@
   worker.confirmed = true;
   TakeEnds(state, worker, report, now);
   TakeRuns(state, worker, report, sent_at, now);
-  if (state.dirty.empty()) {
+  if (state.dirty.empty() && !state.storing) {
     worker.ended_stored = worker.ended_seen;
   }
-  worker.next_look =
-      worker.tasks.empty() ? now + state.limits.idle_look : now;
+  worker.next_look = worker.tasks.empty() ? now + state.limits.idle_look : now;
 }
 
 auto TakeLookFailure(ShardState& state,
@@ -237,9 +238,8 @@
   worker.next_look = now + state.limits.look_retry;
 }
 
-auto TakeWorkerGone(ShardState& state,
-                    const WorkerId& worker_id,
-                    TimePoint now) -> void {
+auto TakeWorkerGone(ShardState& state, const WorkerId& worker_id, TimePoint now)
+    -> void {
   const auto found = state.workers.find(worker_id);
   if (found == state.workers.end()) {
     return;
--- a/src/fireflythread/jobs/worker_choice.cc
+++ b/src/fireflythread/jobs/worker_choice.cc
@@ -51,10 +51,14 @@
   return "";
 }
 
-}  // namespace
+/// What a worker has left, or would have without its present tasks.
+enum class RoomRule : std::uint8_t { kFree, kWhole };
 
-auto ChooseWorker(const ShardState& state, const TaskName& name, TimePoint now)
-    -> std::optional<WorkerId> {
+auto Choose(const ShardState& state,
+            const TaskName& name,
+            const std::set<WorkerId>& reserved,
+            RoomRule rule,
+            TimePoint now) -> std::optional<WorkerId> {
   const JobStep& step = StepOf(state, name);
   TaskSize needed = step.size;
   if (step.filler) {
@@ -65,8 +69,9 @@
   std::tuple<bool, int, std::int64_t> best_score;
   for (const auto& [id, worker] : state.workers) {
     const TaskSize free = Minus(worker.view.capacity, worker.used);
-    if (!IsUsable(worker, now) || !HasLabel(worker.view, step.required_label) ||
-        !Fits(needed, free)) {
+    const TaskSize room = rule == RoomRule::kFree ? free : worker.view.capacity;
+    if (!IsUsable(worker, now) || reserved.contains(id) ||
+        !HasLabel(worker.view, step.required_label) || !Fits(needed, room)) {
       continue;
     }
     if (step.max_per_worker > 0 &&
@@ -86,4 +91,20 @@
   return best;
 }
 
+}  // namespace
+
+auto ChooseWorker(const ShardState& state,
+                  const TaskName& name,
+                  const std::set<WorkerId>& reserved,
+                  TimePoint now) -> std::optional<WorkerId> {
+  return Choose(state, name, reserved, RoomRule::kFree, now);
+}
+
+auto ChooseWorkerToClear(const ShardState& state,
+                         const TaskName& name,
+                         const std::set<WorkerId>& reserved,
+                         TimePoint now) -> std::optional<WorkerId> {
+  return Choose(state, name, reserved, RoomRule::kWhole, now);
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/worker_choice.h
+++ b/src/fireflythread/jobs/worker_choice.h
@@ -2,19 +2,29 @@
 #define FIREFLYTHREAD_JOBS_WORKER_CHOICE_H_
 
 #include <optional>
+#include <set>
 
 #include "fireflythread/jobs/shard_state.h"
 
 namespace fireflythread {
 
 /// The worker for a task's next run: it is registered and in touch, has the
-/// label and the room, and holds fewer tasks of the step than allowed. Workers
-/// near the data come first, then those with the most cores free. No value
-/// when no worker can take the task now.
+/// label and the room, is not reserved, and holds fewer tasks of the step than
+/// allowed. Workers near the data come first, then those with the most cores
+/// free. No value when no worker can take the task now.
 [[nodiscard]] auto ChooseWorker(const ShardState& state,
                                 const TaskName& name,
+                                const std::set<WorkerId>& reserved,
                                 TimePoint now) -> std::optional<WorkerId>;
 
+/// The worker that will have room for a task soonest: as ChooseWorker(), but
+/// what its present tasks use counts as free.
+[[nodiscard]] auto ChooseWorkerToClear(const ShardState& state,
+                                       const TaskName& name,
+                                       const std::set<WorkerId>& reserved,
+                                       TimePoint now)
+    -> std::optional<WorkerId>;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_JOBS_WORKER_CHOICE_H_
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -48,9 +48,9 @@
   if (!worker.clock) {
     // Only a former owner can have given leases. It stopped extending them at
     // the latest this long after it lost the shard.
-    const auto longest = limits.run_lease *
-                             (100 + limits.slow_clock_percent) / 100 +
-                         limits.extend_without_store + limits.stop_time;
+    const auto longest =
+        limits.run_lease * (100 + limits.slow_clock_percent) / 100 +
+        limits.extend_without_store + limits.stop_time;
     return now - state.owned_since > longest;
   }
   return LeastClock(limits, worker, now) >
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -57,9 +57,10 @@
                                         owner->second.version});
     }
   }
-  const std::string value = Json{{"owner", state.self.value},
-                                 {"incarnation", state.incarnation}}
-                                .dump();
+  const std::string value = Json{
+      {"owner", state.self.value},
+      {"incarnation",
+       state.incarnation}}.dump();
   transaction.writes.push_back({std::string(kShardTable), shard.value, value});
   transaction.writes.push_back(
       {std::string(kFenceTable), std::string(kFenceKey), value, shard.value});
@@ -111,10 +112,10 @@
 
 auto MakeRenewal(const OwnershipState& state) -> Transaction {
   Transaction transaction;
-  transaction.writes.push_back({std::string(kEntryTable), state.self.value,
-                                Json{{"incarnation", state.incarnation},
-                                     {"stopping", state.stopping}}
-                                    .dump()});
+  transaction.writes.push_back(
+      {std::string(kEntryTable), state.self.value,
+       Json{{"incarnation", state.incarnation}, {"stopping", state.stopping}}
+           .dump()});
   return transaction;
 }
 
@@ -165,8 +166,7 @@
   return claims;
 }
 
-auto MakeRelease(const ServiceName& shard, std::uint64_t token)
-    -> Transaction {
+auto MakeRelease(const ServiceName& shard, std::uint64_t token) -> Transaction {
   Transaction transaction;
   transaction.conditions.push_back(
       {std::string(kShardTable), shard.value, token});
--- /dev/null
+++ b/test/fireflythread/jobs/shard_fixture.h
@@ -0,0 +1,60 @@
+#ifndef TEST_FIREFLYTHREAD_JOBS_SHARD_FIXTURE_H_
+#define TEST_FIREFLYTHREAD_JOBS_SHARD_FIXTURE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fireflythread/jobs/shard_jobs.h"
+#include "fireflythread/jobs/shard_orders.h"
+#include "fireflythread/jobs/shard_plan.h"
+#include "fireflythread/jobs/shard_record.h"
+#include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/jobs/shard_workers.h"
+
+namespace fireflythread::test {
+
+using std::chrono::milliseconds;
+
+/// A shard on virtual time with one queue, "orders", and workers "w0", "w1"...
+/// of 8 cores and 16 GB, each in its own rack.
+class ShardFixture {
+ public:
+  explicit ShardFixture(int worker_count);
+
+  auto Advance(milliseconds time) -> void { this->now += time; }
+
+  /// Adds a job of one step.
+  auto AddJob(const std::string& id, const JobStep& step) -> void;
+  [[nodiscard]] static auto Step(int count, int millicores) -> JobStep;
+
+  /// Reports of a worker with nothing more than what is given.
+  auto Report(const std::string& worker,
+              std::vector<RunningRun> running = {},
+              std::vector<EndedRun> ended = {}) -> void;
+
+  /// Plans, stores the records and gives the starts that follow.
+  [[nodiscard]] auto PlanAndStore() -> std::vector<StartCommand>;
+  /// The same, and every worker accepts.
+  auto StartAll() -> std::vector<StartCommand>;
+  auto Accept(const StartCommand& start) -> void;
+
+  [[nodiscard]] static auto Running(const StartCommand& start) -> RunningRun;
+  [[nodiscard]] static auto Ended(const StartCommand& start,
+                                  std::uint64_t number,
+                                  RunEnd end) -> EndedRun;
+
+  [[nodiscard]] auto Task(const std::string& job, int index) -> TaskState&;
+  [[nodiscard]] auto Worker(const std::string& id) -> ShardWorker&;
+
+  ShardState state;
+  TimePoint now{std::chrono::hours(1)};
+  WallTime wall_now{std::chrono::hours(1000)};
+  std::uint64_t version = 100;
+  std::vector<WorkerView> views;
+};
+
+}  // namespace fireflythread::test
+
+#endif  // TEST_FIREFLYTHREAD_JOBS_SHARD_FIXTURE_H_
--- /dev/null
+++ b/test/fireflythread/jobs/shard_plan_test.cc
@@ -0,0 +1,146 @@
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "fireflythread/base/random.h"
+#include "test/fireflythread/jobs/shard_fixture.h"
+
+namespace fireflythread::test {
+namespace {
+
+TEST_CASE("No worker gets more than its capacity", "[jobs]") {
+  // Guards against overload of workers that do not guard themselves, over
+  // random jobs, ends and unanswered starts.
+  Random random(20261204);
+  ShardFixture shard(3);
+  std::vector<StartCommand> running;
+  std::map<std::string, std::uint64_t> ends;
+  for (int round = 0; round < 300; ++round) {
+    const int count = 1 + static_cast<int>(random() % 5);
+    const int millicores = 500 + static_cast<int>(random() % 4000);
+    shard.AddJob("job" + std::to_string(round),
+                 ShardFixture::Step(count, millicores));
+    for (const StartCommand& start : shard.PlanAndStore()) {
+      if (random() % 10 == 0) {
+        TakeStartReply(shard.state, start, {OrderVerdict::kUnknown}, shard.now);
+      } else {
+        shard.Accept(start);
+      }
+      running.push_back(start);
+    }
+    shard.Advance(milliseconds(5));
+    for (const WorkerView& view : shard.views) {
+      std::vector<RunningRun> runs;
+      std::vector<EndedRun> ended;
+      std::vector<StartCommand> left;
+      TaskSize used;
+      for (const StartCommand& start : running) {
+        if (start.worker != view.id) {
+          left.push_back(start);
+          continue;
+        }
+        used = Plus(used, StepOf(shard.state, start.task).size);
+        if (random() % 3 == 0) {
+          ended.push_back(ShardFixture::Ended(start, ++ends[view.id.value],
+                                              RunEnd::kStopped));
+        } else {
+          runs.push_back(ShardFixture::Running(start));
+          left.push_back(start);
+        }
+      }
+      CHECK(Fits(used, view.capacity));
+      running = left;
+      shard.Report(view.id.value, runs, ended);
+    }
+  }
+}
+
+TEST_CASE("Lasting tasks start before others and get the next room", "[jobs]") {
+  // Guards against lasting tasks that wait for ever behind a stream of short
+  // ones that fit into smaller gaps.
+  ShardFixture shard(1);
+  shard.AddJob("short1", ShardFixture::Step(8, 1000));
+  auto running = shard.StartAll();
+  REQUIRE(running.size() == 8);
+  JobStep lasting = ShardFixture::Step(1, 4000);
+  lasting.long_running = true;
+  shard.AddJob("lasting", lasting);
+  shard.AddJob("short2", ShardFixture::Step(8, 1000));
+  std::uint64_t number = 0;
+  for (int ended = 0; ended < 4; ++ended) {
+    CHECK(shard.PlanAndStore().empty());
+    std::vector<RunningRun> runs;
+    for (std::size_t next = static_cast<std::size_t>(ended) + 1;
+         next < running.size(); ++next) {
+      runs.push_back(ShardFixture::Running(running[next]));
+    }
+    const auto& done = running[static_cast<std::size_t>(ended)];
+    shard.Report("w0", runs,
+                 {ShardFixture::Ended(done, ++number, RunEnd::kDone)});
+  }
+  const auto starts = shard.PlanAndStore();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.job == JobId("lasting"));
+}
+
+TEST_CASE("A step waits for the steps before it", "[jobs]") {
+  ShardFixture shard(1);
+  JobRequest request;
+  request.id = JobId("a");
+  request.queue = QueueName("orders");
+  request.steps = {ShardFixture::Step(2, 1000), ShardFixture::Step(1, 1000)};
+  request.steps[1].after = {0};
+  request.accepted_at = shard.wall_now;
+  AddJob(shard.state, request, std::nullopt, 0, shard.now);
+  const auto first = shard.StartAll();
+  REQUIRE(first.size() == 2);
+  shard.Report("w0", {ShardFixture::Running(first[1])},
+               {ShardFixture::Ended(first[0], 1, RunEnd::kDone)});
+  CHECK(shard.PlanAndStore().empty());
+  shard.Report("w0", {}, {ShardFixture::Ended(first[1], 2, RunEnd::kDone)});
+  const auto second = shard.PlanAndStore();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].task.step == 1);
+}
+
+TEST_CASE("A scheduled occurrence does not start before its time", "[jobs]") {
+  ShardFixture shard(1);
+  JobRequest request;
+  request.id = JobId("a");
+  request.queue = QueueName("orders");
+  request.steps = {ShardFixture::Step(1, 1000)};
+  request.repeat_count = 2;
+  request.first_due = shard.wall_now + milliseconds(500);
+  request.interval = milliseconds(1000);
+  request.accepted_at = shard.wall_now;
+  AddJob(shard.state, request, std::nullopt, 0, shard.now);
+  CHECK(shard.PlanAndStore().empty());
+  shard.wall_now += milliseconds(500);
+  const auto starts = shard.PlanAndStore();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].task.occurrence == 0);
+}
+
+TEST_CASE("A gang starts whole or not at all", "[jobs]") {
+  // Guards against members that wait for others that have no room.
+  ShardFixture shard(1);
+  JobStep step = ShardFixture::Step(3, 3000);
+  step.gang = true;
+  shard.AddJob("gang", step);
+  CHECK(shard.PlanAndStore().empty());
+  ShardFixture larger(2);
+  larger.AddJob("gang", step);
+  const auto starts = larger.PlanAndStore();
+  REQUIRE(starts.size() == 3);
+  CHECK(starts[0].run == starts[2].run);
+}
+
+TEST_CASE("No more tasks of a step share a worker than allowed", "[jobs]") {
+  ShardFixture shard(2);
+  JobStep step = ShardFixture::Step(3, 1000);
+  step.max_per_worker = 1;
+  shard.AddJob("a", step);
+  CHECK(shard.PlanAndStore().size() == 2);
+}
+
+}  // namespace
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/jobs/shard_runs_test.cc
@@ -0,0 +1,153 @@
+#include <catch2/catch.hpp>
+
+#include "test/fireflythread/jobs/shard_fixture.h"
+
+namespace fireflythread::test {
+namespace {
+
+TEST_CASE("No start is sent before its run is recorded", "[jobs]") {
+  // Guards against a run that a successor of the owner does not know of.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  PlanRuns(shard.state, shard.wall_now, shard.now);
+  CHECK(shard.Task("a", 0).phase == RunPhase::kPlanned);
+  const RecordBatch batch = TakeBatch(shard.state, 45);
+  TakeNotStored(shard.state, batch);
+  CHECK(shard.Task("a", 0).phase == RunPhase::kPlanned);
+  CHECK(shard.PlanAndStore().size() == 1);
+}
+
+TEST_CASE("An end is acknowledged only once it is stored", "[jobs]") {
+  // Guards against an end that a worker forgets while the owner dies before
+  // the end is stored: the successor would run the task a second time.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(2, 1000));
+  const auto starts = shard.StartAll();
+  shard.Report("w0", {ShardFixture::Running(starts[1])},
+               {ShardFixture::Ended(starts[0], 1, RunEnd::kDone)});
+  CHECK(shard.Worker("w0").ended_stored == 0);
+
+  const RecordBatch batch = TakeBatch(shard.state, 45);
+  shard.Report("w0", {ShardFixture::Running(starts[1])},
+               {ShardFixture::Ended(starts[0], 1, RunEnd::kDone)});
+  CHECK(shard.Worker("w0").ended_stored == 0);
+
+  CHECK(TakeStored(shard.state, batch, 200, shard.now).empty());
+  CHECK(shard.Worker("w0").ended_stored == 1);
+}
+
+TEST_CASE("A silent worker's runs begin elsewhere after its lease", "[jobs]") {
+  // Guards against looks without an answer that move the lease's end, as the
+  // owner has to assume that they are carried out late.
+  ShardFixture shard(2);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto starts = shard.StartAll();
+  REQUIRE(starts.size() == 1);
+  const WorkerId silent = starts[0].worker;
+  const TimePoint began = shard.now;
+  const milliseconds longest =
+      shard.state.limits.run_lease + milliseconds(1500);
+  while (shard.Task("a", 0).worker == silent &&
+         shard.now - began < 2 * longest) {
+    if (NextLook(shard.state, silent, true, shard.now)) {
+      TakeLookFailure(shard.state, silent, shard.now);
+    }
+    shard.Advance(milliseconds(250));
+    StepWorkers(shard.state, shard.now);
+  }
+  CHECK(shard.now - began >= shard.state.limits.run_lease);
+  CHECK(shard.now - began <= longest);
+  const auto again = shard.PlanAndStore();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].worker != silent);
+  CHECK(again[0].run == starts[0].run + 1);
+}
+
+TEST_CASE("A start without an answer has no second run", "[jobs]") {
+  // Guards against a worker that carries an order out late, after the task was
+  // started elsewhere.
+  ShardFixture shard(2);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto starts = shard.PlanAndStore();
+  REQUIRE(starts.size() == 1);
+  TakeStartReply(shard.state, starts[0], {OrderVerdict::kUnknown}, shard.now);
+  shard.Advance(milliseconds(10));
+  shard.Report(starts[0].worker.value);
+  CHECK(shard.PlanAndStore().empty());
+  const auto stops = NextStops(shard.state, shard.now);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].run == starts[0].run);
+
+  SECTION("the stop is confirmed and a later report does not list the run") {
+    TakeStopReply(shard.state, stops[0], {OrderVerdict::kDone}, shard.now);
+    shard.Advance(milliseconds(10));
+    shard.Report(starts[0].worker.value);
+    const auto again = shard.PlanAndStore();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run > starts[0].run);
+  }
+  SECTION("the stop gets no answer") {
+    TakeStopReply(shard.state, stops[0], {OrderVerdict::kUnknown}, shard.now);
+    shard.Report(starts[0].worker.value);
+    CHECK(shard.PlanAndStore().empty());
+    shard.Advance(milliseconds(500));
+    CHECK(NextStops(shard.state, shard.now).size() == 1);
+  }
+}
+
+TEST_CASE("A start without an answer that the worker lists goes on", "[jobs]") {
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto starts = shard.PlanAndStore();
+  TakeStartReply(shard.state, starts[0], {OrderVerdict::kUnknown}, shard.now);
+  shard.Report("w0", {ShardFixture::Running(starts[0])});
+  CHECK(shard.Task("a", 0).phase == RunPhase::kRunning);
+  CHECK(NextStops(shard.state, shard.now).empty());
+}
+
+TEST_CASE("A task fails its job after the allowed attempts", "[jobs]") {
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto first = shard.StartAll();
+  shard.Report("w0", {}, {ShardFixture::Ended(first[0], 1, RunEnd::kFailed)});
+  shard.Advance(milliseconds(5000));
+  const auto second = shard.StartAll();
+  REQUIRE(second.size() == 1);
+  shard.Report("w0", {}, {ShardFixture::Ended(second[0], 2, RunEnd::kFailed)});
+  CHECK(shard.state.jobs.at(JobId("a")).progress.state == JobState::kFailed);
+  shard.Advance(milliseconds(5000));
+  CHECK(shard.PlanAndStore().empty());
+}
+
+TEST_CASE("A worker that restarted under its id runs nothing", "[jobs]") {
+  // Guards against waiting for a run that ended with the worker's former life.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto starts = shard.StartAll();
+  shard.views[0].born = milliseconds(2);
+  shard.Report("w0");
+  const auto again = shard.PlanAndStore();
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].run == starts[0].run + 1);
+}
+
+TEST_CASE("A cancelled job's runs are stopped and hold their room", "[jobs]") {
+  // Guards against a start into room that a run still holds while it stops.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(1, 8000));
+  const auto starts = shard.StartAll();
+  CancelJob(shard.state, JobId("a"), shard.now);
+  shard.AddJob("b", ShardFixture::Step(1, 8000));
+  const auto stops = NextStops(shard.state, shard.now);
+  REQUIRE(stops.size() == 1);
+  TakeStopReply(shard.state, stops[0], {OrderVerdict::kDone}, shard.now);
+  CHECK(shard.PlanAndStore().empty());
+  shard.Advance(milliseconds(10));
+  shard.Report("w0", {ShardFixture::Running(starts[0])});
+  CHECK(shard.PlanAndStore().empty());
+  shard.Report("w0", {}, {ShardFixture::Ended(starts[0], 1, RunEnd::kStopped)});
+  CHECK(shard.PlanAndStore().size() == 1);
+}
+
+}  // namespace
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/ownership/ownership_test.cc
@@ -0,0 +1,109 @@
+#include "fireflythread/ownership/ownership.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+auto EntryRow(const std::string& id, int incarnation, std::uint64_t version)
+    -> Row {
+  return {std::string(kEntryTable), id, version,
+          R"({"incarnation":)" + std::to_string(incarnation) +
+              R"(,"stopping":false})"};
+}
+
+auto ShardRow(const std::string& shard,
+              const std::string& owner,
+              int incarnation,
+              std::uint64_t version) -> Row {
+  return {std::string(kShardTable), shard, version,
+          R"({"owner":")" + owner + R"(","incarnation":)" +
+              std::to_string(incarnation) + "}"};
+}
+
+/// An entry that knows entries "a" to "d" and shards "p" to "s".
+auto MakeState(const std::string& self, TimePoint now) -> OwnershipState {
+  OwnershipState state;
+  state.self = EntryId(self);
+  state.incarnation = 1;
+  for (const char* shard : {"p", "q", "r", "s"}) {
+    state.wanted.insert(ServiceName(shard));
+  }
+  state.shards_read = true;
+  TakeEntryRows(state,
+                {EntryRow("a", 1, 1), EntryRow("b", 1, 2), EntryRow("c", 1, 3),
+                 EntryRow("d", 1, 4)},
+                now);
+  return state;
+}
+
+TEST_CASE("Entries share the shards evenly without talking", "[ownership]") {
+  // Guards against one entry that takes all work on a common start.
+  const TimePoint now{std::chrono::hours(1)};
+  std::size_t claimed = 0;
+  for (const char* entry : {"a", "b", "c", "d"}) {
+    const auto claims = NextClaims(MakeState(entry, now), now);
+    CHECK(claims.size() == 1);
+    claimed += claims.size();
+  }
+  CHECK(claimed == 4);
+}
+
+TEST_CASE("A shard is taken from an entry only when its row is stale",
+          "[ownership]") {
+  // Guards against a takeover from an owner that still renews.
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state = MakeState("a", now);
+  state.wanted = {ServiceName("p")};
+  TakeShardRow(state, ShardRow("p", "b", 1, 20));
+  CHECK(NextClaims(state, now + kEntryTimeout / 2).empty());
+
+  const TimePoint later = now + kEntryTimeout;
+  TakeEntryRows(state, {EntryRow("a", 1, 11), EntryRow("b", 1, 2)}, later);
+  const auto claims = NextClaims(state, later);
+  REQUIRE(claims.size() == 1);
+  // The claim fails if the owner renews its row before it.
+  bool depends_on_owner = false;
+  for (const Condition& condition : claims[0].transaction.conditions) {
+    depends_on_owner =
+        depends_on_owner || (condition.table == kEntryTable &&
+                             condition.key == "b" && condition.version == 2);
+  }
+  CHECK(depends_on_owner);
+}
+
+TEST_CASE("A restarted entry's shards are free at once", "[ownership]") {
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state = MakeState("a", now);
+  state.wanted = {ServiceName("p")};
+  TakeShardRow(state, ShardRow("p", "a", 9, 20));
+  TakeEntryRows(state, {EntryRow("a", 1, 30)}, now);
+  CHECK(NextClaims(state, now).size() == 1);
+}
+
+TEST_CASE("A released shard is free at once", "[ownership]") {
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state = MakeState("a", now);
+  state.wanted = {ServiceName("p")};
+  TakeEntryRows(state, {EntryRow("a", 1, 30)}, now);
+  TakeShardRow(state, ShardRow("p", "b", 1, 20));
+  TakeShardRow(state, ShardRow("p", "", 0, 25));
+  CHECK(NextClaims(state, now).size() == 1);
+  // An older row that arrives late changes nothing.
+  TakeShardRow(state, ShardRow("p", "b", 1, 20));
+  CHECK(NextClaims(state, now).size() == 1);
+}
+
+TEST_CASE("A stopping entry claims nothing", "[ownership]") {
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state = MakeState("a", now);
+  state.stopping = true;
+  CHECK(NextClaims(state, now).empty());
+}
+
+}  // namespace
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/platform/wire_test.cc
@@ -0,0 +1,139 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "platform/entry_settings.h"
+#include "platform/job_wire.h"
+#include "platform/orders_wire.h"
+#include "platform/records_wire.h"
+#include "platform/store_wire.h"
+
+namespace fireflythread::adapter {
+namespace {
+
+constexpr const char* kWorkerEntry =
+    R"({"service":"desk","address":"10.1.0.9:80","zone":"z","state":"ready",)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],)"
+    R"("born":77,"seq":4})";
+
+TEST_CASE("A worker's entry is decoded", "[platform]") {
+  const auto worker = DecodeWorkerEntry("i-1", kWorkerEntry);
+  REQUIRE(worker.has_value());
+  CHECK(worker->rack == "r1-3");
+  CHECK(worker->capacity.millicores == 16000);
+  CHECK(worker->born.count() == 77);
+  CHECK_FALSE(worker->draining);
+}
+
+TEST_CASE("Entries of other writers name no worker", "[platform]") {
+  // Guards against work sent to what is no worker, and against a crash.
+  for (const char* text :
+       {"", "null", "[]", "7", "{}", R"({"service":"desk"})",
+        R"({"service":7,"address":"x","state":"ready","capacity":{}})",
+        R"({"service":"desk","address":"x","state":"other","capacity":{}})",
+        R"({"service":"desk","address":"x","state":"ready","capacity":3})"}) {
+    CHECK_FALSE(DecodeWorkerEntry("i-1", text).has_value());
+  }
+}
+
+TEST_CASE("A job's body is decoded and checked", "[platform]") {
+  const auto job = DecodeJobBody(
+      R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256},)"
+      R"({"count":2,"cpu":100,"after":[0],"fills":true}]})");
+  REQUIRE(job.has_value());
+  CHECK(job->steps[1].after == std::vector<int>{0});
+  CHECK(job->steps[1].filler);
+  for (const char* text :
+       {"", "{", "{}", R"({"steps":[]})", R"({"steps":[{"count":0}]})",
+        R"({"steps":[{"count":1,"after":[0]}]})",
+        R"({"steps":[{"count":1,"after":"x"}]})", R"({"steps":[{"count":-1}]})",
+        R"({"steps":[7]})", R"({"steps":[{"count":1}],"repeat_count":-1})"}) {
+    CHECK_FALSE(DecodeJobBody(text).has_value());
+  }
+  CHECK_FALSE(DecodeJobBody(R"({"spec":")" + std::string(5000, 'x') +
+                            R"(","steps":[{"count":1}]})")
+                  .has_value());
+}
+
+TEST_CASE("Job ids have 16 hexadecimal digits", "[platform]") {
+  CHECK(IsJobId("5c0e7a21d94b36f8"));
+  CHECK_FALSE(IsJobId("5c0e7a21d94b36f"));
+  CHECK_FALSE(IsJobId("5c0e7a21d94b36fg"));
+  CHECK_FALSE(IsJobId(""));
+}
+
+TEST_CASE("Answers to orders are told apart", "[platform]") {
+  // Guards against a refusal that is taken for a run, or the other way round.
+  const auto verdict = [](unsigned status, const char* body) {
+    return DecodeOrderReply(
+               JsonReply{status, Json::parse(body, nullptr, false)})
+        .verdict;
+  };
+  CHECK(verdict(200, R"({"clock_ms":5})") == OrderVerdict::kDone);
+  CHECK(verdict(409, R"({"reason":"fence"})") == OrderVerdict::kFenced);
+  CHECK(verdict(409, R"({"reason":"old"})") == OrderVerdict::kOldRun);
+  CHECK(verdict(409, R"({"reason":"late"})") == OrderVerdict::kLate);
+  CHECK(verdict(409, R"({"reason":"room"})") == OrderVerdict::kNoRoom);
+  CHECK(verdict(421, "{}") == OrderVerdict::kOtherInstance);
+  CHECK(verdict(503, "") == OrderVerdict::kUnhealthy);
+  CHECK(verdict(500, "") == OrderVerdict::kUnknown);
+  CHECK(DecodeOrderReply(HttpFailure{"x", true}).verdict ==
+        OrderVerdict::kUnknown);
+  CHECK(DecodeOrderReply(HttpFailure{"x", false}).verdict ==
+        OrderVerdict::kNotSent);
+}
+
+TEST_CASE("A worker's report is decoded", "[platform]") {
+  const Json body = Json::parse(
+      R"({"clock_ms":482113,"born":9,"running":)"
+      R"([["5c0e7a21d94b36f8.0.1.17",2,"ck",41,12],["bad"],7],)"
+      R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"failed",""],[1]]})");
+  const auto result = DecodeReport(JsonReply{200, body});
+  const auto* report = std::get_if<WorkerReport>(&result);
+  REQUIRE(report != nullptr);
+  REQUIRE(report->running.size() == 1);
+  CHECK(report->running[0].usage == 12);
+  REQUIRE(report->ended.size() == 1);
+  CHECK(report->ended[0].end == RunEnd::kFailed);
+}
+
+TEST_CASE("Any text leaves the decoders whole", "[platform]") {
+  // Guards against a crash by bytes of another writer.
+  rc::check("decoders take any text", [](const std::string& text) {
+    (void)DecodeWorkerEntry("i", text);
+    (void)DecodeConfiguration(text);
+    (void)DecodeWave(text);
+    (void)DecodeJobBody(text);
+    (void)ParseEntrySettings("f", text);
+    const Json json = Json::parse(text, nullptr, false);
+    (void)DecodeRows(json);
+    (void)DecodeReport(JsonReply{200, json});
+  });
+}
+
+TEST_CASE("Any change of one character leaves the decoders whole",
+          "[platform]") {
+  const std::string entry = kWorkerEntry;
+  for (std::size_t place = 0; place < entry.size(); ++place) {
+    for (const char letter : {'"', '{', '}', '[', '0', ':'}) {
+      std::string changed = entry;
+      changed[place] = letter;
+      (void)DecodeWorkerEntry("i", changed);
+      (void)DecodeConfiguration(changed);
+      (void)DecodeJobBody(changed);
+    }
+  }
+}
+
+TEST_CASE("Settings faults are reported together", "[platform]") {
+  const auto result = ParseEntrySettings(
+      "entry.ini",
+      "[entry]\nid = a\nzone = z\ncaller_listen = nowhere\nother = 1\n");
+  const auto* faults = std::get_if<std::vector<SettingsFault>>(&result);
+  REQUIRE(faults != nullptr);
+  // A wrong address, an unknown key and two keys that are missing.
+  CHECK(faults->size() == 4);
+}
+
+}  // namespace
+}  // namespace fireflythread::adapter
