Move VMs between pools and carry out maintenance waves

The owner of the duty shard asks the shards' owners to empty workers and orders moves and upkeeps once they are empty.

--- /dev/null
+++ b/src/fireflythread/duties/duties.cc
@@ -0,0 +1,265 @@
+#include "fireflythread/duties/duties.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fireflythread/duties/duty_limits.h"
+
+namespace fireflythread {
+namespace {
+
+auto IsWaveDone(const DutyState& state, const WaveProgress& wave) -> bool {
+  return std::all_of(wave.request.vms.begin(), wave.request.vms.end(),
+                     [&](const VmId& vm) -> bool {
+                       const auto missing = state.missing.find(vm);
+                       return wave.done.contains(vm) ||
+                              (missing != state.missing.end() &&
+                               missing->second >= kGoneAfterLists);
+                     });
+}
+
+/// VMs of a wave that are down for their upkeep, or may be.
+auto CountDown(const DutyState& state, std::int64_t wave) -> int {
+  return static_cast<int>(std::count_if(
+      state.duties.begin(), state.duties.end(),
+      [wave](const auto& entry) { return entry.second.wave == wave; }));
+}
+
+/// VMs of a pool that are on their way, for any reason.
+auto CountAway(const DutyState& state, const ServiceName& pool) -> int {
+  return static_cast<int>(std::count_if(
+      state.duties.begin(), state.duties.end(),
+      [&pool](const auto& entry) { return entry.second.from == pool; }));
+}
+
+auto CountMachines(const DutyState& state, const ServiceName& pool) -> int {
+  return static_cast<int>(std::count_if(
+      state.machines.begin(), state.machines.end(),
+      [&pool](const auto& entry) { return entry.second.pool == pool; }));
+}
+
+/// What a VM's worker has to do; the spare pool's VMs have nothing.
+auto LoadOf(const DutyState& state, const MachineView& machine) -> WorkerLoad {
+  const auto pool = state.loads.find(machine.pool);
+  if (pool == state.loads.end()) {
+    return {};
+  }
+  const auto worker = pool->second.workers.find(machine.worker);
+  return worker == pool->second.workers.end() ? WorkerLoad{} : worker->second;
+}
+
+auto BeginUpkeep(DutyState& state,
+                 const MachineView& machine,
+                 std::int64_t wave,
+                 TimePoint now) -> void {
+  Duty duty;
+  duty.vm = machine.vm;
+  duty.worker = machine.worker;
+  duty.from = machine.pool;
+  duty.wave = wave;
+  duty.since = now;
+  const bool spare = machine.pool == state.spare_pool;
+  duty.phase = spare || machine.worker.empty() ? DutyPhase::kEmpty
+                                               : DutyPhase::kVacating;
+  state.duties.emplace(machine.vm, std::move(duty));
+}
+
+auto PlanWave(DutyState& state, WaveProgress& wave, TimePoint now) -> void {
+  std::vector<const MachineView*> candidates;
+  for (const VmId& vm : wave.request.vms) {
+    const auto machine = state.machines.find(vm);
+    if (machine != state.machines.end() && !wave.done.contains(vm) &&
+        !state.duties.contains(vm) &&
+        machine->second.state == MachineState::kUp) {
+      candidates.push_back(&machine->second);
+    }
+  }
+  // Idle VMs first: they are down for their upkeep and nothing else.
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [&state](const MachineView* left, const MachineView* right) -> bool {
+        const auto key = [&state](const MachineView& machine) {
+          const WorkerLoad load = LoadOf(state, machine);
+          return std::make_pair(load.lasting_tasks, load.used_millicores);
+        };
+        return key(*left) < key(*right);
+      });
+  int down = CountDown(state, wave.request.number);
+  for (const MachineView* machine : candidates) {
+    if (down >= wave.request.cap) {
+      return;
+    }
+    const int pool_size = CountMachines(state, machine->pool);
+    const bool within_pool =
+        machine->pool == state.spare_pool ||
+        CountAway(state, machine->pool) < std::max(1, pool_size / kUpkeepShare);
+    if (within_pool) {
+      BeginUpkeep(state, *machine, wave.request.number, now);
+      ++down;
+    }
+  }
+}
+
+auto CountMissing(DutyState& state, const WaveProgress& wave) -> void {
+  for (const VmId& vm : wave.request.vms) {
+    if (state.machines.contains(vm)) {
+      state.missing.erase(vm);
+    } else {
+      ++state.missing[vm];
+    }
+  }
+}
+
+auto MarkWaveDone(DutyState& state, const Duty& duty) -> void {
+  const auto wave = state.waves.find(*duty.wave);
+  if (wave != state.waves.end()) {
+    wave->second.done.insert(duty.vm);
+    wave->second.dirty = true;
+  }
+}
+
+}  // namespace
+
+auto TakeMachines(DutyState& state,
+                  const std::vector<MachineView>& machines,
+                  TimePoint now) -> void {
+  state.machines.clear();
+  for (const MachineView& machine : machines) {
+    state.machines.emplace(machine.vm, machine);
+  }
+  state.listed = true;
+  std::erase_if(state.duties, [&](const auto& entry) -> bool {
+    const Duty& duty = entry.second;
+    const auto machine = state.machines.find(duty.vm);
+    if (machine == state.machines.end()) {
+      return true;
+    }
+    const MachineView& view = machine->second;
+    if (duty.phase == DutyPhase::kAway) {
+      // A list that was read before the order may still show the old worker.
+      const bool back = view.state == MachineState::kUp &&
+                        view.worker != duty.worker &&
+                        (duty.wave || view.pool == duty.target);
+      const bool spare =
+          duty.target == state.spare_pool && view.pool == duty.target;
+      return back || (spare && view.state == MachineState::kUp);
+    }
+    const bool replaced = view.worker != duty.worker;
+    return replaced && duty.phase != DutyPhase::kOrdered;
+  });
+  for (auto& [number, wave] : state.waves) {
+    CountMissing(state, wave);
+    if (!wave.completed && IsWaveDone(state, wave)) {
+      wave.completed = true;
+      wave.dirty = true;
+    }
+  }
+  (void)now;
+}
+
+auto TakeWave(DutyState& state,
+              const WaveRequest& request,
+              const std::set<VmId>& done,
+              TimePoint now) -> void {
+  const auto [entry, added] =
+      state.waves.emplace(request.number, WaveProgress{});
+  WaveProgress& wave = entry->second;
+  if (added) {
+    wave.declared_at = now;
+    wave.done = done;
+    wave.dirty = true;
+  }
+  wave.request = request;
+}
+
+auto TakeVacated(DutyState& state,
+                 const std::set<WorkerId>& vacated,
+                 TimePoint now) -> void {
+  for (auto& [vm, duty] : state.duties) {
+    if (duty.phase == DutyPhase::kVacating && vacated.contains(duty.worker)) {
+      duty.phase = DutyPhase::kEmpty;
+      duty.since = now;
+    }
+  }
+}
+
+auto PlanUpkeeps(DutyState& state, TimePoint now) -> void {
+  if (!state.listed) {
+    return;
+  }
+  for (auto& [number, wave] : state.waves) {
+    if (!wave.completed) {
+      PlanWave(state, wave, now);
+    }
+  }
+  std::erase_if(state.retired, [now](const auto& entry) -> bool {
+    return now >= entry.second;
+  });
+  std::erase_if(state.duties, [now](const auto& entry) -> bool {
+    return entry.second.phase == DutyPhase::kVacating &&
+           now - entry.second.since > kVacateTimeout;
+  });
+}
+
+auto NextOrders(DutyState& state, TimePoint now) -> std::vector<Duty> {
+  std::vector<Duty> orders;
+  if (now - state.owned_since < kFirstOrderAfter) {
+    return orders;
+  }
+  for (auto& [vm, duty] : state.duties) {
+    if (duty.phase == DutyPhase::kEmpty && now >= duty.not_before) {
+      duty.phase = DutyPhase::kOrdered;
+      orders.push_back(duty);
+    }
+  }
+  return orders;
+}
+
+auto TakeOrderReply(DutyState& state,
+                    const VmId& vm,
+                    DutyVerdict verdict,
+                    TimePoint now) -> void {
+  const auto found = state.duties.find(vm);
+  if (found == state.duties.end()) {
+    return;
+  }
+  Duty& duty = found->second;
+  switch (verdict) {
+    case DutyVerdict::kDone:
+      duty.phase = DutyPhase::kAway;
+      duty.since = now;
+      state.settled_at[vm] = now + kSettleTime;
+      if (!duty.worker.empty() && duty.from != state.spare_pool) {
+        state.retired[duty.worker] = now + kRetiredTime;
+      }
+      if (duty.wave) {
+        MarkWaveDone(state, duty);
+      }
+      break;
+    case DutyVerdict::kUnknown:
+    case DutyVerdict::kBusy:
+      // Ordering the same again is harmless.
+      duty.phase = DutyPhase::kEmpty;
+      duty.not_before = now + kDutyRetry;
+      break;
+    case DutyVerdict::kRefused:
+    case DutyVerdict::kFenced:
+      state.duties.erase(found);
+      break;
+  }
+}
+
+auto WorkersToVacate(const DutyState& state) -> std::set<WorkerId> {
+  std::set<WorkerId> workers;
+  for (const auto& [vm, duty] : state.duties) {
+    if (!duty.worker.empty() && duty.from != state.spare_pool) {
+      workers.insert(duty.worker);
+    }
+  }
+  for (const auto& [worker, until] : state.retired) {
+    workers.insert(worker);
+  }
+  return workers;
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/duties/duty_limits.h
@@ -0,0 +1,46 @@
+#ifndef FIREFLYTHREAD_DUTIES_DUTY_LIMITS_H_
+#define FIREFLYTHREAD_DUTIES_DUTY_LIMITS_H_
+
+#include <chrono>
+
+namespace fireflythread {
+
+/// Share of a pool's cores that may be in use before it asks for more, in
+/// percent: the headroom of the default capacity profile.
+inline constexpr int kTargetUsePercent = 85;
+
+/// Workers that a pool keeps beyond its need.
+inline constexpr int kReserveWorkers = 1;
+
+/// Fewest workers of a pool, so that a new peak finds some at once.
+inline constexpr int kLeastWorkers = 3;
+
+/// A pool's need has to be lower for this long before it gives workers to the
+/// spare pool; a move there and back costs as much as a few seconds in use.
+inline constexpr std::chrono::milliseconds kReleaseAfter{1500};
+
+/// Part of a pool that may be away for upkeep at once: one of this many.
+inline constexpr int kUpkeepShare = 4;
+
+/// A worker that could not be emptied within this time is left in peace.
+inline constexpr std::chrono::milliseconds kVacateTimeout{6000};
+
+/// Pause before an order without an answer, or refused as busy, is sent again.
+inline constexpr std::chrono::milliseconds kDutyRetry{400};
+
+/// A new owner sends its first order this long after the former one may have
+/// sent its last, so that two do not take turns at one VM.
+inline constexpr std::chrono::milliseconds kFirstOrderAfter{3300};
+
+/// A VM that is missing from this many lists in a row is gone for good.
+inline constexpr int kGoneAfterLists = 3;
+
+/// A worker that ended with an order may stay registered for this long.
+inline constexpr std::chrono::milliseconds kRetiredTime{12000};
+
+/// A VM that was moved stays this long.
+inline constexpr std::chrono::milliseconds kSettleTime{3000};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_DUTIES_DUTY_LIMITS_H_
--- /dev/null
+++ b/src/fireflythread/duties/pool_load.cc
@@ -0,0 +1,36 @@
+#include "fireflythread/duties/pool_load.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fireflythread {
+
+using Json = nlohmann::json;
+
+auto EncodePoolLoad(const PoolLoad& load) -> std::string {
+  Json workers = Json::object();
+  for (const auto& [id, worker] : load.workers) {
+    workers[id.value] = {worker.used_millicores, worker.lasting_tasks};
+  }
+  return Json{{"fence", load.fence},
+              {"waiting_millicores", load.waiting_millicores},
+              {"workers", std::move(workers)}}
+      .dump();
+}
+
+auto DecodePoolLoad(std::string_view text) -> std::optional<PoolLoad> {
+  try {
+    const Json json = Json::parse(text);
+    PoolLoad load;
+    load.fence = json.at("fence").get<std::uint64_t>();
+    load.waiting_millicores = json.at("waiting_millicores").get<std::int64_t>();
+    for (const auto& [id, worker] : json.at("workers").items()) {
+      load.workers[WorkerId(id)] = {worker.at(0).get<std::int64_t>(),
+                                    worker.at(1).get<int>()};
+    }
+    return load;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/entry/duty_task.cc
@@ -0,0 +1,246 @@
+#include "fireflythread/entry/duty_task.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/ownership/ownership.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{100};
+
+/// Time between two readings of the platform's list while VMs are on their
+/// way, and while none is.
+constexpr milliseconds kBusyList{400};
+constexpr milliseconds kIdleList{1500};
+
+constexpr milliseconds kListTimeout{1500};
+constexpr milliseconds kOrderTimeout{1500};
+
+auto EncodeDone(const std::set<VmId>& done) -> std::string {
+  nlohmann::json list = nlohmann::json::array();
+  for (const VmId& vm : done) {
+    list.push_back(vm.value);
+  }
+  return list.dump();
+}
+
+auto DecodeDone(const std::string& text) -> std::set<VmId> {
+  std::set<VmId> done;
+  const auto list = nlohmann::json::parse(text, nullptr, false);
+  if (list.is_array()) {
+    for (const auto& vm : list) {
+      if (vm.is_string()) {
+        done.insert(VmId(vm.get<std::string>()));
+      }
+    }
+  }
+  return done;
+}
+
+}  // namespace
+
+DutyTask::DutyTask(Environment env, std::uint64_t token)
+    : environment(std::move(env)),
+      fence(token),
+      wave_loader(environment.store,
+                  {std::string(kWaveTable)},
+                  [this](const std::vector<Row>& rows, std::uint64_t) {
+                    for (const Row& row : rows) {
+                      this->stored_done[std::atoll(row.key.c_str())] =
+                          DecodeDone(row.value);
+                    }
+                    this->waves_loaded = true;
+                  }),
+      load_retry([this] {
+        this->loads_read ? this->FollowLoads() : this->ReadLoads();
+      }),
+      tick(kTick, [this] { this->Step(); }) {
+  this->state.owned_since = ReadBootClock();
+}
+
+auto DutyTask::Start() -> void {
+  this->wave_loader.Start();
+  this->ReadLoads();
+}
+
+auto DutyTask::SetConfiguration(const Configuration& configuration) -> void {
+  this->state.pools.clear();
+  for (const PoolService& service : configuration.services) {
+    if (service.spare) {
+      this->state.spare_pool = service.name;
+    } else {
+      this->state.pools.insert(service.name);
+    }
+  }
+}
+
+auto DutyTask::SetWaves(const std::map<std::int64_t, WaveRequest>& waves)
+    -> void {
+  this->declared = waves;
+}
+
+auto DutyTask::TakeBoard() -> void {
+  TakeVacated(this->state, this->environment.board.Vacated(), ReadBootClock());
+  this->Step();
+}
+
+auto DutyTask::ReadLoads() -> void {
+  this->environment.store.ReadRange({std::string(kLoadTable)}, kStoreTimeout,
+                                    this->alive.Guard([this](auto&& result) {
+                                      const auto* page =
+                                          std::get_if<RangePage>(&result);
+                                      if (page == nullptr) {
+                                        this->load_retry.Start(kStoreRetry);
+                                        return;
+                                      }
+                                      for (const Row& row : page->rows) {
+                                        this->TakeLoad(row);
+                                      }
+                                      this->load_revision = page->revision;
+                                      this->loads_read = true;
+                                      this->FollowLoads();
+                                    }));
+}
+
+auto DutyTask::FollowLoads() -> void {
+  this->environment.store.Follow(
+      std::string(kLoadTable), this->load_revision, kFollowWait,
+      kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
+        const auto* page = std::get_if<FeedPage>(&result);
+        if (page == nullptr || page->history_lost) {
+          this->loads_read = page == nullptr;
+          this->load_retry.Start(kStoreRetry);
+          return;
+        }
+        this->load_revision = page->revision;
+        for (const Row& row : page->changed) {
+          this->TakeLoad(row);
+        }
+        this->FollowLoads();
+      }));
+}
+
+auto DutyTask::TakeLoad(const Row& row) -> void {
+  auto load = DecodePoolLoad(row.value);
+  if (!load) {
+    this->environment.logger.Warning("duties", "unreadable_load",
+                                     {{"shard", row.key}});
+    return;
+  }
+  PoolLoad& known = this->state.loads[ServiceName(row.key)];
+  if (load->fence >= known.fence) {
+    known = *std::move(load);
+  }
+}
+
+auto DutyTask::ReadMachines() -> void {
+  const TimePoint now = ReadBootClock();
+  const milliseconds period =
+      this->state.duties.empty() ? kIdleList : kBusyList;
+  if (this->reading_machines || now - this->listed_at < period) {
+    return;
+  }
+  this->reading_machines = true;
+  this->listed_at = now;
+  this->environment.machines.List(
+      kListTimeout, this->alive.Guard([this](auto&& result) {
+        this->reading_machines = false;
+        if (const auto* list = std::get_if<std::vector<MachineView>>(&result)) {
+          TakeMachines(this->state, *list, ReadBootClock());
+        }
+      }));
+}
+
+auto DutyTask::Step() -> void {
+  this->ReadMachines();
+  if (!this->waves_loaded || !this->state.listed ||
+      !this->environment.board.IsLoaded()) {
+    return;
+  }
+  const TimePoint now = ReadBootClock();
+  for (const auto& [number, wave] : this->declared) {
+    TakeWave(this->state, wave, this->stored_done[number], now);
+  }
+  PlanUpkeeps(this->state, now);
+  PlanMoves(this->state, now);
+  this->environment.board.SetWanted(WorkersToVacate(this->state),
+                                    ServiceName(std::string(kDutyShard)),
+                                    this->fence);
+  for (const Duty& duty : NextOrders(this->state, now)) {
+    this->SendOrder(duty);
+  }
+  this->StoreWaves();
+}
+
+auto DutyTask::SendOrder(const Duty& duty) -> void {
+  this->environment.machines.Order(
+      duty, this->fence, kOrderTimeout,
+      this->alive.Guard([this, duty](DutyVerdict verdict) {
+        this->environment.logger.Info(
+            "duties", duty.wave ? "upkeep_ordered" : "move_ordered",
+            {{"vm", duty.vm},
+             {"worker", duty.worker},
+             {"from", duty.from},
+             {"target", duty.target},
+             {"wave", duty.wave.value_or(0)},
+             {"fence", this->fence},
+             {"verdict", static_cast<int>(verdict)}});
+        TakeOrderReply(this->state, duty.vm, verdict, ReadBootClock());
+        if (verdict == DutyVerdict::kFenced) {
+          this->environment.on_fenced(ServiceName(std::string(kDutyShard)));
+        }
+      }));
+}
+
+auto DutyTask::StoreWaves() -> void {
+  if (this->storing_waves) {
+    return;
+  }
+  Transaction transaction;
+  std::vector<std::int64_t> numbers;
+  for (auto& [number, wave] : this->state.waves) {
+    if (!wave.dirty) {
+      continue;
+    }
+    wave.dirty = false;
+    numbers.push_back(number);
+    transaction.writes.push_back({std::string(kWaveTable),
+                                  std::to_string(number),
+                                  EncodeDone(wave.done)});
+    transaction.writes.push_back(
+        this->environment.records.WaveStatus(number, wave.completed));
+  }
+  if (transaction.writes.empty()) {
+    return;
+  }
+  transaction.conditions.push_back({std::string(kFenceTable),
+                                    std::string(kFenceKey), this->fence,
+                                    std::string(kDutyShard)});
+  this->storing_waves = true;
+  this->environment.store.Commit(
+      std::move(transaction), kStoreTimeout,
+      this->alive.Guard([this, numbers](const TransactionOutcome& outcome) {
+        this->storing_waves = false;
+        if (std::holds_alternative<Committed>(outcome)) {
+          return;
+        }
+        for (const std::int64_t number : numbers) {
+          this->state.waves.at(number).dirty = true;
+        }
+        if (std::holds_alternative<Conflict>(outcome)) {
+          this->environment.on_fenced(ServiceName(std::string(kDutyShard)));
+        }
+      }));
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/entry/duty_task.h
@@ -0,0 +1,88 @@
+#ifndef FIREFLYTHREAD_ENTRY_DUTY_TASK_H_
+#define FIREFLYTHREAD_ENTRY_DUTY_TASK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string_view>
+#include <vector>
+
+#include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/duties/duties.h"
+#include "fireflythread/entry/alive_token.h"
+#include "fireflythread/entry/one_shot_timer.h"
+#include "fireflythread/entry/range_loader.h"
+#include "fireflythread/entry/vacate_board.h"
+#include "fireflythread/jobs/configuration.h"
+#include "fireflythread/platform/machine_client.h"
+#include "fireflythread/platform/platform_records.h"
+#include "fireflythread/platform/table_store.h"
+#include "fireflythread/telemetry/logger.h"
+
+namespace fireflythread {
+
+/// The shard whose owner moves and maintains VMs. No service has this name.
+inline constexpr std::string_view kDutyShard = "@duties";
+
+/// Key is a shard; its owner publishes the load of its pool.
+inline constexpr std::string_view kLoadTable = "load";
+
+/// Key is a wave's number; the value lists the VMs that are done.
+inline constexpr std::string_view kWaveTable = "wave_done";
+
+/// Moves VMs between pools and carries out maintenance waves, for as long as
+/// this entry owns the duty shard.
+class DutyTask {
+ public:
+  struct Environment {
+    TableStore& store;
+    MachineClient& machines;
+    PlatformRecords& records;
+    VacateBoard& board;
+    const Logger& logger;
+    /// A newer owner exists. Must not destroy the task before it returns.
+    std::function<void(const ServiceName&)> on_fenced;
+  };
+
+  DutyTask(Environment environment, std::uint64_t fence);
+  DutyTask(const DutyTask&) = delete;
+  auto operator=(const DutyTask&) -> DutyTask& = delete;
+
+  auto Start() -> void;
+  auto SetConfiguration(const Configuration& configuration) -> void;
+  auto SetWaves(const std::map<std::int64_t, WaveRequest>& waves) -> void;
+  /// The rows of the board have changed.
+  auto TakeBoard() -> void;
+
+  [[nodiscard]] auto Fence() const -> std::uint64_t { return this->fence; }
+
+ private:
+  auto ReadLoads() -> void;
+  auto FollowLoads() -> void;
+  auto TakeLoad(const Row& row) -> void;
+  auto ReadMachines() -> void;
+  auto Step() -> void;
+  auto SendOrder(const Duty& duty) -> void;
+  auto StoreWaves() -> void;
+
+  Environment environment;
+  std::uint64_t fence;
+  DutyState state;
+  std::map<std::int64_t, WaveRequest> declared;
+  std::map<std::int64_t, std::set<VmId>> stored_done;
+  RangeLoader wave_loader;
+  bool waves_loaded = false;
+  bool reading_machines = false;
+  bool storing_waves = false;
+  std::uint64_t load_revision = 0;
+  bool loads_read = false;
+  TimePoint listed_at;
+  OneShotTimer load_retry;
+  PeriodicTimer tick;
+  AliveToken alive;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_DUTY_TASK_H_
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -8,6 +8,8 @@
 #include <variant>
 
 #include "fireflythread/base/io_clock.h"
+#include "fireflythread/duties/measure_load.h"
+#include "fireflythread/entry/duty_task.h"
 #include "fireflythread/entry/job_tables.h"
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/jobs/job_codec.h"
@@ -16,6 +18,7 @@
 #include "fireflythread/jobs/shard_plan.h"
 #include "fireflythread/jobs/shard_record.h"
 #include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/jobs/vacate.h"
 #include "fireflythread/ownership/ownership.h"
 
 namespace fireflythread {
@@ -38,6 +41,9 @@
 /// Least time between two writings of the counts of waiting jobs.
 constexpr milliseconds kPublishPeriod{800};
 
+/// Least time between two writings of the pool's load.
+constexpr milliseconds kLoadPeriod{300};
+
 /// A transaction holds at most 100 entries; each job takes two and the fence
 /// one.
 constexpr std::size_t kJobsPerTransaction = 45;
@@ -72,6 +78,13 @@
                  return worker.service == this->state.service;
                });
   TakeWorkers(this->state, mine, ReadBootClock());
+  fireflythread::SetVacating(this->state, this->vacating);
+  this->Wake();
+}
+
+auto ShardTask::SetVacating(const std::set<WorkerId>& workers) -> void {
+  this->vacating = workers;
+  fireflythread::SetVacating(this->state, workers);
   this->Wake();
 }
 
@@ -200,11 +213,17 @@
   StepWorkers(this->state, now);
   if (this->loaded_once) {
     if (!this->draining) {
+      EvictLasting(this->state, now);
       PlanRuns(this->state, std::chrono::system_clock::now(), now);
     }
     this->SendStops();
     this->LookAtWorkers();
     this->PublishWaiting();
+    this->PublishLoad();
+    const std::vector<WorkerId> vacated = VacatedWorkers(this->state);
+    if (!vacated.empty()) {
+      this->environment.on_vacated(vacated);
+    }
   }
   this->Flush();
   this->FinishDrain();
@@ -412,6 +431,33 @@
           }));
 }
 
+auto ShardTask::PublishLoad() -> void {
+  const TimePoint now = ReadBootClock();
+  if (this->publishing_load || now - this->load_published_at < kLoadPeriod) {
+    return;
+  }
+  this->load_published_at = now;
+  PoolLoad load =
+      MeasureLoad(this->state, std::chrono::system_clock::now(), now);
+  if (load == this->published_load) {
+    return;
+  }
+  Transaction transaction;
+  transaction.writes.push_back({std::string(kLoadTable),
+                                this->state.service.value,
+                                EncodePoolLoad(load)});
+  this->publishing_load = true;
+  this->environment.store.Commit(
+      std::move(transaction), kStoreTimeout,
+      this->alive.Guard(
+          [this, load](const TransactionOutcome& outcome) -> void {
+            this->publishing_load = false;
+            if (std::holds_alternative<Committed>(outcome)) {
+              this->published_load = load;
+            }
+          }));
+}
+
 auto ShardTask::CheckFence() -> void {
   if (this->state.fenced_off) {
     this->environment.on_fenced(this->state.service);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -5,9 +5,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/duties/pool_load.h"
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
@@ -30,6 +32,8 @@
     const Logger& logger;
     /// When the entry's row was last confirmed.
     std::function<TimePoint()> confirmed_at;
+    /// These workers run nothing and get nothing any more.
+    std::function<void(const std::vector<WorkerId>&)> on_vacated;
     /// A newer owner exists. Must not destroy the task before it returns.
     std::function<void(const ServiceName&)> on_fenced;
   };
@@ -43,6 +47,9 @@
   /// Takes the workers of all services.
   auto SetWorkers(const std::vector<WorkerView>& workers) -> void;
 
+  /// Sets the workers, of any service, that are to be emptied.
+  auto SetVacating(const std::set<WorkerId>& workers) -> void;
+
   /// Starts nothing more, stores what is known and calls back.
   auto Drain(std::function<void()> done) -> void;
 
@@ -70,6 +77,7 @@
   auto LookAtWorkers() -> void;
   auto SendHold(const HoldCommand& hold) -> void;
   auto PublishWaiting() -> void;
+  auto PublishLoad() -> void;
   auto CheckFence() -> void;
 
   Environment environment;
@@ -87,6 +95,10 @@
   TimePoint published_at;
   std::map<QueueName, int> published;
   bool publishing = false;
+  TimePoint load_published_at;
+  PoolLoad published_load;
+  bool publishing_load = false;
+  std::set<WorkerId> vacating;
   bool published_once = false;
   OneShotTimer wake;
   OneShotTimer follow_retry;
--- /dev/null
+++ b/src/fireflythread/entry/vacate_board.cc
@@ -0,0 +1,156 @@
+#include "fireflythread/entry/vacate_board.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/ownership/ownership.h"
+
+namespace fireflythread {
+namespace {
+
+constexpr std::string_view kWanted = "wanted";
+constexpr std::string_view kVacated = "vacated";
+
+/// A transaction's entries are bounded by the store.
+constexpr std::size_t kMostChanges = 90;
+
+}  // namespace
+
+VacateBoard::VacateBoard(TableStore& table_store, std::function<void()> changed)
+    : store(table_store),
+      on_change(std::move(changed)),
+      retry([this] { this->loaded ? this->Follow() : this->Read(); }) {}
+
+auto VacateBoard::Start() -> void {
+  this->Read();
+}
+
+auto VacateBoard::Wanted() const -> std::set<WorkerId> {
+  std::set<WorkerId> workers;
+  for (const auto& [id, entry] : this->entries) {
+    workers.insert(id);
+  }
+  return workers;
+}
+
+auto VacateBoard::Vacated() const -> std::set<WorkerId> {
+  std::set<WorkerId> workers;
+  for (const auto& [id, entry] : this->entries) {
+    if (entry.vacated) {
+      workers.insert(id);
+    }
+  }
+  return workers;
+}
+
+auto VacateBoard::Take(const Row& row) -> void {
+  this->entries[WorkerId(row.key)] = {row.version, row.value == kVacated};
+}
+
+auto VacateBoard::Read() -> void {
+  this->store.ReadRange({std::string(kVacateTable)}, kStoreTimeout,
+                        this->alive.Guard([this](auto&& result) {
+                          const auto* page = std::get_if<RangePage>(&result);
+                          if (page == nullptr) {
+                            this->retry.Start(kStoreRetry);
+                            return;
+                          }
+                          this->entries.clear();
+                          for (const Row& row : page->rows) {
+                            this->Take(row);
+                          }
+                          this->revision = page->revision;
+                          this->loaded = true;
+                          this->on_change();
+                          this->Follow();
+                        }));
+}
+
+auto VacateBoard::Follow() -> void {
+  this->store.Follow(
+      std::string(kVacateTable), this->revision, kFollowWait,
+      kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
+        const auto* page = std::get_if<FeedPage>(&result);
+        if (page == nullptr || page->history_lost) {
+          this->loaded = page == nullptr && this->loaded;
+          this->retry.Start(kStoreRetry);
+          return;
+        }
+        this->revision = page->revision;
+        for (const Row& row : page->changed) {
+          this->Take(row);
+        }
+        for (const Row& row : page->deleted) {
+          const auto entry = this->entries.find(WorkerId(row.key));
+          if (entry != this->entries.end() &&
+              entry->second.version < row.version) {
+            this->entries.erase(entry);
+          }
+        }
+        if (!page->changed.empty() || !page->deleted.empty()) {
+          this->on_change();
+        }
+        this->Follow();
+      }));
+}
+
+auto VacateBoard::MarkVacated(const std::vector<WorkerId>& workers) -> void {
+  Transaction transaction;
+  for (const WorkerId& worker : workers) {
+    const auto entry = this->entries.find(worker);
+    if (entry == this->entries.end() || entry->second.vacated ||
+        transaction.writes.size() >= kMostChanges / 2) {
+      continue;
+    }
+    transaction.conditions.push_back(
+        {std::string(kVacateTable), worker.value, entry->second.version});
+    transaction.writes.push_back(
+        {std::string(kVacateTable), worker.value, std::string(kVacated)});
+  }
+  if (transaction.writes.empty() || this->marking) {
+    return;
+  }
+  this->marking = true;
+  this->store.Commit(std::move(transaction), kStoreTimeout,
+                     this->alive.Guard([this](const TransactionOutcome&) {
+                       // The feed shows what came of it.
+                       this->marking = false;
+                     }));
+}
+
+auto VacateBoard::SetWanted(const std::set<WorkerId>& workers,
+                            const ServiceName& shard,
+                            std::uint64_t fence) -> void {
+  if (!this->loaded || this->writing) {
+    return;
+  }
+  Transaction transaction;
+  for (const WorkerId& worker : workers) {
+    if (!this->entries.contains(worker) &&
+        transaction.writes.size() < kMostChanges) {
+      transaction.writes.push_back(
+          {std::string(kVacateTable), worker.value, std::string(kWanted)});
+    }
+  }
+  for (const auto& [worker, entry] : this->entries) {
+    if (!workers.contains(worker) && transaction.writes.size() < kMostChanges) {
+      transaction.writes.push_back(
+          {std::string(kVacateTable), worker.value, std::nullopt});
+    }
+  }
+  if (transaction.writes.empty()) {
+    return;
+  }
+  transaction.conditions.push_back(
+      {std::string(kFenceTable), std::string(kFenceKey), fence, shard.value});
+  this->writing = true;
+  this->store.Commit(std::move(transaction), kStoreTimeout,
+                     this->alive.Guard([this](const TransactionOutcome&) {
+                       // The feed shows what came of it.
+                       this->writing = false;
+                     }));
+}
+
+}  // namespace fireflythread
--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -1,5 +1,7 @@
 #include "fireflythread/jobs/shard_orders.h"
 
+#include <algorithm>
+
 #include "fireflythread/jobs/shard_workers.h"
 #include "fireflythread/jobs/worker_lease.h"
 
@@ -27,6 +29,11 @@
                             verdict == OrderVerdict::kInvalid)) {
     worker->cooldown_until = now + state.limits.refused_pause;
   }
+  if (worker != nullptr && verdict == OrderVerdict::kNotSent) {
+    // Nobody answers at the address. No starts until a look succeeds.
+    ++worker->failed_looks;
+    worker->next_look = std::min(worker->next_look, now);
+  }
   if (worker != nullptr && verdict == OrderVerdict::kLate) {
     worker->clock.reset();
     worker->next_look = now;
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -219,4 +219,24 @@
   }
 }
 
+auto WaitingMillicores(ShardState& state, WallTime wall_now, TimePoint now)
+    -> std::int64_t {
+  std::int64_t waiting = 0;
+  for (const ReadyStep& ready : CollectReady(state, wall_now, now)) {
+    const JobStep& step =
+        ready.job->request.steps[static_cast<std::size_t>(ready.step)];
+    if (ready.hopeless || step.filler) {
+      continue;
+    }
+    for (int index = 0; index < step.count; ++index) {
+      const TaskState& task = ready.job->progress.tasks[TaskPlace(
+          *ready.job, ready.occurrence, ready.step, index)];
+      if (task.phase == RunPhase::kWaiting) {
+        waiting += step.size.millicores;
+      }
+    }
+  }
+  return waiting;
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/shard_plan.h
+++ b/src/fireflythread/jobs/shard_plan.h
@@ -1,6 +1,8 @@
 #ifndef FIREFLYTHREAD_JOBS_SHARD_PLAN_H_
 #define FIREFLYTHREAD_JOBS_SHARD_PLAN_H_
 
+#include <cstdint>
+
 #include "fireflythread/jobs/shard_state.h"
 
 namespace fireflythread {
@@ -9,6 +11,11 @@
 /// Their runs begin once the batch with them is stored.
 auto PlanRuns(ShardState& state, WallTime wall_now, TimePoint now) -> void;
 
+/// Cores of the finite tasks whose turn has come and that wait for room.
+[[nodiscard]] auto WaitingMillicores(ShardState& state,
+                                     WallTime wall_now,
+                                     TimePoint now) -> std::int64_t;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_JOBS_SHARD_PLAN_H_
--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -95,8 +95,8 @@
       continue;
     }
     ShardWorker& worker = state.workers.at(task->worker);
-    const bool usable =
-        worker.listed && !worker.view.draining && !worker.gone && worker.clock;
+    const bool usable = worker.listed && !worker.view.draining &&
+                        !worker.vacating && !worker.gone && worker.clock;
     if (usable) {
       starts.push_back(MakeStart(state, planned.task, *task, worker, now));
     } else {
--- a/src/fireflythread/platform/platform_records.h
+++ b/src/fireflythread/platform/platform_records.h
@@ -10,6 +10,7 @@
 #include "fireflythread/jobs/worker_view.h"
 #include "fireflythread/platform/operator_news.h"
 #include "fireflythread/platform/platform_error.h"
+#include "fireflythread/platform/transaction.h"
 
 namespace fireflythread {
 
@@ -36,6 +37,10 @@
                               Duration wait,
                               Duration timeout,
                               Callback<OperatorNews> callback) -> void = 0;
+
+  /// The write that tells operators how far a maintenance wave is.
+  [[nodiscard]] virtual auto WaveStatus(std::int64_t wave, bool completed) const
+      -> Write = 0;
 };
 
 }  // namespace fireflythread
