--- a/src/fireflythread/duties/duties.cc
+++ b/src/fireflythread/duties/duties.cc
@@ -127,6 +127,11 @@
   for (const MachineView& machine : machines) {
     state.machines.emplace(machine.vm, machine);
   }
+  if (!state.listed) {
+    for (const auto& [vm, machine] : state.machines) {
+      ++state.base_sizes[machine.pool];
+    }
+  }
   state.listed = true;
   std::erase_if(state.duties, [&](const auto& entry) -> bool {
     const Duty& duty = entry.second;
--- a/src/fireflythread/duties/duty_limits.h
+++ b/src/fireflythread/duties/duty_limits.h
@@ -12,8 +12,9 @@
 /// Workers that a pool keeps beyond its need.
 inline constexpr int kReserveWorkers = 1;
 
-/// Fewest workers of a pool, so that a new peak finds some at once.
-inline constexpr int kLeastWorkers = 3;
+/// Share of its size that a pool keeps while others need workers, in percent,
+/// so that a new peak of its own finds some at once.
+inline constexpr int kKeepPercent = 55;
 
 /// A pool's need has to be lower for this long before it gives workers to the
 /// spare pool; a move there and back costs as much as a few seconds in use.
--- a/src/fireflythread/duties/duty_state.h
+++ b/src/fireflythread/duties/duty_state.h
@@ -67,6 +67,8 @@
   bool listed = false;
   std::map<ServiceName, PoolLoad> loads;
   std::map<ServiceName, PoolNeed> needs;
+  /// VMs of each pool when the list was first read: the operators' sizing.
+  std::map<ServiceName, int> base_sizes;
   ServiceName spare_pool;
   std::set<ServiceName> pools;
   std::map<std::int64_t, WaveProgress> waves;
--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -20,7 +20,7 @@
   }
   const std::int64_t usable = worker_millicores * kTargetUsePercent / 100;
   const auto needed = static_cast<int>((used + usable - 1) / usable);
-  return std::max({needed + kReserveWorkers, lasting, kLeastWorkers});
+  return std::max(needed + kReserveWorkers, lasting);
 }
 
 /// VMs of a pool, with those on their way to it and without those that leave.
@@ -117,6 +117,19 @@
   return moved;
 }
 
+auto BaseSize(const DutyState& state, const ServiceName& pool) -> int {
+  const auto size = state.base_sizes.find(pool);
+  return size == state.base_sizes.end() ? 0 : size->second;
+}
+
+/// VMs that a pool can lend to one that lacks some.
+auto Lendable(const DutyState& state,
+              const ServiceName& pool,
+              const PoolNeed& need) -> int {
+  const int keep = (BaseSize(state, pool) * kKeepPercent + 99) / 100;
+  return CountSupply(state, pool) - std::max(need.needed, keep);
+}
+
 auto UpdateNeeds(DutyState& state, TimePoint now) -> void {
   const std::int64_t largest = LargestWorker(state);
   for (const ServiceName& pool : state.pools) {
@@ -126,7 +139,8 @@
     }
     PoolNeed& need = state.needs[pool];
     need.needed = WorkersNeeded(load->second, largest);
-    const bool low = need.needed < CountSupply(state, pool);
+    const int wanted = std::max(need.needed, BaseSize(state, pool));
+    const bool low = wanted < CountSupply(state, pool);
     if (low && !need.low) {
       need.low_since = now;
     }
@@ -148,7 +162,7 @@
     }
     lacking -= MoveSome(state, state.spare_pool, pool, lacking, now);
     for (const auto& [donor, donor_need] : state.needs) {
-      const int surplus = CountSupply(state, donor) - donor_need.needed;
+      const int surplus = Lendable(state, donor, donor_need);
       if (lacking > 0 && donor != pool && surplus > 0) {
         lacking -=
             MoveSome(state, donor, pool, std::min(lacking, surplus), now);
@@ -156,7 +170,8 @@
     }
   }
   for (const auto& [pool, need] : state.needs) {
-    const int surplus = CountSupply(state, pool) - need.needed;
+    const int wanted = std::max(need.needed, BaseSize(state, pool));
+    const int surplus = CountSupply(state, pool) - wanted;
     if (surplus > 0 && need.low && now - need.low_since >= kReleaseAfter) {
       MoveSome(state, pool, state.spare_pool, surplus, now);
     }
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -21,18 +21,21 @@
   /// is lost for good.
   bool finite = false;
   int priority = 0;
-  bool hopeless = false;
+  /// The job can certainly not meet its objective any more: a late job earns
+  /// little, so one that can still be in time goes first.
+  bool late = false;
   WallTime deadline;
 
   [[nodiscard]] auto Key() const {
-    return std::make_tuple(this->finite, this->hopeless, this->priority,
+    return std::make_tuple(this->finite, this->late, this->priority,
                            this->deadline, this->job->request.id,
                            this->occurrence, this->step);
   }
 };
 
-/// Jobs that are later than this many times their objective come last.
-constexpr int kHopelessFactor = 3;
+/// Estimates are far off in both directions; a job counts as late when even
+/// this part of what is estimated to remain exceeds its time.
+constexpr double kCertainPart = 0.5;
 
 /// The longest chain of estimated work through the steps.
 auto LongestChain(const JobRequest& job) -> milliseconds {
@@ -49,6 +52,23 @@
   return longest;
 }
 
+/// The least time that a job needs from the start of one of its steps.
+auto LeastRemaining(const JobRequest& job, int first) -> milliseconds {
+  std::vector<milliseconds> chains(job.steps.size());
+  milliseconds longest{0};
+  for (std::size_t step = static_cast<std::size_t>(first);
+       step < job.steps.size(); ++step) {
+    milliseconds before{0};
+    for (const int earlier : job.steps[step].after) {
+      before = std::max(before, chains[static_cast<std::size_t>(earlier)]);
+    }
+    chains[step] = before + job.steps[step].estimate;
+    longest = std::max(longest, chains[step]);
+  }
+  const double certain = static_cast<double>(longest.count()) * kCertainPart;
+  return milliseconds(static_cast<std::int64_t>(certain));
+}
+
 auto Objective(const JobRequest& job, const Queue& queue) -> milliseconds {
   const auto work =
       static_cast<double>(LongestChain(job).count()) * queue.stretch;
@@ -107,8 +127,9 @@
               !job.request.steps[static_cast<std::size_t>(step)].long_running;
           unit.priority = queue->second.priority;
           unit.deadline = begin + objective;
-          unit.hopeless =
-              unit.finite && wall_now > begin + kHopelessFactor * objective;
+          unit.late =
+              unit.finite &&
+              wall_now + LeastRemaining(job.request, step) > unit.deadline;
           ready.push_back(unit);
         }
       }
@@ -225,7 +246,7 @@
   for (const ReadyStep& ready : CollectReady(state, wall_now, now)) {
     const JobStep& step =
         ready.job->request.steps[static_cast<std::size_t>(ready.step)];
-    if (ready.hopeless || step.filler) {
+    if (ready.late || step.filler) {
       continue;
     }
     for (int index = 0; index < step.count; ++index) {
