--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -79,6 +79,7 @@
                      return left.first < right.first;
                    });
   std::vector<const MachineView*> machines;
+  machines.reserve(movable.size());
   for (const auto& [used, machine] : movable) {
     machines.push_back(machine);
   }
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -267,8 +267,13 @@
 auto ShardTask::TakeFlush(const RecordBatch& batch,
                           const TransactionOutcome& outcome,
                           TimePoint sent_at) -> void {
+  this->environment.metrics
+      .GetHistogram("fireflythread_progress_store_seconds",
+                    "Time of a transaction that stores progress")
+      .Observe(ReadBootClock() - sent_at);
   if (const auto* committed = std::get_if<Committed>(&outcome)) {
     this->stored_at = sent_at;
+    this->LogFinished(batch, committed->revision);
     for (const StartCommand& start :
          TakeStored(this->state, batch, committed->revision, ReadBootClock())) {
       this->SendStart(start);
@@ -285,6 +290,22 @@
       {{"shard", this->state.service}, {"jobs", batch.records.size()}});
 }
 
+auto ShardTask::LogFinished(const RecordBatch& batch, std::uint64_t revision)
+    -> void {
+  for (const JobRecord& record : batch.records) {
+    const auto job = this->state.jobs.find(record.job);
+    if (job == this->state.jobs.end() || !IsFinal(job->second.progress.state) ||
+        this->state.dirty.contains(record.job)) {
+      continue;
+    }
+    this->environment.logger.Info(
+        "shard", "job_finished",
+        {{"job", record.job},
+         {"state", JobStateName(job->second.progress.state)},
+         {"revision", revision}});
+  }
+}
+
 auto ShardTask::TakeConflict(const RecordBatch& batch, const Conflict& conflict)
     -> void {
   for (const Row& row : conflict.current) {
@@ -308,22 +329,30 @@
   this->environment.workers.Start(
       start, kOrderTimeout,
       this->alive.Guard([this, start](const OrderReply& reply) {
-        if (reply.verdict != OrderVerdict::kDone) {
-          this->environment.logger.Info(
-              "shard", "start_not_confirmed",
-              {{"job", start.task.job},
-               {"task", FormatTaskName(start.task)},
-               {"run", start.run},
-               {"worker", start.worker},
-               {"fence", start.fence},
-               {"verdict", static_cast<int>(reply.verdict)}});
-        }
+        this->LogStart(start, reply);
         TakeStartReply(this->state, start, reply, ReadBootClock());
         this->CheckFence();
         this->Wake();
       }));
 }
 
+auto ShardTask::LogStart(const StartCommand& start, const OrderReply& reply)
+    -> void {
+  const std::string_view verdict = OrderVerdictName(reply.verdict);
+  this->environment.metrics
+      .GetCounter("fireflythread_runs_ordered_total",
+                  "Starts of runs, by the worker's answer",
+                  {{"verdict", std::string(verdict)}})
+      .Add();
+  this->environment.logger.Info("shard", "run_ordered",
+                                {{"job", start.task.job},
+                                 {"task", FormatTaskName(start.task)},
+                                 {"run", start.run},
+                                 {"worker", start.worker},
+                                 {"fence", start.fence},
+                                 {"verdict", verdict}});
+}
+
 auto ShardTask::SendStops() -> void {
   for (const StopCommand& stop : NextStops(this->state, ReadBootClock())) {
     this->SendStop(stop);
@@ -340,7 +369,7 @@
              {"task", FormatTaskName(stop.task)},
              {"run", stop.run},
              {"worker", stop.worker},
-             {"verdict", static_cast<int>(reply.verdict)}});
+             {"verdict", OrderVerdictName(reply.verdict)}});
         TakeStopReply(this->state, stop, reply, ReadBootClock());
         this->CheckFence();
         this->Wake();
@@ -375,29 +404,64 @@
   this->environment.workers.Hold(
       hold, hold.wait + kLookSlack,
       this->alive.Guard([this, hold, sent_at](auto&& result) {
-        const TimePoint now = ReadBootClock();
         if (const auto* report = std::get_if<WorkerReport>(&result)) {
-          TakeReport(this->state, hold.worker, *report, sent_at, now);
+          this->TakeWorkerReport(hold, *report, sent_at);
         } else {
-          const OrderVerdict verdict = std::get<OrderVerdict>(result);
-          this->environment.logger.Info(
-              "shard", "worker_look_failed",
-              {{"worker", hold.worker},
-               {"verdict", static_cast<int>(verdict)}});
-          if (verdict == OrderVerdict::kFenced) {
-            this->state.fenced_off = true;
-          }
-          if (verdict == OrderVerdict::kOtherInstance) {
-            TakeWorkerGone(this->state, hold.worker, now);
-          } else {
-            TakeLookFailure(this->state, hold.worker, now);
-          }
+          this->TakeNoReport(hold, std::get<OrderVerdict>(result));
         }
         this->CheckFence();
         this->Wake();
       }));
 }
 
+auto ShardTask::TakeWorkerReport(const HoldCommand& hold,
+                                 const WorkerReport& report,
+                                 TimePoint sent_at) -> void {
+  this->LogEnds(hold.worker, report);
+  TakeReport(this->state, hold.worker, report, sent_at, ReadBootClock());
+}
+
+auto ShardTask::LogEnds(const WorkerId& worker_id, const WorkerReport& report)
+    -> void {
+  const auto worker = this->state.workers.find(worker_id);
+  if (worker == this->state.workers.end()) {
+    return;
+  }
+  for (const EndedRun& ended : report.ended) {
+    if (ended.number <= worker->second.ended_seen) {
+      continue;
+    }
+    const std::string_view how = RunEndName(ended.end);
+    this->environment.metrics
+        .GetCounter("fireflythread_runs_ended_total", "Runs that ended, by how",
+                    {{"end", std::string(how)}})
+        .Add();
+    this->environment.logger.Info("shard", "run_ended",
+                                  {{"job", ended.task.job},
+                                   {"task", FormatTaskName(ended.task)},
+                                   {"run", ended.run},
+                                   {"worker", worker_id},
+                                   {"end", how},
+                                   {"number", ended.number}});
+  }
+}
+
+auto ShardTask::TakeNoReport(const HoldCommand& hold, OrderVerdict verdict)
+    -> void {
+  const TimePoint now = ReadBootClock();
+  this->environment.logger.Info(
+      "shard", "worker_look_failed",
+      {{"worker", hold.worker}, {"verdict", OrderVerdictName(verdict)}});
+  if (verdict == OrderVerdict::kFenced) {
+    this->state.fenced_off = true;
+  }
+  if (verdict == OrderVerdict::kOtherInstance) {
+    TakeWorkerGone(this->state, hold.worker, now);
+  } else {
+    TakeLookFailure(this->state, hold.worker, now);
+  }
+}
+
 auto ShardTask::PublishWaiting() -> void {
   const TimePoint now = ReadBootClock();
   if (this->publishing || now - this->published_at < kPublishPeriod) {
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -13,13 +13,17 @@
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
+#include "fireflythread/jobs/hold_command.h"
+#include "fireflythread/jobs/order_verdict.h"
 #include "fireflythread/jobs/record_batch.h"
 #include "fireflythread/jobs/shard_state.h"
 #include "fireflythread/jobs/start_command.h"
 #include "fireflythread/jobs/stop_command.h"
+#include "fireflythread/jobs/worker_report.h"
 #include "fireflythread/platform/table_store.h"
 #include "fireflythread/platform/worker_client.h"
 #include "fireflythread/telemetry/logger.h"
+#include "fireflythread/telemetry/metrics_registry.h"
 
 namespace fireflythread {
 
@@ -30,6 +34,7 @@
     TableStore& store;
     WorkerClient& workers;
     const Logger& logger;
+    MetricsRegistry& metrics;
     /// When the entry's row was last confirmed.
     std::function<TimePoint()> confirmed_at;
     /// These workers run nothing and get nothing any more.
@@ -72,10 +77,17 @@
                  TimePoint sent_at) -> void;
   auto TakeConflict(const RecordBatch& batch, const Conflict& conflict) -> void;
   auto SendStart(const StartCommand& start) -> void;
+  auto LogStart(const StartCommand& start, const OrderReply& reply) -> void;
+  auto LogFinished(const RecordBatch& batch, std::uint64_t revision) -> void;
   auto SendStops() -> void;
   auto SendStop(const StopCommand& stop) -> void;
   auto LookAtWorkers() -> void;
   auto SendHold(const HoldCommand& hold) -> void;
+  auto TakeWorkerReport(const HoldCommand& hold,
+                        const WorkerReport& report,
+                        TimePoint sent_at) -> void;
+  auto TakeNoReport(const HoldCommand& hold, OrderVerdict verdict) -> void;
+  auto LogEnds(const WorkerId& worker, const WorkerReport& report) -> void;
   auto PublishWaiting() -> void;
   auto PublishLoad() -> void;
   auto CheckFence() -> void;
--- a/src/fireflythread/jobs/order_verdict.h
+++ b/src/fireflythread/jobs/order_verdict.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace fireflythread {
 
@@ -31,6 +32,9 @@
   kNotSent
 };
 
+/// "done", "fenced", "old_run" and so on, for logs.
+[[nodiscard]] auto OrderVerdictName(OrderVerdict verdict) -> std::string_view;
+
 /// A worker's answer to a start, stop or pace order.
 struct OrderReply {
   OrderVerdict verdict = OrderVerdict::kUnknown;
--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -21,6 +21,8 @@
   std::chrono::milliseconds look_wait{1000};
   /// Time between looks at a worker without runs.
   std::chrono::milliseconds idle_look{4000};
+  /// What a worker reported longer ago than this is not relied on.
+  std::chrono::milliseconds report_validity{2500};
   /// Pause after a look that got no answer.
   std::chrono::milliseconds look_retry{250};
   /// Pause before a stop that got no answer is sent again.
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -205,6 +205,7 @@
   ShardWorker& worker = found->second;
   worker.look_in_flight = false;
   worker.failed_looks = 0;
+  worker.reported_at = now;
   if (worker.reported_born.count() != 0 &&
       worker.reported_born != report.born) {
     TakeRebirth(state, worker, now);
--- a/src/fireflythread/jobs/task_name.h
+++ b/src/fireflythread/jobs/task_name.h
@@ -17,7 +17,8 @@
   int step = 0;
   int index = 0;
 
-  auto operator<=>(const TaskName&) const = default;
+  // clang-tidy 14 takes the generated comparison with 0 for a pointer.
+  auto operator<=>(const TaskName&) const = default;  // NOLINT
 };
 
 /// "JOB.OCCURRENCE.STEP.INDEX".
--- a/src/fireflythread/jobs/vacate.cc
+++ b/src/fireflythread/jobs/vacate.cc
@@ -7,18 +7,26 @@
 
 constexpr int kAtWorkPercent = 100;
 
-auto IsAtWork(const TaskState& task) -> bool {
-  return task.phase == RunPhase::kRunning && task.percent >= kAtWorkPercent;
+auto IsAtWork(const ShardState& state, const TaskState& task, TimePoint now)
+    -> bool {
+  if (task.phase != RunPhase::kRunning || task.percent < kAtWorkPercent) {
+    return false;
+  }
+  const ShardWorker& worker = state.workers.at(task.worker);
+  return worker.failed_looks == 0 &&
+         now - worker.reported_at < state.limits.report_validity;
 }
 
 /// Other tasks of the same step that are not at work.
-auto CountAway(const ShardJob& job, const TaskName& name) -> int {
+auto CountAway(const ShardState& state, const TaskName& name, TimePoint now)
+    -> int {
+  const ShardJob& job = state.jobs.at(name.job);
   const JobStep& step = job.request.steps[static_cast<std::size_t>(name.step)];
   int away = 0;
   for (int index = 0; index < step.count; ++index) {
     const TaskState& task =
         job.progress.tasks[TaskPlace(job, name.occurrence, name.step, index)];
-    if (index != name.index && !IsAtWork(task)) {
+    if (index != name.index && !IsAtWork(state, task, now)) {
       ++away;
     }
   }
@@ -26,14 +34,13 @@
 }
 
 auto MayStop(ShardState& state, const TaskName& name, TimePoint now) -> bool {
-  const ShardJob& job = state.jobs.at(name.job);
   const JobStep& step = StepOf(state, name);
   const TaskState& task = *FindTask(state, name);
   if (!step.long_running || task.phase != RunPhase::kRunning) {
     return false;
   }
   if (step.has_disruption_budget &&
-      CountAway(job, name) >= step.disruption_budget) {
+      CountAway(state, name, now) >= step.disruption_budget) {
     return false;
   }
   // Without room elsewhere the task would only be away for longer.
--- a/src/fireflythread/jobs/worker_report.h
+++ b/src/fireflythread/jobs/worker_report.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fireflythread/jobs/task_name.h"
@@ -22,6 +23,9 @@
   kAlone
 };
 
+/// "done", "failed" and so on, for logs.
+[[nodiscard]] auto RunEndName(RunEnd end) -> std::string_view;
+
 struct RunningRun {
   TaskName task;
   int run = 0;
--- /dev/null
+++ b/test/fireflythread/duties/duties_test.cc
@@ -0,0 +1,197 @@
+#include "fireflythread/duties/duties.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "fireflythread/duties/duty_limits.h"
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Pools "a" and "b" of four VMs each and a spare pool of two, with VMs "a0",
+/// "a1" and so on, whose workers are "w-a0" and so on.
+class DutyFixture {
+ public:
+  DutyFixture() {
+    this->state.owned_since = this->now - kFirstOrderAfter;
+    this->state.spare_pool = ServiceName("spare");
+    this->state.pools = {ServiceName("a"), ServiceName("b")};
+    for (int number = 0; number < 4; ++number) {
+      this->Add("a", number);
+      this->Add("b", number);
+    }
+    this->Add("spare", 0);
+    this->Add("spare", 1);
+    TakeMachines(this->state, this->machines, this->now);
+    this->SetLoad("a", 0, 0);
+    this->SetLoad("b", 0, 0);
+  }
+
+  auto Add(const std::string& pool, int number) -> void {
+    MachineView machine;
+    machine.vm = VmId(pool + std::to_string(number));
+    machine.pool = ServiceName(pool);
+    machine.capacity = {8000, 16000, 0};
+    machine.worker = WorkerId("w-" + machine.vm.value);
+    this->machines.push_back(machine);
+  }
+
+  /// Each worker of the pool uses `used` and the pool's queue waits for
+  /// `waiting` thousandths of a core.
+  auto SetLoad(const std::string& pool, std::int64_t used, std::int64_t waiting)
+      -> void {
+    PoolLoad& load = this->state.loads[ServiceName(pool)];
+    load.waiting_millicores = waiting;
+    for (int number = 0; number < 4; ++number) {
+      load.workers[WorkerId("w-" + pool + std::to_string(number))] = {used, 0};
+    }
+  }
+
+  /// The duty's worker is empty, the order is sent and answered.
+  auto Complete(const VmId& vm, DutyVerdict verdict) -> void {
+    TakeVacated(this->state, {this->state.duties.at(vm).worker}, this->now);
+    (void)NextOrders(this->state, this->now);
+    TakeOrderReply(this->state, vm, verdict, this->now);
+  }
+
+  DutyState state;
+  std::vector<MachineView> machines;
+  TimePoint now{std::chrono::hours(1)};
+};
+
+TEST_CASE("No more VMs of a wave are down than its cap", "[duties]") {
+  DutyFixture fixture;
+  WaveRequest wave;
+  wave.number = 3;
+  for (const MachineView& machine : fixture.machines) {
+    wave.vms.push_back(machine.vm);
+  }
+  wave.cap = 3;
+  TakeWave(fixture.state, wave, {}, fixture.now);
+  PlanUpkeeps(fixture.state, fixture.now);
+  CHECK(fixture.state.duties.size() == 3);
+  PlanUpkeeps(fixture.state, fixture.now);
+  CHECK(fixture.state.duties.size() == 3);
+
+  SECTION("an order without an answer counts as down") {
+    const VmId vm = fixture.state.duties.begin()->first;
+    fixture.Complete(vm, DutyVerdict::kUnknown);
+    PlanUpkeeps(fixture.state, fixture.now);
+    CHECK(fixture.state.duties.size() == 3);
+    CHECK(fixture.state.waves.at(3).done.empty());
+  }
+  SECTION("a VM is down until its new worker is listed") {
+    const VmId vm("spare0");
+    fixture.Complete(vm, DutyVerdict::kDone);
+    TakeMachines(fixture.state, fixture.machines, fixture.now);
+    PlanUpkeeps(fixture.state, fixture.now);
+    CHECK(fixture.state.duties.size() == 3);
+    CHECK(fixture.state.duties.contains(vm));
+    for (MachineView& machine : fixture.machines) {
+      if (machine.vm == vm) {
+        machine.worker = WorkerId("w-new");
+      }
+    }
+    TakeMachines(fixture.state, fixture.machines, fixture.now);
+    CHECK_FALSE(fixture.state.duties.contains(vm));
+  }
+}
+
+TEST_CASE("A wave is completed only when each VM that stays is done",
+          "[duties]") {
+  // Guards against a wave reported as completed because one list missed a VM.
+  DutyFixture fixture;
+  WaveRequest wave;
+  wave.number = 3;
+  wave.vms = {VmId("spare0"), VmId("spare1")};
+  wave.cap = 2;
+  TakeWave(fixture.state, wave, {VmId("spare0")}, fixture.now);
+  std::vector<MachineView> without = fixture.machines;
+  without.pop_back();
+  TakeMachines(fixture.state, without, fixture.now);
+  CHECK_FALSE(fixture.state.waves.at(3).completed);
+  TakeMachines(fixture.state, fixture.machines, fixture.now);
+  for (int list = 0; list < 5; ++list) {
+    TakeMachines(fixture.state, fixture.machines, fixture.now);
+  }
+  CHECK_FALSE(fixture.state.waves.at(3).completed);
+  for (int list = 0; list < kGoneAfterLists; ++list) {
+    TakeMachines(fixture.state, without, fixture.now);
+  }
+  CHECK(fixture.state.waves.at(3).completed);
+}
+
+TEST_CASE("A peak gets workers of the spare pool, then of pools at rest",
+          "[duties]") {
+  // The load of queues that peak by turns, above what their pool holds.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 16000);
+  PlanMoves(fixture.state, fixture.now);
+  int from_spare = 0;
+  int from_rest = 0;
+  for (const auto& [vm, duty] : fixture.state.duties) {
+    CHECK(duty.target == ServiceName("a"));
+    from_spare += duty.from == ServiceName("spare") ? 1 : 0;
+    from_rest += duty.from == ServiceName("b") ? 1 : 0;
+  }
+  CHECK(from_spare == 2);
+  CHECK(from_rest == 1);
+}
+
+TEST_CASE("Workers with lasting tasks are not moved", "[duties]") {
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 64000);
+  for (auto& [id, worker] : fixture.state.loads[ServiceName("b")].workers) {
+    worker.lasting_tasks = 1;
+  }
+  PlanMoves(fixture.state, fixture.now);
+  for (const auto& [vm, duty] : fixture.state.duties) {
+    CHECK(duty.from == ServiceName("spare"));
+  }
+}
+
+TEST_CASE("A worker that ended with a move stays out of use", "[duties]") {
+  // Guards against starts to an entry that has not lapsed yet.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 64000);
+  PlanMoves(fixture.state, fixture.now);
+  const auto moving = std::find_if(
+      fixture.state.duties.begin(), fixture.state.duties.end(),
+      [](const auto& entry) { return entry.second.from == ServiceName("b"); });
+  REQUIRE(moving != fixture.state.duties.end());
+  const VmId vm = moving->first;
+  const WorkerId worker = moving->second.worker;
+  fixture.Complete(vm, DutyVerdict::kDone);
+  fixture.state.duties.erase(vm);
+  CHECK(WorkersToVacate(fixture.state).contains(worker));
+  PlanUpkeeps(fixture.state, fixture.now + kRetiredTime);
+  CHECK_FALSE(WorkersToVacate(fixture.state).contains(worker));
+}
+
+TEST_CASE("A new owner of the duties waits before its first order",
+          "[duties]") {
+  // Guards against two holders that take turns at one VM.
+  DutyFixture fixture;
+  fixture.state.owned_since = fixture.now;
+  fixture.SetLoad("a", 8000, 64000);
+  PlanMoves(fixture.state, fixture.now);
+  CHECK(NextOrders(fixture.state, fixture.now).empty());
+  CHECK_FALSE(
+      NextOrders(fixture.state, fixture.now + kFirstOrderAfter).empty());
+}
+
+TEST_CASE("A pool's load is read as it is written", "[duties]") {
+  PoolLoad load;
+  load.fence = 9;
+  load.waiting_millicores = 1234;
+  load.workers[WorkerId("w")] = {500, 2};
+  CHECK(DecodePoolLoad(EncodePoolLoad(load)) == load);
+  CHECK_FALSE(DecodePoolLoad("{}").has_value());
+  CHECK_FALSE(DecodePoolLoad("x").has_value());
+}
+
+}  // namespace
+}  // namespace fireflythread::test
