Shorten the wait for leases after takeovers; one job over moved queues

Ruled out: the order of starts and missing room. Now 6 s after the last confirmed renewal, counted from the row that the takeover depends on, and a released shard tells the next owner which workers are silent and for how long. A submission depends on the absence of the job in other shards while its queue may have moved.

--- a/src/fireflythread/entry/job_desk.cc
+++ b/src/fireflythread/entry/job_desk.cc
@@ -67,6 +67,7 @@
     : store(table_store), logger(log) {}
 
 auto JobDesk::Submit(const ServiceName& shard,
+                     const std::vector<ServiceName>& other_shards,
                      const JobRequest& job,
                      TimePoint deadline,
                      OutcomeCallback callback) -> void {
@@ -78,6 +79,10 @@
   const std::string table = JobTable(shard);
   const std::string key = JobKey(job.id);
   submission->transaction.conditions.push_back({table, key, 0, shard.value});
+  for (const ServiceName& other : other_shards) {
+    submission->transaction.conditions.push_back(
+        {JobTable(other), key, 0, other.value});
+  }
   submission->transaction.writes.push_back(
       {table, key, EncodeJobRequest(job), shard.value});
   this->TrySubmit(submission);
--- a/src/fireflythread/entry/job_desk.h
+++ b/src/fireflythread/entry/job_desk.h
@@ -45,8 +45,10 @@
   JobDesk(const JobDesk&) = delete;
   auto operator=(const JobDesk&) -> JobDesk& = delete;
 
-  /// Stores an accepted job. A job that is stored already is accepted again.
+  /// Stores an accepted job. A job that is stored already, in this shard or in
+  /// one of `other_shards`, is accepted again and not stored a second time.
   auto Submit(const ServiceName& shard,
+              const std::vector<ServiceName>& other_shards,
               const JobRequest& job,
               TimePoint deadline,
               OutcomeCallback callback) -> void;
--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -116,6 +116,11 @@
     if (!this->claiming.insert(shard).second) {
       continue;
     }
+    // The claim depends on the row that says this.
+    const auto known = this->state.shards.find(shard);
+    this->silent_workers[shard] = known == this->state.shards.end()
+                                      ? SilentWorkerMap{}
+                                      : known->second.silent_workers;
     this->store.Commit(
         std::move(claim.transaction), kStoreTimeout,
         this->alive.Guard([this, shard](const TransactionOutcome& outcome) {
@@ -132,7 +137,7 @@
     const std::uint64_t fence = this->state.shards.at(shard).version;
     this->logger.Info("ownership", "shard_gained",
                       {{"shard", shard}, {"fence", fence}});
-    this->events.gained(shard, fence);
+    this->events.gained(shard, fence, this->silent_workers[shard]);
   }
   if (!owns && this->owned.erase(shard) > 0) {
     this->logger.Info("ownership", "shard_lost", {{"shard", shard}});
@@ -158,10 +163,11 @@
 
 auto OwnershipTask::Release(const ServiceName& shard,
                             std::uint64_t token,
+                            const SilentWorkerMap& silent,
                             std::function<void()> done) -> void {
   this->owned.erase(shard);
   this->store.Commit(
-      MakeRelease(shard, token), kStoreTimeout,
+      MakeRelease(shard, token, silent), kStoreTimeout,
       this->alive.Guard([this, shard, finished = std::move(done)](
                             const TransactionOutcome& outcome) {
         this->logger.Info(
--- a/src/fireflythread/entry/ownership_task.h
+++ b/src/fireflythread/entry/ownership_task.h
@@ -1,8 +1,10 @@
 #ifndef FIREFLYTHREAD_ENTRY_OWNERSHIP_TASK_H_
 #define FIREFLYTHREAD_ENTRY_OWNERSHIP_TASK_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <set>
 
 #include "fireflythread/base/io_periodic_timer.h"
@@ -19,9 +21,14 @@
 /// owner of shards that have none.
 class OwnershipTask {
  public:
+  using SilentWorkerMap = std::map<WorkerId, std::chrono::milliseconds>;
+
   struct Events {
-    /// This entry owns a shard now; the number is its fencing token.
-    std::function<void(const ServiceName&, std::uint64_t)> gained;
+    /// This entry owns a shard now; the number is its fencing token. The
+    /// workers did not answer the former owner when it released the shard.
+    std::function<
+        void(const ServiceName&, std::uint64_t, const SilentWorkerMap&)>
+        gained;
     /// Another entry owns the shard, or nobody does.
     std::function<void(const ServiceName&)> lost;
   };
@@ -45,6 +52,7 @@
   /// Gives up a shard, so that another entry can take it at once.
   auto Release(const ServiceName& shard,
                std::uint64_t token,
+               const SilentWorkerMap& silent_workers,
                std::function<void()> done) -> void;
 
   /// When the last renewal that the store confirmed was sent.
@@ -69,6 +77,8 @@
   Events events;
   OwnershipState state;
   std::set<ServiceName> claiming;
+  /// Of shards that were free when this entry claimed them.
+  std::map<ServiceName, SilentWorkerMap> silent_workers;
   std::set<ServiceName> owned;
   std::uint64_t shard_revision = 0;
   TimePoint confirmed_at;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -19,6 +19,7 @@
 #include "fireflythread/jobs/shard_record.h"
 #include "fireflythread/jobs/shard_workers.h"
 #include "fireflythread/jobs/vacate.h"
+#include "fireflythread/jobs/worker_lease.h"
 #include "fireflythread/ownership/ownership.h"
 
 namespace fireflythread {
@@ -50,7 +51,10 @@
 
 }  // namespace
 
-ShardTask::ShardTask(Environment env, ServiceName shard, std::uint64_t fence)
+ShardTask::ShardTask(Environment env,
+                     ServiceName shard,
+                     std::uint64_t fence,
+                     const std::map<WorkerId, milliseconds>& silent_workers)
     : environment(std::move(env)),
       wake([this] { this->Step(); }),
       follow_retry(
@@ -59,7 +63,13 @@
   this->state.service = std::move(shard);
   this->state.fence = fence;
   this->state.owned_since = ReadBootClock();
-  this->stored_at = this->state.owned_since;
+  for (const auto& [worker, left] : silent_workers) {
+    this->state.silent_until[worker] = this->state.owned_since + left;
+  }
+}
+
+auto ShardTask::SilentWorkers() const -> std::map<WorkerId, milliseconds> {
+  return fireflythread::SilentWorkers(this->state, ReadBootClock());
 }
 
 auto ShardTask::Start() -> void {
@@ -272,7 +282,6 @@
                     "Time of a transaction that stores progress")
       .Observe(ReadBootClock() - sent_at);
   if (const auto* committed = std::get_if<Committed>(&outcome)) {
-    this->stored_at = sent_at;
     this->LogFinished(batch, committed->revision);
     for (const StartCommand& start :
          TakeStored(this->state, batch, committed->revision, ReadBootClock())) {
@@ -378,10 +387,9 @@
 
 auto ShardTask::LookAtWorkers() -> void {
   const TimePoint now = ReadBootClock();
-  const TimePoint confirmed =
-      std::max(this->environment.confirmed_at(), this->stored_at);
-  const bool may_extend =
-      now - confirmed < this->state.limits.extend_without_store;
+  // Only renewals count: a successor reckons from the owner's row.
+  const bool may_extend = now - this->environment.confirmed_at() <
+                          this->state.limits.extend_without_store;
   std::vector<HoldCommand> looks;
   for (const auto& [id, worker] : this->state.workers) {
     // Ends that are being stored would be reported once more.
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -43,7 +43,13 @@
     std::function<void(const ServiceName&)> on_fenced;
   };
 
-  ShardTask(Environment environment, ServiceName shard, std::uint64_t fence);
+  /// `silent_workers` did not answer the former owner; their leases may last
+  /// as long as given.
+  ShardTask(
+      Environment environment,
+      ServiceName shard,
+      std::uint64_t fence,
+      const std::map<WorkerId, std::chrono::milliseconds>& silent_workers);
   ShardTask(const ShardTask&) = delete;
   auto operator=(const ShardTask&) -> ShardTask& = delete;
 
@@ -58,6 +64,10 @@
   /// Starts nothing more, stores what is known and calls back.
   auto Drain(std::function<void()> done) -> void;
 
+  /// What the next owner has to know about workers that do not answer.
+  [[nodiscard]] auto SilentWorkers() const
+      -> std::map<WorkerId, std::chrono::milliseconds>;
+
   [[nodiscard]] auto Fence() const -> std::uint64_t {
     return this->state.fence;
   }
@@ -103,7 +113,6 @@
   bool flushing = false;
   bool draining = false;
   std::function<void()> drained;
-  TimePoint stored_at;
   TimePoint published_at;
   std::map<QueueName, int> published;
   bool publishing = false;
--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -9,10 +9,13 @@
 struct ShardLimits {
   /// Lease of everything that runs on a worker. Short enough that work of a
   /// lost worker soon runs again, long enough to outlast a change of owner.
-  std::chrono::milliseconds run_lease{7000};
+  std::chrono::milliseconds run_lease{6000};
   /// An owner that cannot reach the store extends leases no longer than this
-  /// after its last confirmed ownership.
-  std::chrono::milliseconds extend_without_store{10000};
+  /// after it sent the last renewal that the store confirmed.
+  std::chrono::milliseconds extend_without_store{6000};
+  /// A shard is taken over this long after its owner's last renewal at the
+  /// earliest.
+  std::chrono::milliseconds takeover_after{3000};
   /// A worker's clock may be this many percent slow.
   int slow_clock_percent = 2;
   /// A stop takes at most this long.
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -24,6 +24,9 @@
   std::uint64_t fence = 0;
   TimePoint owned_since;
   ShardLimits limits;
+  /// Workers that did not answer the former owner when it handed the shard
+  /// over, with the time at which their leases are certainly over.
+  std::map<WorkerId, TimePoint> silent_until;
   std::map<QueueName, Queue> queues;
   std::map<JobId, ShardJob> jobs;
   /// Jobs that have ended and have no run left.
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -9,14 +9,28 @@
 
 using std::chrono::milliseconds;
 
-/// The least that the worker's clock shows now: it may be slow.
-auto LeastClock(const ShardLimits& limits,
-                const ShardWorker& worker,
-                TimePoint now) -> milliseconds {
-  const auto elapsed =
-      std::chrono::duration_cast<milliseconds>(now - worker.clock->received_at);
-  return worker.clock->clock +
-         elapsed * (100 - limits.slow_clock_percent) / 100;
+/// When a lease that is `left` long on a worker's clock is certainly over.
+auto LongestOf(const ShardLimits& limits, milliseconds left) -> milliseconds {
+  return left * 100 / (100 - limits.slow_clock_percent) + limits.stop_time;
+}
+
+/// When every lease that this or a former owner gave is certainly over on a
+/// worker that does not answer.
+auto LeaseOverAt(const ShardState& state, const ShardWorker& worker)
+    -> TimePoint {
+  const ShardLimits& limits = state.limits;
+  if (worker.clock) {
+    const milliseconds left = worker.latest_deadline - worker.clock->clock;
+    return worker.clock->received_at + LongestOf(limits, left);
+  }
+  const auto silent = state.silent_until.find(worker.view.id);
+  if (silent != state.silent_until.end()) {
+    return silent->second;
+  }
+  // Only a former owner can have given leases.
+  const milliseconds extended =
+      limits.extend_without_store - limits.takeover_after;
+  return state.owned_since + extended + LongestOf(limits, limits.run_lease);
 }
 
 }  // namespace
@@ -44,17 +58,21 @@
 auto IsLeaseOver(const ShardState& state,
                  const ShardWorker& worker,
                  TimePoint now) -> bool {
-  const ShardLimits& limits = state.limits;
-  if (!worker.clock) {
-    // Only a former owner can have given leases. It stopped extending them at
-    // the latest this long after it lost the shard.
-    const auto longest =
-        limits.run_lease * (100 + limits.slow_clock_percent) / 100 +
-        limits.extend_without_store + limits.stop_time;
-    return now - state.owned_since > longest;
+  return now >= LeaseOverAt(state, worker);
+}
+
+auto SilentWorkers(const ShardState& state, TimePoint now)
+    -> std::map<WorkerId, milliseconds> {
+  std::map<WorkerId, milliseconds> silent;
+  for (const auto& [id, worker] : state.workers) {
+    if (worker.tasks.empty() || (worker.clock && worker.failed_looks == 0)) {
+      continue;
+    }
+    const auto left =
+        std::chrono::ceil<milliseconds>(LeaseOverAt(state, worker) - now);
+    silent.emplace(id, std::max(left, milliseconds(0)));
   }
-  return LeastClock(limits, worker, now) >
-         worker.latest_deadline + limits.stop_time;
+  return silent;
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/worker_lease.h
+++ b/src/fireflythread/jobs/worker_lease.h
@@ -2,6 +2,7 @@
 #define FIREFLYTHREAD_JOBS_WORKER_LEASE_H_
 
 #include <chrono>
+#include <map>
 
 #include "fireflythread/base/time.h"
 #include "fireflythread/jobs/shard_state.h"
@@ -29,6 +30,11 @@
                                const ShardWorker& worker,
                                TimePoint now) -> bool;
 
+/// Workers with runs that do not answer, with the time until their leases are
+/// certainly over: what the next owner of the shard has to know.
+[[nodiscard]] auto SilentWorkers(const ShardState& state, TimePoint now)
+    -> std::map<WorkerId, std::chrono::milliseconds>;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_JOBS_WORKER_LEASE_H_
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -12,9 +12,7 @@
 
 using Json = nlohmann::json;
 
-auto IsAlive(const OwnershipState& state, const EntryView& entry, TimePoint now)
-    -> bool {
-  (void)state;
+auto IsAlive(const EntryView& entry, TimePoint now) -> bool {
   return !entry.stopping && now - entry.changed_at < kEntryTimeout;
 }
 
@@ -33,6 +31,22 @@
   return now - owner->second.changed_at >= kEntryTimeout;
 }
 
+auto ReadSilentWorkers(const Json& json)
+    -> std::map<WorkerId, std::chrono::milliseconds> {
+  std::map<WorkerId, std::chrono::milliseconds> workers;
+  const auto silent = json.find("silent_ms");
+  if (silent == json.end() || !silent->is_object()) {
+    return workers;
+  }
+  for (const auto& [worker, left] : silent->items()) {
+    if (left.is_number_integer()) {
+      workers[WorkerId(worker)] =
+          std::chrono::milliseconds(left.get<std::int64_t>());
+    }
+  }
+  return workers;
+}
+
 auto HashOf(const EntryId& entry, const ServiceName& shard) -> std::size_t {
   return std::hash<std::string>{}(entry.value + "/" + shard.value);
 }
@@ -108,6 +122,7 @@
   shard.owner = EntryId(json.value("owner", std::string()));
   shard.incarnation = json.value("incarnation", std::uint64_t{0});
   shard.version = row.version;
+  shard.silent_workers = ReadSilentWorkers(json);
 }
 
 auto MakeRenewal(const OwnershipState& state) -> Transaction {
@@ -130,7 +145,7 @@
   }
   std::map<EntryId, int> owned;
   for (const auto& [id, entry] : state.entries) {
-    if (IsAlive(state, entry, now)) {
+    if (IsAlive(entry, now)) {
       owned.emplace(id, 0);
     }
   }
@@ -166,13 +181,21 @@
   return claims;
 }
 
-auto MakeRelease(const ServiceName& shard, std::uint64_t token) -> Transaction {
+auto MakeRelease(
+    const ServiceName& shard,
+    std::uint64_t token,
+    const std::map<WorkerId, std::chrono::milliseconds>& silent_workers)
+    -> Transaction {
+  Json silent = Json::object();
+  for (const auto& [worker, left] : silent_workers) {
+    silent[worker.value] = left.count();
+  }
   Transaction transaction;
   transaction.conditions.push_back(
       {std::string(kShardTable), shard.value, token});
   transaction.writes.push_back(
       {std::string(kShardTable), shard.value,
-       Json{{"owner", ""}, {"incarnation", 0}}.dump()});
+       Json{{"owner", ""}, {"incarnation", 0}, {"silent_ms", silent}}.dump()});
   return transaction;
 }
 
--- a/src/fireflythread/ownership/ownership.h
+++ b/src/fireflythread/ownership/ownership.h
@@ -40,8 +40,12 @@
 [[nodiscard]] auto NextClaims(const OwnershipState& state, TimePoint now)
     -> std::vector<ShardClaim>;
 
-/// Gives up a shard owned since `token`.
-[[nodiscard]] auto MakeRelease(const ServiceName& shard, std::uint64_t token)
+/// Gives up a shard owned since `token`. Tells the next owner which workers do
+/// not answer and how long their leases may last.
+[[nodiscard]] auto MakeRelease(
+    const ServiceName& shard,
+    std::uint64_t token,
+    const std::map<WorkerId, std::chrono::milliseconds>& silent_workers)
     -> Transaction;
 
 /// Whether the shard's row names this incarnation of this entry as owner.
--- a/src/fireflythread/ownership/ownership_state.h
+++ b/src/fireflythread/ownership/ownership_state.h
@@ -27,6 +27,8 @@
   EntryId owner;
   std::uint64_t incarnation = 0;
   std::uint64_t version = 0;
+  /// After a release: what SilentWorkers() gave.
+  std::map<WorkerId, std::chrono::milliseconds> silent_workers = {};
 };
 
 /// What an entry knows of all entries and of who owns which shard.
--- a/test/fireflythread/ownership/ownership_test.cc
+++ b/test/fireflythread/ownership/ownership_test.cc
@@ -98,6 +98,19 @@
   CHECK(NextClaims(state, now).size() == 1);
 }
 
+TEST_CASE("A release tells the next owner about silent workers",
+          "[ownership]") {
+  const Transaction release =
+      MakeRelease(ServiceName("p"), 20, {{WorkerId("w"), milliseconds(1500)}});
+  REQUIRE(release.writes.size() == 1);
+  OwnershipState state;
+  TakeShardRow(state, {std::string(kShardTable), "p", 21,
+                       release.writes[0].value.value()});
+  const ShardOwner& shard = state.shards.at(ServiceName("p"));
+  CHECK(shard.owner.empty());
+  CHECK(shard.silent_workers.at(WorkerId("w")) == milliseconds(1500));
+}
+
 TEST_CASE("A stopping entry claims nothing", "[ownership]") {
   const TimePoint now{std::chrono::hours(1)};
   OwnershipState state = MakeState("a", now);
