--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -116,11 +116,7 @@
     if (!this->claiming.insert(shard).second) {
       continue;
     }
-    // The claim depends on the row that says this.
-    const auto known = this->state.shards.find(shard);
-    this->silent_workers[shard] = known == this->state.shards.end()
-                                      ? SilentWorkerMap{}
-                                      : known->second.silent_workers;
+    this->handovers[shard] = claim.handover;
     this->store.Commit(
         std::move(claim.transaction), kStoreTimeout,
         this->alive.Guard([this, shard](const TransactionOutcome& outcome) {
@@ -137,7 +133,7 @@
     const std::uint64_t fence = this->state.shards.at(shard).version;
     this->logger.Info("ownership", "shard_gained",
                       {{"shard", shard}, {"fence", fence}});
-    this->events.gained(shard, fence, this->silent_workers[shard]);
+    this->events.gained(shard, fence, this->handovers[shard]);
   }
   if (!owns && this->owned.erase(shard) > 0) {
     this->logger.Info("ownership", "shard_lost", {{"shard", shard}});
--- a/src/fireflythread/entry/ownership_task.h
+++ b/src/fireflythread/entry/ownership_task.h
@@ -24,10 +24,8 @@
   using SilentWorkerMap = std::map<WorkerId, std::chrono::milliseconds>;
 
   struct Events {
-    /// This entry owns a shard now; the number is its fencing token. The
-    /// workers did not answer the former owner when it released the shard.
-    std::function<
-        void(const ServiceName&, std::uint64_t, const SilentWorkerMap&)>
+    /// This entry owns a shard now; the number is its fencing token.
+    std::function<void(const ServiceName&, std::uint64_t, const Handover&)>
         gained;
     /// Another entry owns the shard, or nobody does.
     std::function<void(const ServiceName&)> lost;
@@ -77,8 +75,8 @@
   Events events;
   OwnershipState state;
   std::set<ServiceName> claiming;
-  /// Of shards that were free when this entry claimed them.
-  std::map<ServiceName, SilentWorkerMap> silent_workers;
+  /// Of the last claim of each shard.
+  std::map<ServiceName, Handover> handovers;
   std::set<ServiceName> owned;
   std::uint64_t shard_revision = 0;
   TimePoint confirmed_at;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -54,7 +54,7 @@
 ShardTask::ShardTask(Environment env,
                      ServiceName shard,
                      std::uint64_t fence,
-                     const std::map<WorkerId, milliseconds>& silent_workers)
+                     const Handover& handover)
     : environment(std::move(env)),
       wake([this] { this->Step(); }),
       follow_retry(
@@ -63,7 +63,8 @@
   this->state.service = std::move(shard);
   this->state.fence = fence;
   this->state.owned_since = ReadBootClock();
-  for (const auto& [worker, left] : silent_workers) {
+  this->state.former_stopped = handover.former_stopped;
+  for (const auto& [worker, left] : handover.silent_workers) {
     this->state.silent_until[worker] = this->state.owned_since + left;
   }
 }
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -20,6 +20,7 @@
 #include "fireflythread/jobs/start_command.h"
 #include "fireflythread/jobs/stop_command.h"
 #include "fireflythread/jobs/worker_report.h"
+#include "fireflythread/ownership/handover.h"
 #include "fireflythread/platform/table_store.h"
 #include "fireflythread/platform/worker_client.h"
 #include "fireflythread/telemetry/logger.h"
@@ -43,13 +44,10 @@
     std::function<void(const ServiceName&)> on_fenced;
   };
 
-  /// `silent_workers` did not answer the former owner; their leases may last
-  /// as long as given.
-  ShardTask(
-      Environment environment,
-      ServiceName shard,
-      std::uint64_t fence,
-      const std::map<WorkerId, std::chrono::milliseconds>& silent_workers);
+  ShardTask(Environment environment,
+            ServiceName shard,
+            std::uint64_t fence,
+            const Handover& handover);
   ShardTask(const ShardTask&) = delete;
   auto operator=(const ShardTask&) -> ShardTask& = delete;
 
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -179,7 +179,9 @@
     }
     const auto worker = ChooseWorker(state, name, reserved, now);
     if (!worker) {
-      if (step.long_running) {
+      // Without a worker kept free, small tasks would fill each gap before a
+      // large one fits: lasting tasks and the most urgent others get one.
+      if (step.long_running || reserved.empty()) {
         ReserveWorker(state, name, reserved, now);
       }
       return;
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -24,6 +24,8 @@
   std::uint64_t fence = 0;
   TimePoint owned_since;
   ShardLimits limits;
+  /// The former owner certainly extends no leases any more.
+  bool former_stopped = false;
   /// Workers that did not answer the former owner when it handed the shard
   /// over, with the time at which their leases are certainly over.
   std::map<WorkerId, TimePoint> silent_until;
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -29,7 +29,9 @@
   }
   // Only a former owner can have given leases.
   const milliseconds extended =
-      limits.extend_without_store - limits.takeover_after;
+      state.former_stopped
+          ? milliseconds(0)
+          : limits.extend_without_store - limits.takeover_after;
   return state.owned_since + extended + LongestOf(limits, limits.run_lease);
 }
 
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -16,19 +16,30 @@
   return !entry.stopping && now - entry.changed_at < kEntryTimeout;
 }
 
+/// Whether the process that owned the shard has ended: its entry's row, written
+/// after the shard's, is of another process. An older row says nothing.
+auto IsFormerStopped(const OwnershipState& state, const ShardOwner& shard)
+    -> bool {
+  if (shard.owner.empty()) {
+    return true;
+  }
+  const auto owner = state.entries.find(shard.owner);
+  return owner != state.entries.end() &&
+         owner->second.incarnation != shard.incarnation &&
+         owner->second.version > shard.version;
+}
+
 /// Whether nobody acts for the shard any more.
 auto IsOrphan(const OwnershipState& state,
               const ShardOwner& shard,
               TimePoint now) -> bool {
-  if (shard.owner.empty()) {
+  if (IsFormerStopped(state, shard)) {
     return true;
   }
   const auto owner = state.entries.find(shard.owner);
-  if (owner == state.entries.end() ||
-      owner->second.incarnation != shard.incarnation) {
-    return true;
-  }
-  return now - owner->second.changed_at >= kEntryTimeout;
+  return owner != state.entries.end() &&
+         owner->second.incarnation == shard.incarnation &&
+         now - owner->second.changed_at >= kEntryTimeout;
 }
 
 auto ReadSilentWorkers(const Json& json)
@@ -78,7 +89,12 @@
   transaction.writes.push_back({std::string(kShardTable), shard.value, value});
   transaction.writes.push_back(
       {std::string(kFenceTable), std::string(kFenceKey), value, shard.value});
-  return {shard, std::move(transaction)};
+  Handover handover;
+  if (known != state.shards.end()) {
+    handover.former_stopped = IsFormerStopped(state, known->second);
+    handover.silent_workers = known->second.silent_workers;
+  }
+  return {shard, std::move(transaction), std::move(handover)};
 }
 
 }  // namespace
--- a/src/fireflythread/ownership/ownership.h
+++ b/src/fireflythread/ownership/ownership.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fireflythread/ownership/handover.h"
 #include "fireflythread/ownership/ownership_state.h"
 #include "fireflythread/platform/row.h"
 #include "fireflythread/platform/transaction.h"
@@ -23,6 +24,8 @@
 struct ShardClaim {
   ServiceName shard;
   Transaction transaction;
+  /// Holds if the transaction commits.
+  Handover handover;
 };
 
 /// Takes in all rows of the entry table.
--- a/test/fireflythread/ownership/ownership_test.cc
+++ b/test/fireflythread/ownership/ownership_test.cc
@@ -82,7 +82,40 @@
   state.wanted = {ServiceName("p")};
   TakeShardRow(state, ShardRow("p", "a", 9, 20));
   TakeEntryRows(state, {EntryRow("a", 1, 30)}, now);
-  CHECK(NextClaims(state, now).size() == 1);
+  REQUIRE(NextClaims(state, now).size() == 1);
+}
+
+TEST_CASE("A shard claimed by a process not seen yet is left alone",
+          "[ownership]") {
+  // Guards against a claim from the new process of a restarted entry, by an
+  // entry that last read the row of the process before it.
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state = MakeState("a", now);
+  state.wanted = {ServiceName("p")};
+  TakeEntryRows(state, {EntryRow("a", 1, 30), EntryRow("b", 1, 31)}, now);
+  TakeShardRow(state, ShardRow("p", "b", 2, 40));
+  CHECK(NextClaims(state, now).empty());
+  TakeShardRow(state, ShardRow("p", "c", 1, 41));
+  CHECK(NextClaims(state, now).empty());
+}
+
+TEST_CASE("A claim tells whether the former owner has stopped", "[ownership]") {
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state = MakeState("a", now);
+  state.wanted = {ServiceName("p")};
+  TakeShardRow(state, ShardRow("p", "b", 1, 20));
+  TakeEntryRows(state, {EntryRow("a", 1, 30), EntryRow("b", 1, 2)},
+                now + kEntryTimeout);
+  const auto stale = NextClaims(state, now + kEntryTimeout);
+  REQUIRE(stale.size() == 1);
+  CHECK_FALSE(stale[0].handover.former_stopped);
+  TakeEntryRows(state, {EntryRow("a", 1, 31), EntryRow("b", 9, 32)},
+                now + kEntryTimeout);
+  // The other entry is alive again and has as few shards.
+  TakeShardRow(state, ShardRow("q", "b", 9, 33));
+  const auto replaced = NextClaims(state, now + kEntryTimeout);
+  REQUIRE(replaced.size() == 1);
+  CHECK(replaced[0].handover.former_stopped);
 }
 
 TEST_CASE("A released shard is free at once", "[ownership]") {
