--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -43,7 +43,7 @@
 constexpr milliseconds kPublishPeriod{800};
 
 /// Least time between two writings of the pool's load.
-constexpr milliseconds kLoadPeriod{150};
+constexpr milliseconds kLoadPeriod{300};
 
 /// A transaction holds at most 100 entries; each job takes two and the fence
 /// one.
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -24,8 +24,6 @@
   /// The job can certainly not meet its objective any more: a late job earns
   /// little, so one that can still be in time goes first.
   bool late = false;
-  /// A job that has run may be in time with less work than one that has not.
-  bool fresh = false;
   WallTime deadline;
 
   [[nodiscard]] auto Key() const {
@@ -132,7 +130,6 @@
           unit.late =
               unit.finite &&
               wall_now + LeastRemaining(job.request, step) > unit.deadline;
-          unit.fresh = !job.began;
           ready.push_back(unit);
         }
       }
