--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -2,14 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <variant>
 
 #include "fireflythread/base/io_clock.h"
-#include "fireflythread/duties/measure_load.h"
-#include "fireflythread/entry/duty_task.h"
 #include "fireflythread/entry/job_tables.h"
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/jobs/job_codec.h"
@@ -39,12 +36,6 @@
 /// Beyond its wait, a look may take this long.
 constexpr milliseconds kLookSlack{800};
 
-/// Least time between two writings of the counts of waiting jobs.
-constexpr milliseconds kPublishPeriod{800};
-
-/// Least time between two writings of the pool's load.
-constexpr milliseconds kLoadPeriod{300};
-
 /// A transaction holds at most 100 entries; each job takes two and the fence
 /// one.
 constexpr std::size_t kJobsPerTransaction = 45;
@@ -56,6 +47,7 @@
                      std::uint64_t fence,
                      const Handover& handover)
     : environment(std::move(env)),
+      publisher(this->environment.store),
       wake([this] { this->Step(); }),
       follow_retry(
           [this] { this->loaded ? this->FollowJobs() : this->LoadJobs(); }),
@@ -229,8 +221,7 @@
     }
     this->SendStops();
     this->LookAtWorkers();
-    this->PublishWaiting();
-    this->PublishLoad();
+    this->publisher.Publish(this->state);
     const std::vector<WorkerId> vacated = VacatedWorkers(this->state);
     if (!vacated.empty()) {
       this->environment.on_vacated(vacated);
@@ -471,66 +462,6 @@
   }
 }
 
-auto ShardTask::PublishWaiting() -> void {
-  const TimePoint now = ReadBootClock();
-  if (this->publishing || now - this->published_at < kPublishPeriod) {
-    return;
-  }
-  std::map<QueueName, int> counts = CountWaiting(this->state);
-  if (this->published_once && counts == this->published) {
-    return;
-  }
-  nlohmann::json value = nlohmann::json::object();
-  for (const auto& [queue, count] : counts) {
-    value[queue.value] = count;
-  }
-  Transaction transaction;
-  transaction.conditions.push_back({std::string(kFenceTable),
-                                    std::string(kFenceKey), this->state.fence,
-                                    this->state.service.value});
-  transaction.writes.push_back({std::string(kWaitingTable), "counts",
-                                value.dump(), this->state.service.value});
-  this->publishing = true;
-  this->published_at = now;
-  this->environment.store.Commit(
-      std::move(transaction), kStoreTimeout,
-      this->alive.Guard(
-          [this, counts](const TransactionOutcome& outcome) -> void {
-            this->publishing = false;
-            if (std::holds_alternative<Committed>(outcome)) {
-              this->published = counts;
-              this->published_once = true;
-            }
-          }));
-}
-
-auto ShardTask::PublishLoad() -> void {
-  const TimePoint now = ReadBootClock();
-  if (this->publishing_load || now - this->load_published_at < kLoadPeriod) {
-    return;
-  }
-  this->load_published_at = now;
-  PoolLoad load =
-      MeasureLoad(this->state, std::chrono::system_clock::now(), now);
-  if (load == this->published_load) {
-    return;
-  }
-  Transaction transaction;
-  transaction.writes.push_back({std::string(kLoadTable),
-                                this->state.service.value,
-                                EncodePoolLoad(load)});
-  this->publishing_load = true;
-  this->environment.store.Commit(
-      std::move(transaction), kStoreTimeout,
-      this->alive.Guard(
-          [this, load](const TransactionOutcome& outcome) -> void {
-            this->publishing_load = false;
-            if (std::holds_alternative<Committed>(outcome)) {
-              this->published_load = load;
-            }
-          }));
-}
-
 auto ShardTask::CheckFence() -> void {
   if (this->state.fenced_off) {
     this->environment.on_fenced(this->state.service);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -9,10 +9,10 @@
 #include <vector>
 
 #include "fireflythread/base/io_periodic_timer.h"
-#include "fireflythread/duties/pool_load.h"
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
+#include "fireflythread/entry/shard_publisher.h"
 #include "fireflythread/jobs/hold_command.h"
 #include "fireflythread/jobs/order_verdict.h"
 #include "fireflythread/jobs/record_batch.h"
@@ -96,12 +96,11 @@
                         TimePoint sent_at) -> void;
   auto TakeNoReport(const HoldCommand& hold, OrderVerdict verdict) -> void;
   auto LogEnds(const WorkerId& worker, const WorkerReport& report) -> void;
-  auto PublishWaiting() -> void;
-  auto PublishLoad() -> void;
   auto CheckFence() -> void;
 
   Environment environment;
   ShardState state;
+  ShardPublisher publisher;
   std::unique_ptr<RangeLoader> progress_loader;
   std::unique_ptr<RangeLoader> job_loader;
   std::map<std::string, Row> loaded_progress;
@@ -111,14 +110,7 @@
   bool flushing = false;
   bool draining = false;
   std::function<void()> drained;
-  TimePoint published_at;
-  std::map<QueueName, int> published;
-  bool publishing = false;
-  TimePoint load_published_at;
-  PoolLoad published_load;
-  bool publishing_load = false;
   std::set<WorkerId> vacating;
-  bool published_once = false;
   OneShotTimer wake;
   OneShotTimer follow_retry;
   PeriodicTimer tick;
--- a/src/fireflythread/settings/io_load_settings.cc
+++ b/src/fireflythread/settings/io_load_settings.cc
@@ -1,10 +1,9 @@
 #include "fireflythread/settings/io_load_settings.h"
 
-#include <glib.h>
-
 #include <vector>
 
 #include "fireflythread/settings/io_parse_ini.h"
+#include "fireflythread/settings/io_read_settings_file.h"
 
 namespace fireflythread {
 
@@ -18,19 +17,11 @@
 }
 
 auto LoadSettings(const std::string& path) -> SettingsResult {
-  gchar* contents = nullptr;
-  gsize length = 0;
-  GError* error = nullptr;
-  if (!g_file_get_contents(path.c_str(), &contents, &length, &error)) {
-    SettingsFault fault;
-    fault.file = path;
-    fault.problem = error->message;
-    g_error_free(error);
-    return std::vector<SettingsFault>{fault};
+  const auto read = ReadSettingsFile(path);
+  if (const auto* fault = std::get_if<SettingsFault>(&read)) {
+    return std::vector<SettingsFault>{*fault};
   }
-  const std::string text(contents, length);
-  g_free(contents);
-  return ParseSettings(path, text);
+  return ParseSettings(path, std::get<std::string>(read));
 }
 
 }  // namespace fireflythread
