Size pools by arriving work and pack finite tasks

Cause: while a peak lasted, jobs became late and no longer counted as waiting, so the pool's need seemed to end; and pools at rest spread their few tasks over all workers, so none could leave at once (VMs for a peak at 2 s arrived until 9 s).

--- a/src/fireflythread/duties/measure_load.cc
+++ b/src/fireflythread/duties/measure_load.cc
@@ -1,5 +1,6 @@
 #include "fireflythread/duties/measure_load.h"
 
+#include "fireflythread/jobs/shard_jobs.h"
 #include "fireflythread/jobs/shard_plan.h"
 #include "fireflythread/jobs/shard_state.h"
 
@@ -10,6 +11,7 @@
   PoolLoad load;
   load.fence = shard.fence;
   load.waiting_millicores = WaitingMillicores(shard, wall_now, now);
+  load.arriving_millicores = ArrivingMillicores(shard, now);
   for (const auto& [id, worker] : shard.workers) {
     if (!worker.listed) {
       continue;
--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -18,6 +18,7 @@
     used += worker.used_millicores;
     lasting += worker.lasting_tasks > 0 ? 1 : 0;
   }
+  used = std::max(used, load.arriving_millicores);
   const std::int64_t usable = worker_millicores * kTargetUsePercent / 100;
   const auto needed = static_cast<int>((used + usable - 1) / usable);
   return std::max(needed + kReserveWorkers, lasting);
--- a/src/fireflythread/jobs/shard_jobs.cc
+++ b/src/fireflythread/jobs/shard_jobs.cc
@@ -42,6 +42,20 @@
   }
 }
 
+/// Time over which arriving work is averaged: long enough for some jobs of a
+/// quiet queue, short enough to see a peak begin.
+constexpr std::chrono::milliseconds kArrivalWindow{1500};
+
+auto NoteArrival(ShardState& state, const JobRequest& request, TimePoint now)
+    -> void {
+  for (const JobStep& step : request.steps) {
+    if (!step.long_running && !step.filler) {
+      state.arrivals.push_back(
+          {now, step.size.millicores * step.count, step.estimate});
+    }
+  }
+}
+
 }  // namespace
 
 auto AddJob(ShardState& state,
@@ -57,6 +71,7 @@
       state.jobs.emplace(id, MakeShardJob(std::move(request))).first->second;
   job.version = version;
   if (!progress) {
+    NoteArrival(state, job.request, now);
     return;
   }
   job.progress = std::move(*progress);
@@ -96,6 +111,18 @@
   }
 }
 
+auto ArrivingMillicores(ShardState& state, TimePoint now) -> std::int64_t {
+  while (!state.arrivals.empty() &&
+         now - state.arrivals.front().arrived_at > kArrivalWindow) {
+    state.arrivals.pop_front();
+  }
+  std::int64_t work = 0;
+  for (const ArrivedWork& arrived : state.arrivals) {
+    work += arrived.millicores * arrived.duration.count();
+  }
+  return work / kArrivalWindow.count();
+}
+
 auto CountWaiting(const ShardState& state) -> std::map<QueueName, int> {
   std::map<QueueName, int> counts;
   for (const auto& [id, job] : state.jobs) {
--- a/src/fireflythread/jobs/shard_jobs.h
+++ b/src/fireflythread/jobs/shard_jobs.h
@@ -29,6 +29,10 @@
                JobState final_state,
                TimePoint now) -> void;
 
+/// Cores that keep up with the jobs that were accepted lately, in thousandths.
+[[nodiscard]] auto ArrivingMillicores(ShardState& state, TimePoint now)
+    -> std::int64_t;
+
 /// Jobs of each queue of which no task has run.
 [[nodiscard]] auto CountWaiting(const ShardState& state)
     -> std::map<QueueName, int>;
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -2,6 +2,7 @@
 #define FIREFLYTHREAD_JOBS_SHARD_STATE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -15,6 +16,13 @@
 
 namespace fireflythread {
 
+/// The estimated work of one accepted job, thousandths of a core for a time.
+struct ArrivedWork {
+  TimePoint arrived_at;
+  std::int64_t millicores = 0;
+  std::chrono::milliseconds duration{0};
+};
+
 /// Everything that the owner of a shard knows: the jobs of one service and the
 /// workers that run them. Free functions in this folder change it; none does
 /// input or output.
@@ -34,6 +42,8 @@
   /// Jobs that have ended and have no run left.
   std::set<JobId> finished;
   std::map<WorkerId, ShardWorker> workers;
+  /// Work of the jobs that were accepted lately.
+  std::deque<ArrivedWork> arrivals;
   /// Jobs whose progress row is out of date.
   std::set<JobId> dirty;
   /// A batch of records is on its way to the store.
--- a/src/fireflythread/jobs/worker_choice.cc
+++ b/src/fireflythread/jobs/worker_choice.cc
@@ -81,7 +81,7 @@
     const std::tuple<bool, int, std::int64_t> score = {
         !rack.empty() && worker.view.rack == rack,
         -std::min(worker.failures_in_row, 1),
-        free.millicores,
+        step.long_running ? free.millicores : -free.millicores,
     };
     if (!best || score > best_score) {
       best = id;
--- a/src/fireflythread/jobs/worker_choice.h
+++ b/src/fireflythread/jobs/worker_choice.h
@@ -10,8 +10,9 @@
 
 /// The worker for a task's next run: it is registered and in touch, has the
 /// label and the room, is not reserved, and holds fewer tasks of the step than
-/// allowed. Workers near the data come first, then those with the most cores
-/// free. No value when no worker can take the task now.
+/// allowed. Workers near the data come first. Lasting tasks are spread; finite
+/// ones are packed, so that idle workers can leave for another pool at once. No
+/// value when no worker can take the task now.
 [[nodiscard]] auto ChooseWorker(const ShardState& state,
                                 const TaskName& name,
                                 const std::set<WorkerId>& reserved,
--- a/test/fireflythread/duties/duties_test.cc
+++ b/test/fireflythread/duties/duties_test.cc
@@ -141,6 +141,14 @@
   CHECK(from_rest == 1);
 }
 
+TEST_CASE("Work that arrives counts before it waits", "[duties]") {
+  // The load of a queue whose peak has just begun.
+  DutyFixture fixture;
+  fixture.state.loads[ServiceName("a")].arriving_millicores = 40000;
+  PlanMoves(fixture.state, fixture.now);
+  CHECK(fixture.state.duties.size() == 3);
+}
+
 TEST_CASE("Workers with lasting tasks are not moved", "[duties]") {
   DutyFixture fixture;
   fixture.SetLoad("a", 8000, 64000);
@@ -187,6 +195,7 @@
   PoolLoad load;
   load.fence = 9;
   load.waiting_millicores = 1234;
+  load.arriving_millicores = 777;
   load.workers[WorkerId("w")] = {500, 2};
   CHECK(DecodePoolLoad(EncodePoolLoad(load)) == load);
   CHECK_FALSE(DecodePoolLoad("{}").has_value());
--- a/test/fireflythread/jobs/shard_plan_test.cc
+++ b/test/fireflythread/jobs/shard_plan_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 #include <map>
+#include <set>
+#include <string>
 
 #include "fireflythread/base/random.h"
 #include "test/fireflythread/jobs/shard_fixture.h"
@@ -82,6 +84,52 @@
   CHECK(starts[0].task.job == JobId("lasting"));
 }
 
+TEST_CASE("Finite tasks of a quiet queue leave workers idle", "[jobs]") {
+  // The load of queues that peak by turns: a pool at rest is to have workers
+  // that can leave at once for the pool whose peak begins.
+  ShardFixture shard(3);
+  std::set<WorkerId> used;
+  for (const char* job : {"a", "b", "c", "d"}) {
+    shard.AddJob(job, ShardFixture::Step(1, 1000));
+    for (const StartCommand& start : shard.StartAll()) {
+      used.insert(start.worker);
+    }
+  }
+  CHECK(used.size() == 1);
+}
+
+TEST_CASE("Lasting tasks are spread over the workers", "[jobs]") {
+  // Guards against the loss of many of them with one worker.
+  ShardFixture shard(3);
+  std::set<WorkerId> used;
+  JobStep lasting = ShardFixture::Step(1, 1000);
+  lasting.long_running = true;
+  for (const char* job : {"a", "b", "c"}) {
+    shard.AddJob(job, lasting);
+    for (const StartCommand& start : shard.StartAll()) {
+      used.insert(start.worker);
+    }
+  }
+  CHECK(used.size() == 3);
+}
+
+TEST_CASE("Arriving work shows a peak that late jobs would hide", "[jobs]") {
+  // The load of a peak above the pool's size: jobs that are late do not count
+  // as waiting, and the need would seem to end while the peak lasts.
+  ShardFixture shard(1);
+  for (int job = 0; job < 15; ++job) {
+    shard.AddJob("job" + std::to_string(job), ShardFixture::Step(4, 1000));
+    shard.Advance(milliseconds(100));
+  }
+  // 15 jobs of 4 tasks with a second on one core each, in 1.5 s.
+  CHECK(ArrivingMillicores(shard.state, shard.now) == 40000);
+  shard.wall_now += milliseconds(60000);
+  CHECK(WaitingMillicores(shard.state, shard.wall_now, shard.now) == 0);
+  CHECK(ArrivingMillicores(shard.state, shard.now) == 40000);
+  shard.Advance(milliseconds(1600));
+  CHECK(ArrivingMillicores(shard.state, shard.now) == 0);
+}
+
 TEST_CASE("A step waits for the steps before it", "[jobs]") {
   ShardFixture shard(1);
   JobRequest request;
