Count a job as late when its whole estimated remainder exceeds its time

Cause: in a peak above the pool's size each job was tried until half of its estimate no longer fitted, so most jobs started when they were certain to miss their objective, and those behind them waited as long. The urgency of a job moves into a file of its own.

--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -5,13 +5,12 @@
 #include <tuple>
 #include <vector>
 
+#include "fireflythread/jobs/job_urgency.h"
 #include "fireflythread/jobs/worker_choice.h"
 
 namespace fireflythread {
 namespace {
 
-using std::chrono::milliseconds;
-
 /// One step of one occurrence whose turn has come.
 struct ReadyStep {
   ShardJob* job = nullptr;
@@ -21,8 +20,9 @@
   /// is lost for good.
   bool finite = false;
   int priority = 0;
-  /// The job can certainly not meet its objective any more: a late job earns
-  /// little, so one that can still be in time goes first.
+  /// The job is not expected to meet its objective any more. A late answer is
+  /// worth little, so jobs that can still be in time go first: otherwise each
+  /// job of an overload would wait until it is late as well.
   bool late = false;
   WallTime deadline;
 
@@ -33,49 +33,6 @@
   }
 };
 
-/// Estimates are far off in both directions; a job counts as late when even
-/// this part of what is estimated to remain exceeds its time.
-constexpr double kCertainPart = 0.5;
-
-/// The longest chain of estimated work through the steps.
-auto LongestChain(const JobRequest& job) -> milliseconds {
-  std::vector<milliseconds> chains;
-  milliseconds longest{0};
-  for (const JobStep& step : job.steps) {
-    milliseconds before{0};
-    for (const int earlier : step.after) {
-      before = std::max(before, chains[static_cast<std::size_t>(earlier)]);
-    }
-    chains.push_back(before + step.estimate);
-    longest = std::max(longest, chains.back());
-  }
-  return longest;
-}
-
-/// The least time that a job needs from the start of one of its steps.
-auto LeastRemaining(const JobRequest& job, int first) -> milliseconds {
-  std::vector<milliseconds> chains(job.steps.size());
-  milliseconds longest{0};
-  for (std::size_t step = static_cast<std::size_t>(first);
-       step < job.steps.size(); ++step) {
-    milliseconds before{0};
-    for (const int earlier : job.steps[step].after) {
-      before = std::max(before, chains[static_cast<std::size_t>(earlier)]);
-    }
-    chains[step] = before + job.steps[step].estimate;
-    longest = std::max(longest, chains[step]);
-  }
-  const double certain = static_cast<double>(longest.count()) * kCertainPart;
-  return milliseconds(static_cast<std::int64_t>(certain));
-}
-
-auto Objective(const JobRequest& job, const Queue& queue) -> milliseconds {
-  const auto work =
-      static_cast<double>(LongestChain(job).count()) * queue.stretch;
-  return milliseconds(static_cast<std::int64_t>(work)) +
-         queue.latency_objective;
-}
-
 auto IsTurn(const ShardJob& job, int occurrence, int step) -> bool {
   const JobStep& spec = job.request.steps[static_cast<std::size_t>(step)];
   return std::all_of(spec.after.begin(), spec.after.end(),
@@ -107,15 +64,14 @@
     if (IsFinal(job.progress.state) || queue == state.queues.end()) {
       continue;
     }
-    const milliseconds objective = Objective(job.request, queue->second);
     const auto steps = static_cast<int>(job.request.steps.size());
     for (int occurrence = 0; occurrence < OccurrenceCount(job.request);
          ++occurrence) {
-      const WallTime due = DueAt(job.request, occurrence);
-      if (due > wall_now) {
+      if (DueAt(job.request, occurrence) > wall_now) {
         break;
       }
-      const WallTime begin = std::max(due, job.request.accepted_at);
+      const WallTime deadline =
+          DeadlineOf(job.request, queue->second, occurrence);
       for (int step = 0; step < steps; ++step) {
         if (HasWaitingTask(job, occurrence, step, now) &&
             IsTurn(job, occurrence, step)) {
@@ -126,10 +82,9 @@
           unit.finite =
               !job.request.steps[static_cast<std::size_t>(step)].long_running;
           unit.priority = queue->second.priority;
-          unit.deadline = begin + objective;
-          unit.late =
-              unit.finite &&
-              wall_now + LeastRemaining(job.request, step) > unit.deadline;
+          unit.deadline = deadline;
+          unit.late = unit.finite &&
+                      wall_now + RemainingChain(job.request, step) > deadline;
           ready.push_back(unit);
         }
       }
--- /dev/null
+++ b/test/fireflythread/jobs/peak_simulation.h
@@ -0,0 +1,74 @@
+#ifndef TEST_FIREFLYTHREAD_JOBS_PEAK_SIMULATION_H_
+#define TEST_FIREFLYTHREAD_JOBS_PEAK_SIMULATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fireflythread/base/random.h"
+#include "test/fireflythread/jobs/shard_fixture.h"
+
+namespace fireflythread::test {
+
+/// Jobs that arrive at a shard for some seconds, faster than its workers can
+/// run them, on virtual time. Estimates are off by a random factor; workers
+/// report each end at once.
+class PeakSimulation {
+ public:
+  struct Load {
+    int workers = 9;
+    /// Work that arrives, as a multiple of what the workers can do.
+    double overload = 2.0;
+    std::chrono::milliseconds length{4500};
+    /// Estimates are the run time times e to a number from -x to x.
+    double estimate_error = 0.5;
+    std::uint64_t seed = 1;
+  };
+
+  explicit PeakSimulation(const Load& load);
+
+  /// Plays the peak and what follows until every job has ended.
+  auto Play() -> void;
+
+  /// Work of the jobs that met their objective, as a share of what the
+  /// workers could have done from the beginning of the peak until the last
+  /// job's objective.
+  [[nodiscard]] auto GoodputShare() const -> double;
+
+  /// Share of the jobs that met their objective, over jobs with at least
+  /// this many tasks.
+  [[nodiscard]] auto InTimeShare(int least_tasks) const -> double;
+
+ private:
+  struct PlayedJob {
+    int tasks = 0;
+    int left = 0;
+    std::chrono::milliseconds run_time{0};
+    TimePoint objective;
+    bool in_time = false;
+  };
+  struct ActiveRun {
+    StartCommand start;
+    TimePoint ends_at;
+  };
+
+  auto Arrive() -> void;
+  auto Finish() -> void;
+
+  Load load;
+  Random random;
+  ShardFixture shard;
+  std::map<JobId, PlayedJob> jobs;
+  std::vector<ActiveRun> runs;
+  std::map<WorkerId, std::uint64_t> ends;
+  TimePoint began_at;
+  TimePoint last_objective;
+  /// Work that has not arrived yet though its time has come, core-seconds.
+  double owed = 0;
+};
+
+}  // namespace fireflythread::test
+
+#endif  // TEST_FIREFLYTHREAD_JOBS_PEAK_SIMULATION_H_
