Let pools follow a rising queue and lend what only late work uses

Changes: VMs leave the spare pool at once; the arrivals' trend is followed over the time that a move takes; the idlest VMs of all donors go first; late work does not count as need (PoolLoad.late_millicores).

--- a/src/fireflythread/duties/duty_state.h
+++ b/src/fireflythread/duties/duty_state.h
@@ -54,8 +54,11 @@
 
 /// A pool's recent need, in workers.
 struct PoolNeed {
+  /// For the work that can still be in time.
   int needed = 0;
-  /// The need was this low since this time.
+  /// For late work as well, which may use what no other pool needs.
+  int useful = 0;
+  /// The use was this low since this time.
   TimePoint low_since;
   bool low = false;
 };
--- a/src/fireflythread/duties/measure_load.cc
+++ b/src/fireflythread/duties/measure_load.cc
@@ -11,6 +11,7 @@
   PoolLoad load;
   load.fence = shard.fence;
   load.waiting_millicores = WaitingMillicores(shard, wall_now, now);
+  load.late_millicores = LateMillicores(shard, wall_now);
   load.arriving_millicores = ArrivingMillicores(shard, now);
   for (const auto& [id, worker] : shard.workers) {
     if (!worker.listed) {
--- a/src/fireflythread/duties/pool_load.cc
+++ b/src/fireflythread/duties/pool_load.cc
@@ -13,6 +13,7 @@
   }
   return Json{{"fence", load.fence},
               {"waiting_millicores", load.waiting_millicores},
+              {"late_millicores", load.late_millicores},
               {"arriving_millicores", load.arriving_millicores},
               {"workers", std::move(workers)}}
       .dump();
@@ -24,6 +25,7 @@
     PoolLoad load;
     load.fence = json.at("fence").get<std::uint64_t>();
     load.waiting_millicores = json.at("waiting_millicores").get<std::int64_t>();
+    load.late_millicores = json.at("late_millicores").get<std::int64_t>();
     load.arriving_millicores =
         json.at("arriving_millicores").get<std::int64_t>();
     for (const auto& [id, worker] : json.at("workers").items()) {
--- a/src/fireflythread/duties/pool_load.h
+++ b/src/fireflythread/duties/pool_load.h
@@ -26,6 +26,9 @@
   std::uint64_t fence = 0;
   /// Cores of the tasks that could start now if there were room.
   std::int64_t waiting_millicores = 0;
+  /// Cores of the finite tasks that run in jobs that are late already; part of
+  /// what the workers use.
+  std::int64_t late_millicores = 0;
   /// Cores that keep up with the jobs that were accepted lately. What waits
   /// leaves out jobs that are late already, so it hides how high a peak is.
   std::int64_t arriving_millicores = 0;
--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
-#include <tuple>
-#include <utility>
+#include <map>
 #include <vector>
 
 #include "fireflythread/duties/duties.h"
@@ -9,19 +8,28 @@
 namespace fireflythread {
 namespace {
 
-/// Workers that a pool needs for what runs and waits there now.
-auto WorkersNeeded(const PoolLoad& load, std::int64_t worker_millicores)
+/// Workers that carry this many cores with the default profile's headroom.
+auto WorkersFor(std::int64_t millicores, std::int64_t worker_millicores)
     -> int {
+  const std::int64_t usable = worker_millicores * kTargetUsePercent / 100;
+  const std::int64_t workers = (millicores + usable - 1) / usable;
+  return static_cast<int>(workers) + kReserveWorkers;
+}
+
+/// Workers that a pool needs for what runs and waits there now.
+auto MeasureNeed(const PoolLoad& load,
+                 std::int64_t worker_millicores,
+                 PoolNeed& need) -> void {
   std::int64_t used = load.waiting_millicores;
   int lasting = 0;
   for (const auto& [id, worker] : load.workers) {
     used += worker.used_millicores;
     lasting += worker.lasting_tasks > 0 ? 1 : 0;
   }
-  used = std::max(used, load.arriving_millicores);
-  const std::int64_t usable = worker_millicores * kTargetUsePercent / 100;
-  const auto needed = static_cast<int>((used + usable - 1) / usable);
-  return std::max(needed + kReserveWorkers, lasting);
+  const std::int64_t in_time =
+      std::max(used - load.late_millicores, load.arriving_millicores);
+  need.needed = std::max(WorkersFor(in_time, worker_millicores), lasting);
+  need.useful = std::max(WorkersFor(used, worker_millicores), need.needed);
 }
 
 /// VMs of a pool, with those on their way to it and without those that leave.
@@ -45,19 +53,31 @@
   return largest;
 }
 
-/// VMs of a pool that may move now, the idlest first. A worker with lasting
-/// tasks stays.
+/// Whether a VM has been in its pool for long enough to leave it again.
+auto IsSettled(const DutyState& state, const VmId& vm, TimePoint now) -> bool {
+  const auto settled = state.settled_at.find(vm);
+  return settled == state.settled_at.end() || now >= settled->second;
+}
+
+/// A VM that may move, with the cores that its worker's tasks use.
+struct MovableMachine {
+  const MachineView* machine = nullptr;
+  std::int64_t used_millicores = 0;
+};
+
+/// VMs of a pool that may move now. A worker with lasting tasks stays. A VM of
+/// the spare pool may leave at once: it serves nobody there, and a peak may
+/// begin right after another one has released it.
 auto MovableMachines(const DutyState& state,
                      const ServiceName& pool,
-                     TimePoint now) -> std::vector<const MachineView*> {
-  std::vector<std::pair<std::int64_t, const MachineView*>> movable;
+                     TimePoint now) -> std::vector<MovableMachine> {
+  std::vector<MovableMachine> movable;
   const auto load = state.loads.find(pool);
   for (const auto& [vm, machine] : state.machines) {
-    const auto settled = state.settled_at.find(vm);
-    const bool free =
-        machine.pool == pool && machine.state == MachineState::kUp &&
-        !state.duties.contains(vm) &&
-        (settled == state.settled_at.end() || now >= settled->second);
+    const bool free = machine.pool == pool &&
+                      machine.state == MachineState::kUp &&
+                      !state.duties.contains(vm) &&
+                      (pool == state.spare_pool || IsSettled(state, vm, now));
     if (!free) {
       continue;
     }
@@ -73,18 +93,19 @@
       }
       used = worker->second.used_millicores;
     }
-    movable.emplace_back(used, &machine);
-  }
-  std::stable_sort(movable.begin(), movable.end(),
-                   [](const auto& left, const auto& right) -> bool {
-                     return left.first < right.first;
-                   });
-  std::vector<const MachineView*> machines;
-  machines.reserve(movable.size());
-  for (const auto& [used, machine] : movable) {
-    machines.push_back(machine);
+    movable.push_back({&machine, used});
   }
-  return machines;
+  return movable;
+}
+
+/// Idle VMs first: they leave at once, while a busy one has to finish its tasks
+/// and serves neither pool as it does.
+auto SortIdlestFirst(std::vector<MovableMachine>& movable) -> void {
+  std::stable_sort(
+      movable.begin(), movable.end(),
+      [](const MovableMachine& left, const MovableMachine& right) -> bool {
+        return left.used_millicores < right.used_millicores;
+      });
 }
 
 auto BeginMove(DutyState& state,
@@ -108,12 +129,14 @@
               const ServiceName& target,
               int count,
               TimePoint now) -> int {
+  std::vector<MovableMachine> movable = MovableMachines(state, from, now);
+  SortIdlestFirst(movable);
   int moved = 0;
-  for (const MachineView* machine : MovableMachines(state, from, now)) {
+  for (const MovableMachine& candidate : movable) {
     if (moved >= count) {
       break;
     }
-    BeginMove(state, *machine, target, now);
+    BeginMove(state, *candidate.machine, target, now);
     ++moved;
   }
   return moved;
@@ -132,6 +155,32 @@
   return CountSupply(state, pool) - std::max(need.needed, keep);
 }
 
+/// Moves up to `count` VMs from pools that can lend some, the idlest of all
+/// these pools first.
+auto Borrow(DutyState& state,
+            const ServiceName& target,
+            int count,
+            TimePoint now) -> void {
+  std::vector<MovableMachine> movable;
+  std::map<ServiceName, int> lendable;
+  for (const auto& [donor, need] : state.needs) {
+    lendable[donor] = donor == target ? 0 : Lendable(state, donor, need);
+    if (lendable[donor] > 0) {
+      const auto some = MovableMachines(state, donor, now);
+      movable.insert(movable.end(), some.begin(), some.end());
+    }
+  }
+  SortIdlestFirst(movable);
+  for (const MovableMachine& candidate : movable) {
+    int& left = lendable[candidate.machine->pool];
+    if (count > 0 && left > 0) {
+      BeginMove(state, *candidate.machine, target, now);
+      --left;
+      --count;
+    }
+  }
+}
+
 auto UpdateNeeds(DutyState& state, TimePoint now) -> void {
   const std::int64_t largest = LargestWorker(state);
   for (const ServiceName& pool : state.pools) {
@@ -140,8 +189,8 @@
       continue;
     }
     PoolNeed& need = state.needs[pool];
-    need.needed = WorkersNeeded(load->second, largest);
-    const int wanted = std::max(need.needed, BaseSize(state, pool));
+    MeasureNeed(load->second, largest, need);
+    const int wanted = std::max(need.useful, BaseSize(state, pool));
     const bool low = wanted < CountSupply(state, pool);
     if (low && !need.low) {
       need.low_since = now;
@@ -163,16 +212,12 @@
       continue;
     }
     lacking -= MoveSome(state, state.spare_pool, pool, lacking, now);
-    for (const auto& [donor, donor_need] : state.needs) {
-      const int surplus = Lendable(state, donor, donor_need);
-      if (lacking > 0 && donor != pool && surplus > 0) {
-        lacking -=
-            MoveSome(state, donor, pool, std::min(lacking, surplus), now);
-      }
+    if (lacking > 0) {
+      Borrow(state, pool, lacking, now);
     }
   }
   for (const auto& [pool, need] : state.needs) {
-    const int wanted = std::max(need.needed, BaseSize(state, pool));
+    const int wanted = std::max(need.useful, BaseSize(state, pool));
     const int surplus = CountSupply(state, pool) - wanted;
     if (surplus > 0 && need.low && now - need.low_since >= kReleaseAfter) {
       MoveSome(state, pool, state.spare_pool, surplus, now);
--- a/src/fireflythread/jobs/shard_jobs.cc
+++ b/src/fireflythread/jobs/shard_jobs.cc
@@ -46,6 +46,36 @@
 /// quiet queue, short enough to see a peak begin.
 constexpr std::chrono::milliseconds kArrivalWindow{1500};
 
+/// A VM that is ordered now serves after this time: the move, the registration
+/// and the first report of its worker.
+constexpr std::chrono::milliseconds kMoveLead{2000};
+
+/// Fewer jobs than these in half a window tell nothing about a trend.
+constexpr int kTrendJobs = 4;
+
+/// A rise is followed to this many times the present rate at most.
+constexpr int kMostGrowth = 2;
+
+/// The jobs that were accepted within a part of the window.
+struct ArrivedPart {
+  int jobs = 0;
+  /// Their work in thousandths of a core for a millisecond.
+  std::int64_t work = 0;
+};
+
+/// Jobs accepted in [from, to).
+auto ArrivedBetween(const ShardState& state, TimePoint from, TimePoint to)
+    -> ArrivedPart {
+  ArrivedPart part;
+  for (const ArrivedWork& arrived : state.arrivals) {
+    if (arrived.arrived_at >= from && arrived.arrived_at < to) {
+      part.work += arrived.millicores * arrived.duration.count();
+      ++part.jobs;
+    }
+  }
+  return part;
+}
+
 auto NoteArrival(ShardState& state, const JobRequest& request, TimePoint now)
     -> void {
   for (const JobStep& step : request.steps) {
@@ -116,11 +146,18 @@
          now - state.arrivals.front().arrived_at > kArrivalWindow) {
     state.arrivals.pop_front();
   }
-  std::int64_t work = 0;
-  for (const ArrivedWork& arrived : state.arrivals) {
-    work += arrived.millicores * arrived.duration.count();
+  const std::chrono::milliseconds half = kArrivalWindow / 2;
+  const TimePoint middle = now - half;
+  const ArrivedPart earlier =
+      ArrivedBetween(state, now - kArrivalWindow, middle);
+  const ArrivedPart recent = ArrivedBetween(state, middle, TimePoint::max());
+  if (recent.jobs < kTrendJobs || recent.work <= earlier.work) {
+    return (earlier.work + recent.work) / kArrivalWindow.count();
   }
-  return work / kArrivalWindow.count();
+  const std::int64_t growth =
+      (recent.work - earlier.work) * kMoveLead.count() / half.count();
+  return std::min(recent.work + growth, recent.work * kMostGrowth) /
+         half.count();
 }
 
 auto CountWaiting(const ShardState& state) -> std::map<QueueName, int> {
--- a/test/fireflythread/duties/duties_test.cc
+++ b/test/fireflythread/duties/duties_test.cc
@@ -149,6 +149,62 @@
   CHECK(fixture.state.duties.size() == 3);
 }
 
+TEST_CASE("A VM that has just reached the spare pool may leave it",
+          "[duties]") {
+  // The load of queues that peak by turns: one pool releases its VMs as the
+  // peak of another one begins.
+  DutyFixture fixture;
+  fixture.state.settled_at[VmId("spare0")] = fixture.now + kSettleTime;
+  fixture.state.settled_at[VmId("spare1")] = fixture.now + kSettleTime;
+  fixture.SetLoad("a", 8000, 16000);
+  PlanMoves(fixture.state, fixture.now);
+  CHECK(fixture.state.duties.contains(VmId("spare0")));
+  CHECK(fixture.state.duties.contains(VmId("spare1")));
+}
+
+TEST_CASE("A VM that was moved to a pool stays there for a while", "[duties]") {
+  // Guards against a VM that spends its time on the way between two pools.
+  DutyFixture fixture;
+  for (const char* vm : {"b0", "b1", "b2", "b3"}) {
+    fixture.state.settled_at[VmId(vm)] = fixture.now + kSettleTime;
+  }
+  fixture.SetLoad("a", 8000, 64000);
+  PlanMoves(fixture.state, fixture.now);
+  for (const auto& [vm, duty] : fixture.state.duties) {
+    CHECK(duty.from == ServiceName("spare"));
+  }
+}
+
+TEST_CASE("A pool lends its idle VMs before busy ones", "[duties]") {
+  // A busy VM has to finish its tasks first and serves neither pool as it does.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 16000);
+  PoolLoad& lender = fixture.state.loads[ServiceName("b")];
+  lender.workers[WorkerId("w-b0")].used_millicores = 1000;
+  PlanMoves(fixture.state, fixture.now);
+  CHECK(fixture.state.duties.size() == 3);
+  CHECK_FALSE(fixture.state.duties.contains(VmId("b0")));
+}
+
+TEST_CASE("A pool lends what only late work uses", "[duties]") {
+  // The load of a queue that still works off what its peak left, while the
+  // next queue's peak begins.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 16000);
+  fixture.SetLoad("b", 8000, 0);
+  PoolLoad& lender = fixture.state.loads[ServiceName("b")];
+
+  SECTION("work that can be in time keeps its workers") {
+    PlanMoves(fixture.state, fixture.now);
+    CHECK(fixture.state.duties.size() == 2);
+  }
+  SECTION("late work does not") {
+    lender.late_millicores = 32000;
+    PlanMoves(fixture.state, fixture.now);
+    CHECK(fixture.state.duties.size() == 3);
+  }
+}
+
 TEST_CASE("Workers with lasting tasks are not moved", "[duties]") {
   DutyFixture fixture;
   fixture.SetLoad("a", 8000, 64000);
@@ -195,6 +251,7 @@
   PoolLoad load;
   load.fence = 9;
   load.waiting_millicores = 1234;
+  load.late_millicores = 55;
   load.arriving_millicores = 777;
   load.workers[WorkerId("w")] = {500, 2};
   CHECK(DecodePoolLoad(EncodePoolLoad(load)) == load);
--- a/test/fireflythread/jobs/shard_plan_test.cc
+++ b/test/fireflythread/jobs/shard_plan_test.cc
@@ -130,6 +130,42 @@
   CHECK(ArrivingMillicores(shard.state, shard.now) == 0);
 }
 
+TEST_CASE("Arriving work is followed ahead while it rises", "[jobs]") {
+  // The load of a peak that has just begun: a VM that is ordered now serves
+  // seconds later, so the mean of the last second lags behind.
+  ShardFixture shard(1);
+  for (int job = 0; job < 5; ++job) {
+    shard.AddJob("slow" + std::to_string(job), ShardFixture::Step(1, 1000));
+    shard.Advance(milliseconds(150));
+  }
+  for (int job = 0; job < 10; ++job) {
+    shard.AddJob("fast" + std::to_string(job), ShardFixture::Step(1, 1000));
+    shard.Advance(milliseconds(75));
+  }
+  // 10 core-seconds in 750 ms after 5 in as long: 13.3 cores and rising.
+  const std::int64_t arriving = ArrivingMillicores(shard.state, shard.now);
+  CHECK(arriving > 13333);
+  CHECK(arriving <= 2 * 13333);
+}
+
+TEST_CASE("A single large job is no trend", "[jobs]") {
+  // Guards against VMs that are called for each large job of a quiet queue.
+  ShardFixture shard(1);
+  shard.Advance(milliseconds(1000));
+  shard.AddJob("large", ShardFixture::Step(15, 1000));
+  CHECK(ArrivingMillicores(shard.state, shard.now) == 10000);
+}
+
+TEST_CASE("Running tasks of late jobs are told apart", "[jobs]") {
+  // Guards against late work that keeps workers from a queue in its peak.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(4, 1000));
+  REQUIRE(shard.StartAll().size() == 4);
+  CHECK(LateMillicores(shard.state, shard.wall_now) == 0);
+  shard.wall_now += milliseconds(60000);
+  CHECK(LateMillicores(shard.state, shard.wall_now) == 4000);
+}
+
 TEST_CASE("A step waits for the steps before it", "[jobs]") {
   ShardFixture shard(1);
   JobRequest request;
