--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -11,10 +11,6 @@
 namespace fireflythread {
 namespace {
 
-/// An estimate counts for this much, in percent: work that turns out longer
-/// than estimated is lost when it ends late, with the room that it took.
-constexpr int kEstimateMarginPercent = 125;
-
 /// One step of one occurrence whose turn has come.
 struct ReadyStep {
   ShardJob* job = nullptr;
@@ -87,11 +83,8 @@
               !job.request.steps[static_cast<std::size_t>(step)].long_running;
           unit.priority = queue->second.priority;
           unit.deadline = deadline;
-          unit.late =
-              unit.finite && wall_now + RemainingChain(job.request, step) *
-                                            kEstimateMarginPercent / 100 >
-                                 deadline;
-
+          unit.late = unit.finite &&
+                      wall_now + RemainingChain(job.request, step) > deadline;
           ready.push_back(unit);
         }
       }
