--- a/src/fireflythread/duties/duties.cc
+++ b/src/fireflythread/duties/duties.cc
@@ -64,6 +64,19 @@
   state.duties.emplace(machine.vm, std::move(duty));
 }
 
+/// Whether a wave has no time to lose any more.
+auto IsUrgent(const WaveProgress& wave, TimePoint now) -> bool {
+  return now >= wave.declared_at + wave.request.duration / kPatientPart;
+}
+
+/// Whether a pool has fewer VMs than its work needs at the moment.
+auto IsShort(const DutyState& state, const ServiceName& pool) -> bool {
+  const auto need = state.needs.find(pool);
+  return need != state.needs.end() &&
+         need->second.needed >
+             CountMachines(state, pool) - CountAway(state, pool);
+}
+
 auto PlanWave(DutyState& state, WaveProgress& wave, TimePoint now) -> void {
   std::vector<const MachineView*> candidates;
   for (const VmId& vm : wave.request.vms) {
@@ -85,10 +98,14 @@
         return key(*left) < key(*right);
       });
   int down = CountDown(state, wave.request.number);
+  const bool urgent = IsUrgent(wave, now);
   for (const MachineView* machine : candidates) {
     if (down >= wave.request.cap) {
       return;
     }
+    if (!urgent && IsShort(state, machine->pool)) {
+      continue;
+    }
     const int pool_size = CountMachines(state, machine->pool);
     const bool within_pool =
         machine->pool == state.spare_pool ||
--- a/src/fireflythread/duties/duty_limits.h
+++ b/src/fireflythread/duties/duty_limits.h
@@ -23,6 +23,10 @@
 /// Part of a pool that may be away for upkeep at once: one of this many.
 inline constexpr int kUpkeepShare = 4;
 
+/// A wave passes over pools in their peak for the first part of its time, one
+/// of this many. The rest suffices for all VMs, a few of each pool at a time.
+inline constexpr int kPatientPart = 3;
+
 /// A worker that could not be emptied within this time is left in peace.
 inline constexpr std::chrono::milliseconds kVacateTimeout{6000};
 
--- a/test/fireflythread/duties/duties_test.cc
+++ b/test/fireflythread/duties/duties_test.cc
@@ -100,6 +100,29 @@
   }
 }
 
+TEST_CASE("A wave with time to lose leaves a pool in its peak alone",
+          "[duties]") {
+  // The load of a wave declared while one queue has its peak.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 64000);
+  PlanMoves(fixture.state, fixture.now);
+  fixture.state.duties.clear();
+  WaveRequest wave;
+  wave.number = 3;
+  wave.vms = {VmId("a0"), VmId("b0")};
+  wave.cap = 2;
+  wave.duration = std::chrono::seconds(25);
+  TakeWave(fixture.state, wave, {}, fixture.now);
+  PlanUpkeeps(fixture.state, fixture.now);
+  CHECK_FALSE(fixture.state.duties.contains(VmId("a0")));
+  CHECK(fixture.state.duties.contains(VmId("b0")));
+
+  // Guards against a wave that is late because the peak lasts.
+  fixture.now += std::chrono::seconds(9);
+  PlanUpkeeps(fixture.state, fixture.now);
+  CHECK(fixture.state.duties.contains(VmId("a0")));
+}
+
 TEST_CASE("A wave is completed only when each VM that stays is done",
           "[duties]") {
   // Guards against a wave reported as completed because one list missed a VM.
