Record orders to VMs before they are sent; keep room for lasting tasks that have to move

Changes: an order's VM is recorded under the fence before the order is sent. A new owner leaves recorded VMs alone for 3.3 s, counts them and VMs in upkeep to the cap, and may order all others at once.

--- a/src/fireflythread/duties/duties.cc
+++ b/src/fireflythread/duties/duties.cc
@@ -18,11 +18,24 @@
                      });
 }
 
-/// VMs of a wave that are down for their upkeep, or may be.
-auto CountDown(const DutyState& state, std::int64_t wave) -> int {
+/// Whether a VM of a wave is down for its upkeep, or may be.
+auto MayBeDown(const DutyState& state, const VmId& vm, std::int64_t wave)
+    -> bool {
+  const auto duty = state.duties.find(vm);
+  if (duty != state.duties.end()) {
+    return duty->second.wave == wave;
+  }
+  const auto machine = state.machines.find(vm);
+  return state.former_orders.contains(vm) ||
+         (machine != state.machines.end() &&
+          machine->second.state == MachineState::kUpkeep);
+}
+
+auto CountDown(const DutyState& state, const WaveRequest& wave) -> int {
   return static_cast<int>(std::count_if(
-      state.duties.begin(), state.duties.end(),
-      [wave](const auto& entry) { return entry.second.wave == wave; }));
+      wave.vms.begin(), wave.vms.end(), [&](const VmId& vm) -> bool {
+        return MayBeDown(state, vm, wave.number);
+      }));
 }
 
 /// VMs of a pool that are on their way, for any reason.
@@ -82,7 +95,7 @@
   for (const VmId& vm : wave.request.vms) {
     const auto machine = state.machines.find(vm);
     if (machine != state.machines.end() && !wave.done.contains(vm) &&
-        !state.duties.contains(vm) &&
+        !state.duties.contains(vm) && !state.former_orders.contains(vm) &&
         machine->second.state == MachineState::kUp) {
       candidates.push_back(&machine->second);
     }
@@ -97,7 +110,7 @@
         };
         return key(*left) < key(*right);
       });
-  int down = CountDown(state, wave.request.number);
+  int down = CountDown(state, wave.request);
   const bool urgent = IsUrgent(wave, now);
   for (const MachineView* machine : candidates) {
     if (down >= wave.request.cap) {
@@ -223,20 +236,67 @@
   });
 }
 
+auto TakeFormerOrders(DutyState& state, const std::set<VmId>& vms) -> void {
+  for (const VmId& vm : vms) {
+    state.recorded[vm] = state.owned_since + kFormerOrderPause;
+  }
+  state.former_orders = vms;
+}
+
 auto NextOrders(DutyState& state, TimePoint now) -> std::vector<Duty> {
   std::vector<Duty> orders;
-  if (now - state.owned_since < kFirstOrderAfter) {
-    return orders;
-  }
   for (auto& [vm, duty] : state.duties) {
-    if (duty.phase == DutyPhase::kEmpty && now >= duty.not_before) {
-      duty.phase = DutyPhase::kOrdered;
+    if (duty.phase == DutyPhase::kEmpty && now >= duty.not_before &&
+        !state.former_orders.contains(vm)) {
+      duty.phase = DutyPhase::kRecording;
       orders.push_back(duty);
     }
   }
   return orders;
 }
 
+auto TakeRecorded(DutyState& state,
+                  const std::vector<Duty>& orders,
+                  bool stored,
+                  TimePoint now) -> std::vector<Duty> {
+  std::vector<Duty> sent;
+  for (const Duty& order : orders) {
+    // Without an answer of the store the record may be there as well.
+    state.recorded[order.vm] = now + kFormerOrderPause;
+    const auto duty = state.duties.find(order.vm);
+    if (duty == state.duties.end() ||
+        duty->second.phase != DutyPhase::kRecording) {
+      continue;
+    }
+    if (stored) {
+      duty->second.phase = DutyPhase::kOrdered;
+      sent.push_back(duty->second);
+    } else {
+      duty->second.phase = DutyPhase::kEmpty;
+      duty->second.not_before = now + kDutyRetry;
+    }
+  }
+  return sent;
+}
+
+auto TakeOldRecords(DutyState& state, TimePoint now) -> std::vector<VmId> {
+  std::vector<VmId> old;
+  for (const auto& [vm, until] : state.recorded) {
+    const auto duty = state.duties.find(vm);
+    const bool open = duty != state.duties.end() &&
+                      (duty->second.phase == DutyPhase::kRecording ||
+                       duty->second.phase == DutyPhase::kOrdered);
+    if (now >= until && !open) {
+      old.push_back(vm);
+    }
+  }
+  for (const VmId& vm : old) {
+    state.recorded.erase(vm);
+    state.former_orders.erase(vm);
+  }
+  return old;
+}
+
 auto TakeOrderReply(DutyState& state,
                     const VmId& vm,
                     DutyVerdict verdict,
--- a/src/fireflythread/duties/duties.h
+++ b/src/fireflythread/duties/duties.h
@@ -45,10 +45,26 @@
 /// workers, and to the spare pool.
 auto PlanMoves(DutyState& state, TimePoint now) -> void;
 
-/// The orders that may be sent now; each counts as sent.
+/// VMs that have a record of a former owner's order. Whether that order was
+/// sent, and when, is not known.
+auto TakeFormerOrders(DutyState& state, const std::set<VmId>& vms) -> void;
+
+/// The orders whose turn has come. Each must be recorded before it is sent, so
+/// that the next owner knows which VMs it has to leave alone for a while.
 [[nodiscard]] auto NextOrders(DutyState& state, TimePoint now)
     -> std::vector<Duty>;
 
+/// Takes in whether the orders of `NextOrders` were recorded, and gives those
+/// that are to be sent.
+[[nodiscard]] auto TakeRecorded(DutyState& state,
+                                const std::vector<Duty>& orders,
+                                bool stored,
+                                TimePoint now) -> std::vector<Duty>;
+
+/// VMs whose records have become needless; they count as removed.
+[[nodiscard]] auto TakeOldRecords(DutyState& state, TimePoint now)
+    -> std::vector<VmId>;
+
 /// Takes in the answer to an order.
 auto TakeOrderReply(DutyState& state,
                     const VmId& vm,
--- a/src/fireflythread/duties/duty_limits.h
+++ b/src/fireflythread/duties/duty_limits.h
@@ -33,9 +33,9 @@
 /// Pause before an order without an answer, or refused as busy, is sent again.
 inline constexpr std::chrono::milliseconds kDutyRetry{400};
 
-/// A new owner sends its first order this long after the former one may have
-/// sent its last, so that two do not take turns at one VM.
-inline constexpr std::chrono::milliseconds kFirstOrderAfter{3300};
+/// A new owner leaves a VM that the former one may have ordered alone for this
+/// long, so that two do not take turns at it.
+inline constexpr std::chrono::milliseconds kFormerOrderPause{3300};
 
 /// A VM that is missing from this many lists in a row is gone for good.
 inline constexpr int kGoneAfterLists = 3;
--- a/src/fireflythread/duties/duty_state.h
+++ b/src/fireflythread/duties/duty_state.h
@@ -20,6 +20,8 @@
   kVacating,
   /// The worker is empty; the order may be sent.
   kEmpty,
+  /// The order is being recorded.
+  kRecording,
   /// The order was sent and not answered yet.
   kOrdered,
   /// The order was carried out; the VM is not back yet.
@@ -78,6 +80,11 @@
   std::map<VmId, Duty> duties;
   /// VMs of waves that are not listed, with the lists read since.
   std::map<VmId, int> missing;
+  /// VMs with a record of an order, with the time until which another holder
+  /// must leave them alone.
+  std::map<VmId, TimePoint> recorded;
+  /// The recorded VMs whose order may be of a former owner.
+  std::set<VmId> former_orders;
   /// Workers that ended with an order, until their entries have lapsed.
   std::map<WorkerId, TimePoint> retired;
   /// Earliest next move of a VM, so that none flaps.
--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -74,10 +74,10 @@
   std::vector<MovableMachine> movable;
   const auto load = state.loads.find(pool);
   for (const auto& [vm, machine] : state.machines) {
-    const bool free = machine.pool == pool &&
-                      machine.state == MachineState::kUp &&
-                      !state.duties.contains(vm) &&
-                      (pool == state.spare_pool || IsSettled(state, vm, now));
+    const bool free =
+        machine.pool == pool && machine.state == MachineState::kUp &&
+        !state.duties.contains(vm) && !state.former_orders.contains(vm) &&
+        (pool == state.spare_pool || IsSettled(state, vm, now));
     if (!free) {
       continue;
     }
--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -61,6 +61,16 @@
                     }
                     this->waves_loaded = true;
                   }),
+      order_loader(environment.store,
+                   {std::string(kOrderedTable)},
+                   [this](const std::vector<Row>& rows, std::uint64_t) {
+                     std::set<VmId> vms;
+                     for (const Row& row : rows) {
+                       vms.insert(VmId(row.key));
+                     }
+                     TakeFormerOrders(this->state, vms);
+                     this->orders_loaded = true;
+                   }),
       load_retry([this] {
         this->loads_read ? this->FollowLoads() : this->ReadLoads();
       }),
@@ -70,6 +80,7 @@
 
 auto DutyTask::Start() -> void {
   this->wave_loader.Start();
+  this->order_loader.Start();
   this->ReadLoads();
 }
 
@@ -163,7 +174,7 @@
 
 auto DutyTask::Step() -> void {
   this->ReadMachines();
-  if (!this->waves_loaded || !this->state.listed ||
+  if (!this->waves_loaded || !this->orders_loaded || !this->state.listed ||
       !this->environment.board.IsLoaded()) {
     return;
   }
@@ -176,10 +187,54 @@
   this->environment.board.SetWanted(WorkersToVacate(this->state),
                                     ServiceName(std::string(kDutyShard)),
                                     this->fence);
-  for (const Duty& duty : NextOrders(this->state, now)) {
+  this->RecordOrders();
+  this->StoreWaves();
+}
+
+auto DutyTask::RecordOrders() -> void {
+  if (this->recording) {
+    return;
+  }
+  const TimePoint now = ReadBootClock();
+  const std::vector<Duty> orders = NextOrders(this->state, now);
+  Transaction transaction;
+  for (const Duty& duty : orders) {
+    transaction.writes.push_back({std::string(kOrderedTable), duty.vm.value,
+                                  std::to_string(this->fence)});
+  }
+  for (const VmId& vm : TakeOldRecords(this->state, now)) {
+    transaction.writes.push_back(
+        {std::string(kOrderedTable), vm.value, std::nullopt});
+  }
+  if (transaction.writes.empty()) {
+    return;
+  }
+  transaction.conditions.push_back({std::string(kFenceTable),
+                                    std::string(kFenceKey), this->fence,
+                                    std::string(kDutyShard)});
+  this->recording = true;
+  this->environment.store.Commit(
+      std::move(transaction), kStoreTimeout,
+      this->alive.Guard([this, orders](const TransactionOutcome& outcome) {
+        this->recording = false;
+        this->TakeOrderRecords(orders, outcome);
+      }));
+}
+
+auto DutyTask::TakeOrderRecords(const std::vector<Duty>& orders,
+                                const TransactionOutcome& outcome) -> void {
+  const bool stored = std::holds_alternative<Committed>(outcome);
+  if (!stored) {
+    this->environment.logger.Warning("duties", "orders_not_recorded",
+                                     {{"orders", orders.size()}});
+  }
+  for (const Duty& duty :
+       TakeRecorded(this->state, orders, stored, ReadBootClock())) {
     this->SendOrder(duty);
   }
-  this->StoreWaves();
+  if (std::holds_alternative<Conflict>(outcome)) {
+    this->environment.on_fenced(ServiceName(std::string(kDutyShard)));
+  }
 }
 
 auto DutyTask::SendOrder(const Duty& duty) -> void {
--- a/src/fireflythread/entry/duty_task.h
+++ b/src/fireflythread/entry/duty_task.h
@@ -31,6 +31,9 @@
 /// Key is a wave's number; the value lists the VMs that are done.
 inline constexpr std::string_view kWaveTable = "wave_done";
 
+/// Key is a VM to which an order may have been sent lately.
+inline constexpr std::string_view kOrderedTable = "ordered";
+
 /// Moves VMs between pools and carries out maintenance waves, for as long as
 /// this entry owns the duty shard.
 class DutyTask {
@@ -63,6 +66,9 @@
   auto TakeLoad(const Row& row) -> void;
   auto ReadMachines() -> void;
   auto Step() -> void;
+  auto RecordOrders() -> void;
+  auto TakeOrderRecords(const std::vector<Duty>& orders,
+                        const TransactionOutcome& outcome) -> void;
   auto SendOrder(const Duty& duty) -> void;
   auto StoreWaves() -> void;
 
@@ -72,7 +78,10 @@
   std::map<std::int64_t, WaveRequest> declared;
   std::map<std::int64_t, std::set<VmId>> stored_done;
   RangeLoader wave_loader;
+  RangeLoader order_loader;
   bool waves_loaded = false;
+  bool orders_loaded = false;
+  bool recording = false;
   bool reading_machines = false;
   bool storing_waves = false;
   std::uint64_t load_revision = 0;
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -120,6 +120,33 @@
   }
 }
 
+/// Whether a lasting task on a worker that is to be emptied needs room kept for
+/// it: none is free, or its stop is on the way and the room must stay free.
+auto NeedsRoomKept(const ShardState& state, const TaskName& name, TimePoint now)
+    -> bool {
+  return StepOf(state, name).long_running &&
+         (state.stopping.contains(name) || !ChooseWorker(state, name, {}, now));
+}
+
+/// Keeps the next room for a lasting task that has to leave its worker. While
+/// all workers are full it could not move, and its VM's maintenance would wait
+/// for the end of the peak.
+auto ReserveForEviction(const ShardState& state,
+                        std::set<WorkerId>& reserved,
+                        TimePoint now) -> void {
+  for (const auto& [id, worker] : state.workers) {
+    if (!worker.vacating && !worker.view.draining) {
+      continue;
+    }
+    for (const TaskName& name : worker.tasks) {
+      if (NeedsRoomKept(state, name, now)) {
+        ReserveWorker(state, name, reserved, now);
+        return;
+      }
+    }
+  }
+}
+
 auto PlanSingles(ShardState& state,
                  const ReadyStep& ready,
                  std::set<WorkerId>& reserved,
@@ -186,6 +213,7 @@
 
 auto PlanRuns(ShardState& state, WallTime wall_now, TimePoint now) -> void {
   std::set<WorkerId> reserved;
+  ReserveForEviction(state, reserved, now);
   for (const ReadyStep& ready : CollectReady(state, wall_now, now)) {
     const JobStep& step =
         ready.job->request.steps[static_cast<std::size_t>(ready.step)];
--- a/test/fireflythread/jobs/vacate_test.cc
+++ b/test/fireflythread/jobs/vacate_test.cc
@@ -1,5 +1,6 @@
 #include "fireflythread/jobs/vacate.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "test/fireflythread/jobs/shard_fixture.h"
@@ -68,6 +69,46 @@
   CHECK(NextStops(shard.state, shard.now).empty());
 }
 
+TEST_CASE("Short tasks leave room for a lasting task that has to move",
+          "[jobs]") {
+  // The load of a peak during a wave: guards against short tasks that take
+  // each room that comes free, so that the lasting task never leaves.
+  ShardFixture shard(2);
+  JobStep step = LastingStep(1);
+  step.size.millicores = 4000;
+  shard.AddJob("lasting", step);
+  const auto lasting = shard.StartAll();
+  REQUIRE(lasting.size() == 1);
+  ReportAllRunning(shard, lasting);
+  shard.AddJob("short", ShardFixture::Step(12, 1000));
+  std::vector<StartCommand> others = shard.StartAll();
+  REQUIRE(others.size() == 12);
+  const WorkerId from = lasting[0].worker;
+  std::erase_if(others, [&](const auto& run) { return run.worker == from; });
+  REQUIRE(others.size() == 8);
+  shard.AddJob("more", ShardFixture::Step(15, 1000));
+  SetVacating(shard.state, {from});
+
+  const WorkerId to = others[0].worker;
+  std::uint64_t number = 0;
+  while (number < 4) {
+    EvictLasting(shard.state, shard.now);
+    CHECK(NextStops(shard.state, shard.now).empty());
+    CHECK(shard.PlanAndStore().empty());
+    const StartCommand done = others.back();
+    others.pop_back();
+    std::vector<RunningRun> left;
+    for (const StartCommand& run : others) {
+      left.push_back(ShardFixture::Running(run));
+    }
+    shard.Report(to.value, left,
+                 {ShardFixture::Ended(done, ++number, RunEnd::kDone)});
+  }
+  EvictLasting(shard.state, shard.now);
+  CHECK(NextStops(shard.state, shard.now).size() == 1);
+  CHECK(shard.PlanAndStore().empty());
+}
+
 TEST_CASE("A worker is vacated once it runs nothing", "[jobs]") {
   ShardFixture shard(1);
   shard.AddJob("a", ShardFixture::Step(1, 1000));
