Let submissions that wait share a transaction

Change: jobs that arrive at an entry while a transaction of their shard is on its way share the next one. A conflict is settled by the rows that it names, or one by one. The row names move into the core module with it.

--- a/src/fireflythread/entry/job_desk.cc
+++ b/src/fireflythread/entry/job_desk.cc
@@ -8,9 +8,9 @@
 #include <utility>
 
 #include "fireflythread/base/io_clock.h"
-#include "fireflythread/entry/job_tables.h"
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/job_tables.h"
 
 namespace fireflythread {
 namespace {
@@ -45,16 +45,6 @@
 
 }  // namespace
 
-struct JobDesk::Submission {
-  ServiceName shard;
-  JobId job;
-  Transaction transaction;
-  TimePoint deadline;
-  OutcomeCallback callback;
-  /// An earlier try got no answer and may be carried out later.
-  bool uncertain = false;
-};
-
 struct JobDesk::Lookup {
   std::vector<ServiceName> shards;
   std::size_t next = 0;
@@ -71,54 +61,84 @@
                      const JobRequest& job,
                      TimePoint deadline,
                      OutcomeCallback callback) -> void {
-  auto submission = std::make_shared<Submission>();
-  submission->shard = shard;
-  submission->job = job.id;
-  submission->deadline = deadline;
-  submission->callback = std::move(callback);
-  const std::string table = JobTable(shard);
-  const std::string key = JobKey(job.id);
-  submission->transaction.conditions.push_back({table, key, 0, shard.value});
-  for (const ServiceName& other : other_shards) {
-    submission->transaction.conditions.push_back(
-        {JobTable(other), key, 0, other.value});
-  }
-  submission->transaction.writes.push_back(
-      {table, key, EncodeJobRequest(job), shard.value});
-  this->TrySubmit(submission);
+  Submission submission;
+  submission.number = ++this->last_submission;
+  submission.shard = shard;
+  submission.other_shards = other_shards;
+  submission.job = job.id;
+  submission.value = EncodeJobRequest(job);
+  submission.deadline = deadline;
+  this->submitters.emplace(submission.number, std::move(callback));
+  this->submissions[shard].waiting.push_back(std::move(submission));
+  this->SendSubmissions(shard);
 }
 
-auto JobDesk::TrySubmit(const std::shared_ptr<Submission>& submission) -> void {
-  this->store.Commit(
-      submission->transaction, CallTime(submission->deadline),
-      this->alive.Guard([this, submission](const TransactionOutcome& outcome) {
-        this->TakeSubmit(submission, outcome);
-      }));
-}
-
-auto JobDesk::TakeSubmit(const std::shared_ptr<Submission>& submission,
-                         const TransactionOutcome& outcome) -> void {
-  // A conflict means that the job is there: stored by this request's earlier
-  // try or by an earlier request.
-  if (std::holds_alternative<Committed>(outcome) ||
-      std::holds_alternative<Conflict>(outcome)) {
-    submission->callback(DeskOutcome::kStored);
+auto JobDesk::SendSubmissions(const ServiceName& shard) -> void {
+  SubmissionQueue& queue = this->submissions[shard];
+  for (const Submission& expired : TakeExpired(queue, ReadBootClock())) {
+    this->AnswerSubmission(expired, expired.uncertain
+                                        ? DeskOutcome::kUnknown
+                                        : DeskOutcome::kNotStored);
+  }
+  std::vector<Submission> batch = TakeSubmissions(queue);
+  if (batch.empty()) {
     return;
   }
-  if (std::holds_alternative<CommitUnknown>(outcome)) {
-    submission->uncertain = true;
+  TimePoint deadline = TimePoint::max();
+  for (const Submission& submission : batch) {
+    deadline = std::min(deadline, submission.deadline);
   }
-  if (!submission->uncertain) {
-    submission->callback(DeskOutcome::kNotStored);
-    return;
+  Transaction transaction = MakeSubmissionTransaction(batch);
+  this->store.Commit(std::move(transaction), CallTime(deadline),
+                     this->alive.Guard([this, shard, sent = std::move(batch)](
+                                           const TransactionOutcome& outcome) {
+                       this->TakeSubmissionOutcome(shard, sent, outcome);
+                     }));
+}
+
+auto JobDesk::TakeSubmissionOutcome(const ServiceName& shard,
+                                    std::vector<Submission> batch,
+                                    const TransactionOutcome& outcome) -> void {
+  SubmissionQueue& queue = this->submissions[shard];
+  queue.committing = false;
+  if (const auto* conflict = std::get_if<Conflict>(&outcome)) {
+    // A job that is there was stored by an earlier try or an earlier request.
+    ConflictSplit split = SplitConflict(std::move(batch), *conflict);
+    PutBack(queue, std::move(split.again));
+    batch = std::move(split.stored);
+  }
+  const bool stored = std::holds_alternative<Committed>(outcome) ||
+                      std::holds_alternative<Conflict>(outcome);
+  const bool unknown = std::holds_alternative<CommitUnknown>(outcome);
+  for (Submission& submission : batch) {
+    submission.uncertain = submission.uncertain || unknown;
+    if (stored) {
+      this->AnswerSubmission(submission, DeskOutcome::kStored);
+    } else if (!submission.uncertain) {
+      this->AnswerSubmission(submission, DeskOutcome::kNotStored);
+    } else {
+      this->RetrySubmission(std::move(submission));
+    }
   }
-  if (!HasTimeToRetry(submission->deadline)) {
-    submission->callback(DeskOutcome::kUnknown);
+  this->SendSubmissions(shard);
+}
+
+auto JobDesk::RetrySubmission(Submission submission) -> void {
+  if (!HasTimeToRetry(submission.deadline)) {
+    this->AnswerSubmission(submission, DeskOutcome::kUnknown);
     return;
   }
-  RunLater(kCallerRetry, this->alive.Guard([this, submission]() {
-    this->TrySubmit(submission);
-  }));
+  RunLater(kCallerRetry,
+           this->alive.Guard([this, again = std::move(submission)]() {
+             this->submissions[again.shard].waiting.push_back(again);
+             this->SendSubmissions(again.shard);
+           }));
+}
+
+auto JobDesk::AnswerSubmission(const Submission& submission,
+                               DeskOutcome outcome) -> void {
+  const auto submitter = this->submitters.extract(submission.number);
+  submitter.mapped()(outcome);
 }
 
 auto JobDesk::ReadState(std::vector<ServiceName> shards,
--- a/src/fireflythread/entry/job_desk.h
+++ b/src/fireflythread/entry/job_desk.h
@@ -15,6 +15,7 @@
 #include "fireflythread/jobs/configuration.h"
 #include "fireflythread/jobs/job_progress.h"
 #include "fireflythread/jobs/job_request.h"
+#include "fireflythread/jobs/submission_queue.h"
 #include "fireflythread/platform/table_store.h"
 #include "fireflythread/telemetry/logger.h"
 
@@ -71,12 +72,15 @@
                    CountCallback callback) -> void;
 
  private:
-  struct Submission;
   struct Lookup;
 
-  auto TrySubmit(const std::shared_ptr<Submission>& submission) -> void;
-  auto TakeSubmit(const std::shared_ptr<Submission>& submission,
-                  const TransactionOutcome& outcome) -> void;
+  auto SendSubmissions(const ServiceName& shard) -> void;
+  auto TakeSubmissionOutcome(const ServiceName& shard,
+                             std::vector<Submission> batch,
+                             const TransactionOutcome& outcome) -> void;
+  auto RetrySubmission(Submission submission) -> void;
+  auto AnswerSubmission(const Submission& submission, DeskOutcome outcome)
+      -> void;
   auto TryRead(const std::shared_ptr<Lookup>& lookup) -> void;
   auto TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void;
   auto NextShard(const std::shared_ptr<Lookup>& lookup) -> void;
@@ -88,6 +92,10 @@
 
   TableStore& store;
   const Logger& logger;
+  std::map<ServiceName, SubmissionQueue> submissions;
+  /// Callers of the submissions that have no answer yet, by their numbers.
+  std::map<std::uint64_t, OutcomeCallback> submitters;
+  std::uint64_t last_submission = 0;
   AliveToken alive;
 };
 
--- a/src/fireflythread/entry/shard_publisher.cc
+++ b/src/fireflythread/entry/shard_publisher.cc
@@ -9,8 +9,8 @@
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/duties/measure_load.h"
 #include "fireflythread/entry/duty_task.h"
-#include "fireflythread/entry/job_tables.h"
 #include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/shard_jobs.h"
 #include "fireflythread/ownership/ownership.h"
 
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -7,9 +7,9 @@
 #include <variant>
 
 #include "fireflythread/base/io_clock.h"
-#include "fireflythread/entry/job_tables.h"
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/shard_jobs.h"
 #include "fireflythread/jobs/shard_orders.h"
 #include "fireflythread/jobs/shard_plan.h"
--- a/src/fireflythread/entry/job_tables.cc
+++ b/src/fireflythread/jobs/job_tables.cc
@@ -1,4 +1,4 @@
-#include "fireflythread/entry/job_tables.h"
+#include "fireflythread/jobs/job_tables.h"
 
 namespace fireflythread {
 namespace {
--- a/src/fireflythread/entry/job_tables.h
+++ b/src/fireflythread/jobs/job_tables.h
@@ -1,5 +1,5 @@
-#ifndef FIREFLYTHREAD_ENTRY_JOB_TABLES_H_
-#define FIREFLYTHREAD_ENTRY_JOB_TABLES_H_
+#ifndef FIREFLYTHREAD_JOBS_JOB_TABLES_H_
+#define FIREFLYTHREAD_JOBS_JOB_TABLES_H_
 
 #include <optional>
 #include <string>
@@ -34,4 +34,4 @@
 
 }  // namespace fireflythread
 
-#endif  // FIREFLYTHREAD_ENTRY_JOB_TABLES_H_
+#endif  // FIREFLYTHREAD_JOBS_JOB_TABLES_H_
--- /dev/null
+++ b/src/fireflythread/jobs/submission_queue.cc
@@ -0,0 +1,121 @@
+#include "fireflythread/jobs/submission_queue.h"
+
+#include <chrono>
+#include <cstddef>
+#include <iterator>
+#include <set>
+#include <utility>
+
+#include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/platform/row.h"
+#include "fireflythread/platform/transaction.h"
+#include "fireflythread/platform/transaction_outcome.h"
+
+namespace fireflythread {
+namespace {
+
+/// Entries of a transaction that the store takes, with some room.
+constexpr std::size_t kMostEntries = 90;
+
+/// Size of a transaction's rows that the store takes, with room for the base64
+/// form and the names.
+constexpr std::size_t kMostBytes = 400000;
+
+/// A transaction of a slow store takes about this long.
+constexpr std::chrono::milliseconds kLeastCommitTime{300};
+
+auto EntryCount(const Submission& submission) -> std::size_t {
+  return 2 + submission.other_shards.size();
+}
+
+}  // namespace
+
+auto TakeExpired(SubmissionQueue& queue, TimePoint now)
+    -> std::vector<Submission> {
+  std::vector<Submission> expired;
+  std::deque<Submission> left;
+  for (Submission& submission : queue.waiting) {
+    if (submission.deadline - now < kLeastCommitTime) {
+      expired.push_back(std::move(submission));
+    } else {
+      left.push_back(std::move(submission));
+    }
+  }
+  queue.waiting = std::move(left);
+  return expired;
+}
+
+auto TakeSubmissions(SubmissionQueue& queue) -> std::vector<Submission> {
+  std::vector<Submission> batch;
+  if (queue.committing) {
+    return batch;
+  }
+  std::set<JobId> jobs;
+  std::size_t entries = 0;
+  std::size_t bytes = 0;
+  while (!queue.waiting.empty()) {
+    Submission& next = queue.waiting.front();
+    entries += EntryCount(next);
+    bytes += next.value.size();
+    const bool full = entries > kMostEntries || bytes > kMostBytes;
+    const bool apart = next.alone || jobs.contains(next.job);
+    if (!batch.empty() && (full || apart || batch.front().alone)) {
+      break;
+    }
+    jobs.insert(next.job);
+    batch.push_back(std::move(next));
+    queue.waiting.pop_front();
+  }
+  queue.committing = !batch.empty();
+  return batch;
+}
+
+auto MakeSubmissionTransaction(const std::vector<Submission>& batch)
+    -> Transaction {
+  Transaction transaction;
+  for (const Submission& submission : batch) {
+    const std::string table = JobTable(submission.shard);
+    const std::string key = JobKey(submission.job);
+    transaction.conditions.push_back({table, key, 0, submission.shard.value});
+    for (const ServiceName& other : submission.other_shards) {
+      transaction.conditions.push_back({JobTable(other), key, 0, other.value});
+    }
+    transaction.writes.push_back(
+        {table, key, submission.value, submission.shard.value});
+  }
+  return transaction;
+}
+
+auto SplitConflict(std::vector<Submission> batch, const Conflict& conflict)
+    -> ConflictSplit {
+  std::set<std::string> present;
+  for (const Row& row : conflict.current) {
+    if (row.version > 0) {
+      present.insert(row.key);
+    }
+  }
+  ConflictSplit split;
+  // The only job of a transaction must be the one that is there.
+  const bool single = batch.size() == 1;
+  for (Submission& submission : batch) {
+    if (single || present.contains(JobKey(submission.job))) {
+      split.stored.push_back(std::move(submission));
+    } else {
+      split.again.push_back(std::move(submission));
+    }
+  }
+  if (split.stored.empty()) {
+    for (Submission& submission : split.again) {
+      submission.alone = true;
+    }
+  }
+  return split;
+}
+
+auto PutBack(SubmissionQueue& queue, std::vector<Submission> batch) -> void {
+  queue.waiting.insert(queue.waiting.begin(),
+                       std::make_move_iterator(batch.begin()),
+                       std::make_move_iterator(batch.end()));
+}
+
+}  // namespace fireflythread
--- a/src/fireflythread/platform/fwd.h
+++ b/src/fireflythread/platform/fwd.h
@@ -4,6 +4,7 @@
 namespace fireflythread {
 
 struct Condition;
+struct Conflict;
 struct ListedVm;
 struct Row;
 struct ScanResult;
--- /dev/null
+++ b/test/fireflythread/jobs/submission_queue_test.cc
@@ -0,0 +1,144 @@
+#include "fireflythread/jobs/submission_queue.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+
+#include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/platform/row.h"
+#include "fireflythread/platform/transaction.h"
+#include "fireflythread/platform/transaction_outcome.h"
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kNow{std::chrono::hours(1)};
+
+auto MakeSubmission(const std::string& job) -> Submission {
+  Submission submission;
+  submission.shard = ServiceName("desk");
+  submission.other_shards = {ServiceName("office")};
+  submission.job = JobId(job);
+  submission.value = "{}";
+  submission.deadline = kNow + milliseconds(3000);
+  return submission;
+}
+
+auto MakeQueue(int count) -> SubmissionQueue {
+  SubmissionQueue queue;
+  for (int number = 0; number < count; ++number) {
+    queue.waiting.push_back(MakeSubmission("job" + std::to_string(number)));
+  }
+  return queue;
+}
+
+auto PresentRow(const std::string& job) -> Row {
+  Row row;
+  row.key = JobKey(JobId(job));
+  row.version = 5;
+  return row;
+}
+
+TEST_CASE("Jobs that arrive during a slow transaction share the next one",
+          "[jobs]") {
+  // The load of a peak while the store's transactions take 400 ms, one after
+  // the other: 40 jobs a second of one queue at one entry.
+  SubmissionQueue queue;
+  int transactions = 0;
+  int sent = 0;
+  for (int arrived = 0; arrived < 160; ++arrived) {
+    queue.waiting.push_back(MakeSubmission("job" + std::to_string(arrived)));
+    if (arrived % 16 == 15) {
+      queue.committing = false;
+    }
+    const auto batch = TakeSubmissions(queue);
+    transactions += batch.empty() ? 0 : 1;
+    sent += static_cast<int>(batch.size());
+  }
+  CHECK(transactions <= 11);
+  CHECK(sent >= 144);
+}
+
+TEST_CASE("A transaction of submissions keeps within the store's limits",
+          "[jobs]") {
+  SubmissionQueue queue = MakeQueue(200);
+  std::size_t jobs = 0;
+  while (!queue.waiting.empty()) {
+    const auto batch = TakeSubmissions(queue);
+    queue.committing = false;
+    REQUIRE_FALSE(batch.empty());
+    const Transaction transaction = MakeSubmissionTransaction(batch);
+    CHECK(transaction.conditions.size() + transaction.writes.size() <= 100);
+    jobs += batch.size();
+  }
+  CHECK(jobs == 200);
+
+  SubmissionQueue large = MakeQueue(2);
+  for (Submission& submission : large.waiting) {
+    submission.value = std::string(300000, 'x');
+  }
+  CHECK(TakeSubmissions(large).size() == 1);
+}
+
+TEST_CASE("One transaction of a shard's submissions is on its way at a time",
+          "[jobs]") {
+  SubmissionQueue queue = MakeQueue(1);
+  CHECK(TakeSubmissions(queue).size() == 1);
+  queue.waiting.push_back(MakeSubmission("later"));
+  CHECK(TakeSubmissions(queue).empty());
+}
+
+TEST_CASE("A repeat of a job does not share its transaction", "[jobs]") {
+  // Guards against two writes of one row in a transaction.
+  SubmissionQueue queue = MakeQueue(1);
+  queue.waiting.push_back(MakeSubmission("job0"));
+  CHECK(TakeSubmissions(queue).size() == 1);
+  queue.committing = false;
+  CHECK(TakeSubmissions(queue).size() == 1);
+}
+
+TEST_CASE("A repeat among others conflicts alone", "[jobs]") {
+  // Guards against a job that is reported as accepted because another job of
+  // the same transaction was there already.
+  SubmissionQueue queue = MakeQueue(3);
+  Conflict conflict;
+  conflict.current = {PresentRow("job1")};
+  // Rows that do not exist may be listed too.
+  Row absent = PresentRow("job2");
+  absent.version = 0;
+  conflict.current.push_back(absent);
+  const ConflictSplit split = SplitConflict(TakeSubmissions(queue), conflict);
+  REQUIRE(split.stored.size() == 1);
+  CHECK(split.stored[0].job == JobId("job1"));
+  REQUIRE(split.again.size() == 2);
+  CHECK_FALSE(split.again[0].alone);
+}
+
+TEST_CASE("A conflict that names no job is resolved one by one", "[jobs]") {
+  SubmissionQueue queue = MakeQueue(3);
+  ConflictSplit split = SplitConflict(TakeSubmissions(queue), Conflict{});
+  CHECK(split.stored.empty());
+  REQUIRE(split.again.size() == 3);
+  queue.committing = false;
+  PutBack(queue, std::move(split.again));
+  const auto single = TakeSubmissions(queue);
+  REQUIRE(single.size() == 1);
+  CHECK(single[0].job == JobId("job0"));
+  CHECK(SplitConflict(single, Conflict{}).stored.size() == 1);
+}
+
+TEST_CASE("A submission without time does not join a transaction", "[jobs]") {
+  // Guards against a short time limit that makes the outcome of a whole
+  // transaction uncertain.
+  SubmissionQueue queue = MakeQueue(2);
+  queue.waiting[0].deadline = kNow + milliseconds(100);
+  const auto expired = TakeExpired(queue, kNow);
+  REQUIRE(expired.size() == 1);
+  CHECK(expired[0].job == JobId("job0"));
+  CHECK(queue.waiting.size() == 1);
+}
+
+}  // namespace
+}  // namespace fireflythread::test
