Share what both daemons do at their start

The two main functions repeated the incarnation, the report of faulty settings and the command line; module settings has them once now (io_startup.h).

--- a/src/fireflythread/daemon/fireflythreadd_main.cc
+++ b/src/fireflythread/daemon/fireflythreadd_main.cc
@@ -4,15 +4,14 @@
 #include <glib.h>
 
 #include <csignal>
-#include <cstdint>
 #include <cstdio>
-#include <random>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "fireflythread/daemon/daemon.h"
 #include "fireflythread/settings/io_load_settings.h"
+#include "fireflythread/settings/io_startup.h"
 #include "fireflythread/settings/settings_fault.h"
 
 DEFINE_string(config, "", "path of the settings file (INI)");
@@ -21,9 +20,6 @@
 namespace fireflythread {
 namespace {
 
-constexpr int kExitFailed = 1;
-constexpr int kExitBadSettings = 2;
-
 struct Process {
   GMainLoop* loop = nullptr;
   Daemon* daemon = nullptr;
@@ -41,12 +37,6 @@
   return G_SOURCE_REMOVE;
 }
 
-auto DrawIncarnation() -> std::uint64_t {
-  std::random_device device;
-  const std::uint64_t high = device();
-  return (high << 32U) | device();
-}
-
 auto Serve(const DaemonSettings& settings) -> int {
   Daemon daemon(settings, DrawIncarnation());
   if (const auto error = daemon.Start()) {
@@ -74,14 +64,10 @@
   }
   const SettingsResult loaded = LoadSettings(FLAGS_config);
   if (const auto* faults = std::get_if<std::vector<SettingsFault>>(&loaded)) {
-    for (const SettingsFault& fault : *faults) {
-      fmt::print(stderr, "{}\n", FormatFault(fault));
-    }
-    return kExitBadSettings;
+    return ReportFaults(*faults);
   }
   if (FLAGS_check) {
-    fmt::print("{}: the settings are valid\n", FLAGS_config);
-    return 0;
+    return ReportValid(FLAGS_config);
   }
   return Serve(std::get<DaemonSettings>(loaded));
 }
@@ -90,9 +76,6 @@
 }  // namespace fireflythread
 
 auto main(int argc, char** argv) -> int {
-  gflags::SetUsageMessage("--config FILE [--check]");
-  gflags::ParseCommandLineFlags(&argc, &argv, true);
-  // Writes to connections that a peer has closed report an error instead.
-  std::signal(SIGPIPE, SIG_IGN);
+  fireflythread::ParseDaemonArguments(argc, argv);
   return fireflythread::Run();
 }
