Let a wave wait for a pool's peak only where few VMs are left to maintain

Changes: urgency is reckoned for each pool; VMs with lasting tasks are emptied one at a time also during a peak.

--- a/src/fireflythread/duties/duties.cc
+++ b/src/fireflythread/duties/duties.cc
@@ -77,9 +77,29 @@
   state.duties.emplace(machine.vm, std::move(duty));
 }
 
-/// Whether a wave has no time to lose any more.
-auto IsUrgent(const WaveProgress& wave, TimePoint now) -> bool {
-  return now >= wave.declared_at + wave.request.duration / kPatientPart;
+/// VMs of a pool that may be on their way at once.
+auto MostAway(const DutyState& state, const ServiceName& pool) -> int {
+  return std::max(1, CountMachines(state, pool) / kUpkeepShare);
+}
+
+/// Whether a wave has no time to lose in a pool: what is left there, a few VMs
+/// at a time, takes all of its time, or the patient part of it is over.
+auto IsUrgent(const DutyState& state,
+              const WaveProgress& wave,
+              const ServiceName& pool,
+              TimePoint now) -> bool {
+  const auto left = static_cast<int>(std::count_if(
+      wave.request.vms.begin(), wave.request.vms.end(),
+      [&](const VmId& vm) -> bool {
+        const auto machine = state.machines.find(vm);
+        return !wave.done.contains(vm) && machine != state.machines.end() &&
+               machine->second.pool == pool;
+      }));
+  const int at_once = MostAway(state, pool);
+  const int rounds = (left + at_once - 1) / at_once;
+  const TimePoint end = wave.declared_at + wave.request.duration;
+  return now + rounds * kUpkeepRound >= end ||
+         now >= wave.declared_at + wave.request.duration / kPatientPart;
 }
 
 /// Whether a pool has fewer VMs than its work needs at the moment.
@@ -90,6 +110,17 @@
              CountMachines(state, pool) - CountAway(state, pool);
 }
 
+/// Whether a VM's upkeep should begin while its wave has time left. A pool in
+/// its peak is passed over, but not its VMs with lasting tasks: they are
+/// emptied one after the other and need the whole time of the wave.
+auto IsTimely(const DutyState& state, const MachineView& machine) -> bool {
+  if (!IsShort(state, machine.pool)) {
+    return true;
+  }
+  return LoadOf(state, machine).lasting_tasks > 0 &&
+         CountAway(state, machine.pool) == 0;
+}
+
 auto PlanWave(DutyState& state, WaveProgress& wave, TimePoint now) -> void {
   std::vector<const MachineView*> candidates;
   for (const VmId& vm : wave.request.vms) {
@@ -111,18 +142,17 @@
         return key(*left) < key(*right);
       });
   int down = CountDown(state, wave.request);
-  const bool urgent = IsUrgent(wave, now);
   for (const MachineView* machine : candidates) {
     if (down >= wave.request.cap) {
       return;
     }
-    if (!urgent && IsShort(state, machine->pool)) {
+    if (!IsTimely(state, *machine) &&
+        !IsUrgent(state, wave, machine->pool, now)) {
       continue;
     }
-    const int pool_size = CountMachines(state, machine->pool);
     const bool within_pool =
         machine->pool == state.spare_pool ||
-        CountAway(state, machine->pool) < std::max(1, pool_size / kUpkeepShare);
+        CountAway(state, machine->pool) < MostAway(state, machine->pool);
     if (within_pool) {
       BeginUpkeep(state, *machine, wave.request.number, now);
       ++down;
--- a/src/fireflythread/duties/duty_limits.h
+++ b/src/fireflythread/duties/duty_limits.h
@@ -23,6 +23,9 @@
 /// Part of a pool that may be away for upkeep at once: one of this many.
 inline constexpr int kUpkeepShare = 4;
 
+/// Time of one VM's upkeep, with the emptying of its worker.
+inline constexpr std::chrono::milliseconds kUpkeepRound{5000};
+
 /// A wave passes over pools in their peak for the first part of its time, one
 /// of this many. The rest suffices for all VMs, a few of each pool at a time.
 inline constexpr int kPatientPart = 3;
--- a/test/fireflythread/duties/duties_test.cc
+++ b/test/fireflythread/duties/duties_test.cc
@@ -129,6 +129,45 @@
   CHECK(fixture.state.duties.contains(VmId("a0")));
 }
 
+TEST_CASE("A wave through most of a pool does not wait for its peak",
+          "[duties]") {
+  // Guards against a wave of racks that is late, as one pool has most of its
+  // VMs and only a few of them may be away at a time.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 64000);
+  PlanMoves(fixture.state, fixture.now);
+  fixture.state.duties.clear();
+  WaveRequest wave;
+  wave.number = 3;
+  wave.vms = {VmId("a0"), VmId("a1"), VmId("a2"), VmId("a3")};
+  wave.cap = 4;
+  wave.duration = std::chrono::seconds(20);
+  TakeWave(fixture.state, wave, {}, fixture.now);
+  PlanUpkeeps(fixture.state, fixture.now);
+  CHECK(fixture.state.duties.size() == 1);
+}
+
+TEST_CASE("VMs with lasting tasks are emptied also during a peak", "[duties]") {
+  // The load of a wave of racks declared while one queue has its peak: guards
+  // against a wave that is late as its last VMs leave one by one.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 64000);
+  PoolLoad& load = fixture.state.loads[ServiceName("a")];
+  load.workers[WorkerId("w-a1")].lasting_tasks = 1;
+  load.workers[WorkerId("w-a2")].lasting_tasks = 1;
+  PlanMoves(fixture.state, fixture.now);
+  fixture.state.duties.clear();
+  WaveRequest wave;
+  wave.number = 3;
+  wave.vms = {VmId("a0"), VmId("a1"), VmId("a2")};
+  wave.cap = 3;
+  wave.duration = std::chrono::seconds(25);
+  TakeWave(fixture.state, wave, {}, fixture.now);
+  PlanUpkeeps(fixture.state, fixture.now);
+  REQUIRE(fixture.state.duties.size() == 1);
+  CHECK(fixture.state.duties.contains(VmId("a1")));
+}
+
 TEST_CASE("A wave is completed only when each VM that stays is done",
           "[duties]") {
   // Guards against a wave reported as completed because one list missed a VM.
