Do not count VMs in upkeep as supply, and keep a worker to which lasting tasks can move

It had lent its idle VMs; those left held one lasting task of each step, and tasks of a step run on different workers, so none could leave a VM of the wave. Change: VMs on their way to an upkeep are no supply, and a pool keeps one worker more than those with lasting tasks.

--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -28,21 +28,25 @@
   }
   const std::int64_t in_time =
       std::max(used - load.late_millicores, load.arriving_millicores);
-  need.needed = std::max(WorkersFor(in_time, worker_millicores), lasting);
+  // One worker more than those with lasting tasks, so that a task can leave
+  // its VM also where all must run on different workers.
+  need.needed = std::max(WorkersFor(in_time, worker_millicores),
+                         lasting + kReserveWorkers);
   need.useful = std::max(WorkersFor(used, worker_millicores), need.needed);
 }
 
-/// VMs of a pool, with those on their way to it and without those that leave.
+/// VMs of a pool, with those on their way to it and without those that leave
+/// or are emptied for their upkeep.
 auto CountSupply(const DutyState& state, const ServiceName& pool) -> int {
-  int supply = 0;
-  for (const auto& [vm, machine] : state.machines) {
-    const auto duty = state.duties.find(vm);
-    const bool moves = duty != state.duties.end() && !duty->second.wave;
-    if (moves ? duty->second.target == pool : machine.pool == pool) {
-      ++supply;
-    }
-  }
-  return supply;
+  return static_cast<int>(
+      std::count_if(state.machines.begin(), state.machines.end(),
+                    [&](const auto& entry) -> bool {
+                      const auto duty = state.duties.find(entry.first);
+                      if (duty == state.duties.end()) {
+                        return entry.second.pool == pool;
+                      }
+                      return !duty->second.wave && duty->second.target == pool;
+                    }));
 }
 
 auto LargestWorker(const DutyState& state) -> std::int64_t {
--- a/test/fireflythread/duties/duties_test.cc
+++ b/test/fireflythread/duties/duties_test.cc
@@ -273,6 +273,34 @@
   }
 }
 
+TEST_CASE("A pool keeps a worker to which its lasting tasks can move",
+          "[duties]") {
+  // The load of a wave through a pool at rest: guards against a pool that lent
+  // so many VMs that its lasting tasks, each on a worker of its own, cannot
+  // leave those that are due.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 64000);
+  PoolLoad& load = fixture.state.loads[ServiceName("b")];
+  load.workers[WorkerId("w-b0")].lasting_tasks = 1;
+  load.workers[WorkerId("w-b1")].lasting_tasks = 1;
+
+  SECTION("one is kept while nothing is maintained") {
+    PlanMoves(fixture.state, fixture.now);
+    CHECK(fixture.state.duties.size() == 3);
+  }
+  SECTION("a VM in upkeep does not count") {
+    WaveRequest wave;
+    wave.number = 3;
+    wave.vms = {VmId("b2")};
+    wave.cap = 1;
+    wave.duration = std::chrono::seconds(25);
+    TakeWave(fixture.state, wave, {}, fixture.now);
+    PlanUpkeeps(fixture.state, fixture.now);
+    PlanMoves(fixture.state, fixture.now);
+    CHECK_FALSE(fixture.state.duties.contains(VmId("b3")));
+  }
+}
+
 TEST_CASE("Workers with lasting tasks are not moved", "[duties]") {
   DutyFixture fixture;
   fixture.SetLoad("a", 8000, 64000);
