--- a/src/fireflythread/duties/duties.cc
+++ b/src/fireflythread/duties/duties.cc
@@ -277,7 +277,7 @@
   std::vector<Duty> orders;
   for (auto& [vm, duty] : state.duties) {
     if (duty.phase == DutyPhase::kEmpty && now >= duty.not_before &&
-        !state.former_orders.contains(vm)) {
+        !state.former_orders.contains(vm) && orders.size() < kRecordsAtOnce) {
       duty.phase = DutyPhase::kRecording;
       orders.push_back(duty);
     }
@@ -316,7 +316,7 @@
     const bool open = duty != state.duties.end() &&
                       (duty->second.phase == DutyPhase::kRecording ||
                        duty->second.phase == DutyPhase::kOrdered);
-    if (now >= until && !open) {
+    if (now >= until && !open && old.size() < kRecordsAtOnce) {
       old.push_back(vm);
     }
   }
--- a/src/fireflythread/duties/duty_limits.h
+++ b/src/fireflythread/duties/duty_limits.h
@@ -2,6 +2,7 @@
 #define FIREFLYTHREAD_DUTIES_DUTY_LIMITS_H_
 
 #include <chrono>
+#include <cstddef>
 
 namespace fireflythread {
 
@@ -40,6 +41,10 @@
 /// long, so that two do not take turns at it.
 inline constexpr std::chrono::milliseconds kFormerOrderPause{3300};
 
+/// Orders that are recorded together, and records that are removed with them.
+/// Both go into one transaction, which may hold 100 entries.
+inline constexpr std::size_t kRecordsAtOnce = 45;
+
 /// A VM that is missing from this many lists in a row is gone for good.
 inline constexpr int kGoneAfterLists = 3;
 
--- a/test/fireflythread/duties/duties_test.cc
+++ b/test/fireflythread/duties/duties_test.cc
@@ -354,6 +354,31 @@
   CHECK(later[0].vm == VmId("spare0"));
 }
 
+TEST_CASE("Orders to many VMs are recorded in parts", "[duties]") {
+  // Guards against a transaction that the store refuses for its size, over and
+  // over, while no VM moves.
+  DutyFixture fixture;
+  for (int number = 2; number < 120; ++number) {
+    fixture.Add("spare", number);
+  }
+  TakeMachines(fixture.state, fixture.machines, fixture.now);
+  fixture.SetLoad("a", 8000, 1000000);
+  PlanMoves(fixture.state, fixture.now);
+  REQUIRE(fixture.state.duties.size() > 100);
+  std::size_t sent = 0;
+  for (int part = 0; part < 3; ++part) {
+    const auto orders = fixture.Send();
+    CHECK(orders.size() <= kRecordsAtOnce);
+    sent += orders.size();
+  }
+  CHECK(sent > 100);
+  for (auto& [vm, duty] : fixture.state.duties) {
+    duty.phase = DutyPhase::kAway;
+  }
+  fixture.now += kFormerOrderPause;
+  CHECK(TakeOldRecords(fixture.state, fixture.now).size() == kRecordsAtOnce);
+}
+
 TEST_CASE("An order is sent only when it is recorded", "[duties]") {
   // Guards against an order of which the next owner knows nothing.
   DutyFixture fixture;
