--- a/src/fireflythread/duties/duty_state.h
+++ b/src/fireflythread/duties/duty_state.h
@@ -58,6 +58,8 @@
 struct PoolNeed {
   /// For the work that can still be in time.
   int needed = 0;
+  /// Workers with lasting tasks.
+  int lasting = 0;
   /// For late work as well, which may use what no other pool needs.
   int useful = 0;
   /// The use was this low since this time.
--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -28,25 +28,28 @@
   }
   const std::int64_t in_time =
       std::max(used - load.late_millicores, load.arriving_millicores);
-  // One worker more than those with lasting tasks, so that a task can leave
-  // its VM also where all must run on different workers.
-  need.needed = std::max(WorkersFor(in_time, worker_millicores),
-                         lasting + kReserveWorkers);
+  need.needed = std::max(WorkersFor(in_time, worker_millicores), lasting);
+  need.lasting = lasting;
   need.useful = std::max(WorkersFor(used, worker_millicores), need.needed);
 }
 
-/// VMs of a pool, with those on their way to it and without those that leave
-/// or are emptied for their upkeep.
+/// VMs of a pool, with those on their way to it and without those that leave.
 auto CountSupply(const DutyState& state, const ServiceName& pool) -> int {
-  return static_cast<int>(
-      std::count_if(state.machines.begin(), state.machines.end(),
-                    [&](const auto& entry) -> bool {
-                      const auto duty = state.duties.find(entry.first);
-                      if (duty == state.duties.end()) {
-                        return entry.second.pool == pool;
-                      }
-                      return !duty->second.wave && duty->second.target == pool;
-                    }));
+  return static_cast<int>(std::count_if(
+      state.machines.begin(), state.machines.end(),
+      [&](const auto& entry) -> bool {
+        const auto duty = state.duties.find(entry.first);
+        const bool moves = duty != state.duties.end() && !duty->second.wave;
+        return (moves ? duty->second.target : entry.second.pool) == pool;
+      }));
+}
+
+/// VMs of a pool that are emptied for their upkeep or away for it.
+auto CountUpkeeps(const DutyState& state, const ServiceName& pool) -> int {
+  return static_cast<int>(std::count_if(
+      state.duties.begin(), state.duties.end(), [&](const auto& entry) -> bool {
+        return entry.second.wave && entry.second.from == pool;
+      }));
 }
 
 auto LargestWorker(const DutyState& state) -> std::int64_t {
@@ -151,12 +154,17 @@
   return size == state.base_sizes.end() ? 0 : size->second;
 }
 
-/// VMs that a pool can lend to one that lacks some.
+/// VMs that a pool can lend to one that lacks some. While VMs of the pool are
+/// maintained, it keeps a worker more than those with lasting tasks: else none
+/// of these could leave its VM where all must run on different workers.
 auto Lendable(const DutyState& state,
               const ServiceName& pool,
               const PoolNeed& need) -> int {
-  const int keep = (BaseSize(state, pool) * kKeepPercent + 99) / 100;
-  return CountSupply(state, pool) - std::max(need.needed, keep);
+  const int upkeeps = CountUpkeeps(state, pool);
+  const int lasting = upkeeps > 0 ? need.lasting + kReserveWorkers : 0;
+  const int base = (BaseSize(state, pool) * kKeepPercent + 99) / 100;
+  const int keep = std::max({need.needed, base, lasting});
+  return CountSupply(state, pool) - upkeeps - keep;
 }
 
 /// Moves up to `count` VMs from pools that can lend some, the idlest of all
