Show the age of an owner's view and where its time goes

Logs and metrics could not tell a starved feed of jobs, a saturated process and a bad placement apart: no line had an age, failed looks had no reason, failed store calls left no line, and frequent lines pushed out rare ones.

- shard_status, once a second for each owned shard, with metrics of the same figures
- the reason of a failed look or start
- a budget of lines for each event in place of one for all; a line that is left out is not formatted any more

--- /dev/null
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -0,0 +1,116 @@
+#include "fireflythread/entry/shard_monitor.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "fireflythread/jobs/shard_summary.h"
+
+namespace fireflythread {
+namespace {
+
+constexpr std::chrono::seconds kReportPeriod{1};
+
+auto ToMilliseconds(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
+
+ShardMonitor::ShardMonitor(const Logger& log, MetricsRegistry& registry)
+    : logger(log), metrics(registry) {}
+
+auto ShardMonitor::NoteStep(TimePoint began, TimePoint ended) -> void {
+  const Duration took = ended - began;
+  this->metrics
+      .GetHistogram("fireflythread_shard_step_seconds",
+                    "Processor time of one step of a shard's owner")
+      .Observe(took);
+  ++this->steps;
+  this->step_time += took;
+  this->longest_step = std::max(this->longest_step, took);
+  if (this->last_step != TimePoint()) {
+    this->longest_gap = std::max(this->longest_gap, began - this->last_step);
+  }
+  this->last_step = began;
+}
+
+auto ShardMonitor::NoteStored(Duration took) -> void {
+  this->metrics
+      .GetHistogram("fireflythread_progress_store_seconds",
+                    "Time of a transaction that stores progress")
+      .Observe(took);
+  ++this->stores;
+  this->store_time += took;
+}
+
+auto ShardMonitor::NoteLook(bool failed) -> void {
+  ++this->looks;
+  this->failed_looks += failed ? 1 : 0;
+}
+
+auto ShardMonitor::NoteFeed(TimePoint answered, std::size_t rows) -> void {
+  this->feed_at = answered;
+  this->feed_rows += rows;
+}
+
+auto ShardMonitor::Report(const ShardState& state, bool loaded, TimePoint now)
+    -> void {
+  if (now - this->reported_at < kReportPeriod) {
+    return;
+  }
+  this->reported_at = now;
+  const ShardSummary summary = SummarizeShard(state, now);
+  this->metrics
+      .GetGauge("fireflythread_shard_oldest_report_seconds",
+                "Time since the oldest report of a worker with runs",
+                {{"shard", state.service.value}})
+      .Set(std::chrono::duration<double>(summary.oldest_report).count());
+  this->logger.Info(
+      "shard", "shard_status",
+      {{"shard", state.service},
+       {"fence", state.fence},
+       {"loaded", loaded},
+       {"open_jobs", summary.open_jobs},
+       {"waiting_jobs", summary.waiting_jobs},
+       {"assigned_tasks", summary.assigned_tasks},
+       {"unstored_jobs", state.dirty.size()},
+       {"workers", summary.workers},
+       {"usable", summary.usable},
+       {"not_listed", summary.not_listed},
+       {"not_confirmed", summary.not_confirmed},
+       {"leaving", summary.leaving},
+       {"not_answering", summary.not_answering},
+       {"paused", summary.paused},
+       {"used_millicores", summary.used_millicores},
+       {"usable_millicores", summary.usable_millicores},
+       {"oldest_report_ms", ToMilliseconds(summary.oldest_report)},
+       {"feed_age_ms",
+        ToMilliseconds(now - std::max(this->feed_at, state.owned_since))},
+       {"feed_rows", this->feed_rows},
+       {"starts", this->starts},
+       {"ends", this->ends},
+       {"looks", this->looks},
+       {"failed_looks", this->failed_looks},
+       {"stores", this->stores},
+       {"store_ms", ToMilliseconds(this->store_time)},
+       {"steps", this->steps},
+       {"step_ms", ToMilliseconds(this->step_time)},
+       {"longest_step_ms", ToMilliseconds(this->longest_step)},
+       {"longest_gap_ms", ToMilliseconds(this->longest_gap)}});
+  this->feed_rows = 0;
+  this->starts = 0;
+  this->ends = 0;
+  this->looks = 0;
+  this->failed_looks = 0;
+  this->stores = 0;
+  this->store_time = Duration{0};
+  this->steps = 0;
+  this->step_time = Duration{0};
+  this->longest_step = Duration{0};
+  this->longest_gap = Duration{0};
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/entry/shard_monitor.h
@@ -0,0 +1,56 @@
+#ifndef FIREFLYTHREAD_ENTRY_SHARD_MONITOR_H_
+#define FIREFLYTHREAD_ENTRY_SHARD_MONITOR_H_
+
+#include <cstddef>
+
+#include "fireflythread/base/time.h"
+#include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/telemetry/logger.h"
+#include "fireflythread/telemetry/metrics_registry.h"
+
+namespace fireflythread {
+
+/// Tells once a second what the owner of a shard believes, how old that is and
+/// where its time goes: one log line and the metrics of the same figures.
+class ShardMonitor {
+ public:
+  ShardMonitor(const Logger& logger, MetricsRegistry& metrics);
+  ShardMonitor(const ShardMonitor&) = delete;
+  auto operator=(const ShardMonitor&) -> ShardMonitor& = delete;
+
+  auto NoteStep(TimePoint began, TimePoint ended) -> void;
+  auto NoteStart() -> void { ++this->starts; }
+  auto NoteEnd() -> void { ++this->ends; }
+  /// A transaction that stored progress was answered after this time.
+  auto NoteStored(Duration took) -> void;
+  auto NoteLook(bool failed) -> void;
+  /// The feed of the shard's jobs was answered at this time.
+  auto NoteFeed(TimePoint answered, std::size_t rows) -> void;
+
+  /// Writes the line when it is due.
+  auto Report(const ShardState& state, bool loaded, TimePoint now) -> void;
+
+ private:
+  const Logger& logger;
+  MetricsRegistry& metrics;
+  TimePoint reported_at;
+  TimePoint last_step;
+  int steps = 0;
+  Duration step_time{0};
+  Duration longest_step{0};
+  /// Longest time between the begins of two steps.
+  Duration longest_gap{0};
+  int starts = 0;
+  int ends = 0;
+  int stores = 0;
+  Duration store_time{0};
+  int looks = 0;
+  int failed_looks = 0;
+  /// When the feed of the shard's jobs was answered last.
+  TimePoint feed_at;
+  std::size_t feed_rows = 0;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_SHARD_MONITOR_H_
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -48,6 +48,7 @@
                      const Handover& handover)
     : environment(std::move(env)),
       publisher(this->environment.store),
+      monitor(this->environment.logger, this->environment.metrics),
       wake([this] { this->Step(); }),
       follow_retry(
           [this] { this->loaded ? this->FollowJobs() : this->LoadJobs(); }),
@@ -194,6 +195,7 @@
           return;
         }
         this->job_revision = page->revision;
+        this->monitor.NoteFeed(ReadBootClock(), page->changed.size());
         for (const Row& row : page->changed) {
           this->TakeJobRow(row, {});
         }
@@ -215,22 +217,28 @@
   const TimePoint now = ReadBootClock();
   StepWorkers(this->state, now);
   if (this->loaded_once) {
-    if (!this->draining) {
-      EvictLasting(this->state, now);
-      PlanRuns(this->state, std::chrono::system_clock::now(), now);
-    }
-    this->SendStops();
-    this->LookAtWorkers();
-    this->publisher.Publish(this->state);
-    const std::vector<WorkerId> vacated = VacatedWorkers(this->state);
-    if (!vacated.empty()) {
-      this->environment.on_vacated(vacated);
-    }
+    this->PlanAndOrder(now);
   }
   this->Flush();
+  this->monitor.NoteStep(now, ReadBootClock());
+  this->monitor.Report(this->state, this->loaded_once, now);
   this->FinishDrain();
 }
 
+auto ShardTask::PlanAndOrder(TimePoint now) -> void {
+  if (!this->draining) {
+    EvictLasting(this->state, now);
+    PlanRuns(this->state, std::chrono::system_clock::now(), now);
+  }
+  this->SendStops();
+  this->LookAtWorkers();
+  this->publisher.Publish(this->state);
+  const std::vector<WorkerId> vacated = VacatedWorkers(this->state);
+  if (!vacated.empty()) {
+    this->environment.on_vacated(vacated);
+  }
+}
+
 auto ShardTask::FinishDrain() -> void {
   if (this->draining && this->drained && !this->flushing &&
       this->state.dirty.empty()) {
@@ -269,10 +277,7 @@
 auto ShardTask::TakeFlush(const RecordBatch& batch,
                           const TransactionOutcome& outcome,
                           TimePoint sent_at) -> void {
-  this->environment.metrics
-      .GetHistogram("fireflythread_progress_store_seconds",
-                    "Time of a transaction that stores progress")
-      .Observe(ReadBootClock() - sent_at);
+  this->monitor.NoteStored(ReadBootClock() - sent_at);
   if (const auto* committed = std::get_if<Committed>(&outcome)) {
     this->LogFinished(batch, committed->revision);
     for (const StartCommand& start :
@@ -330,6 +335,7 @@
   this->environment.workers.Start(
       start, kOrderTimeout,
       this->alive.Guard([this, start](const OrderReply& reply) {
+        this->monitor.NoteStart();
         this->LogStart(start, reply);
         TakeStartReply(this->state, start, reply, ReadBootClock());
         this->CheckFence();
@@ -351,7 +357,8 @@
                                  {"run", start.run},
                                  {"worker", start.worker},
                                  {"fence", start.fence},
-                                 {"verdict", verdict}});
+                                 {"verdict", verdict},
+                                 {"reason", reply.reason}});
 }
 
 auto ShardTask::SendStops() -> void {
@@ -404,10 +411,12 @@
   this->environment.workers.Hold(
       hold, hold.wait + kLookSlack,
       this->alive.Guard([this, hold, sent_at](auto&& result) {
-        if (const auto* report = std::get_if<WorkerReport>(&result)) {
+        const auto* report = std::get_if<WorkerReport>(&result);
+        this->monitor.NoteLook(report == nullptr);
+        if (report != nullptr) {
           this->TakeWorkerReport(hold, *report, sent_at);
         } else {
-          this->TakeNoReport(hold, std::get<OrderVerdict>(result));
+          this->TakeNoReport(hold, std::get<OrderReply>(result));
         }
         this->CheckFence();
         this->Wake();
@@ -431,6 +440,7 @@
     if (ended.number <= worker->second.ended_seen) {
       continue;
     }
+    this->monitor.NoteEnd();
     const std::string_view how = RunEndName(ended.end);
     this->environment.metrics
         .GetCounter("fireflythread_runs_ended_total", "Runs that ended, by how",
@@ -446,16 +456,18 @@
   }
 }
 
-auto ShardTask::TakeNoReport(const HoldCommand& hold, OrderVerdict verdict)
+auto ShardTask::TakeNoReport(const HoldCommand& hold, const OrderReply& reply)
     -> void {
   const TimePoint now = ReadBootClock();
-  this->environment.logger.Info(
-      "shard", "worker_look_failed",
-      {{"worker", hold.worker}, {"verdict", OrderVerdictName(verdict)}});
-  if (verdict == OrderVerdict::kFenced) {
+  this->environment.logger.Info("shard", "worker_look_failed",
+                                {{"worker", hold.worker},
+                                 {"address", hold.address},
+                                 {"verdict", OrderVerdictName(reply.verdict)},
+                                 {"reason", reply.reason}});
+  if (reply.verdict == OrderVerdict::kFenced) {
     this->state.fenced_off = true;
   }
-  if (verdict == OrderVerdict::kOtherInstance) {
+  if (reply.verdict == OrderVerdict::kOtherInstance) {
     TakeWorkerGone(this->state, hold.worker, now);
   } else {
     TakeLookFailure(this->state, hold.worker, now);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -12,6 +12,7 @@
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
+#include "fireflythread/entry/shard_monitor.h"
 #include "fireflythread/entry/shard_publisher.h"
 #include "fireflythread/jobs/hold_command.h"
 #include "fireflythread/jobs/order_verdict.h"
@@ -78,6 +79,7 @@
   auto FollowJobs() -> void;
   auto Wake() -> void;
   auto Step() -> void;
+  auto PlanAndOrder(TimePoint now) -> void;
   auto FinishDrain() -> void;
   auto Flush() -> void;
   auto TakeFlush(const RecordBatch& batch,
@@ -94,13 +96,14 @@
   auto TakeWorkerReport(const HoldCommand& hold,
                         const WorkerReport& report,
                         TimePoint sent_at) -> void;
-  auto TakeNoReport(const HoldCommand& hold, OrderVerdict verdict) -> void;
+  auto TakeNoReport(const HoldCommand& hold, const OrderReply& reply) -> void;
   auto LogEnds(const WorkerId& worker, const WorkerReport& report) -> void;
   auto CheckFence() -> void;
 
   Environment environment;
   ShardState state;
   ShardPublisher publisher;
+  ShardMonitor monitor;
   std::unique_ptr<RangeLoader> progress_loader;
   std::unique_ptr<RangeLoader> job_loader;
   std::map<std::string, Row> loaded_progress;
--- a/src/fireflythread/jobs/order_verdict.h
+++ b/src/fireflythread/jobs/order_verdict.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace fireflythread {
@@ -40,6 +41,8 @@
   OrderVerdict verdict = OrderVerdict::kUnknown;
   /// The worker's clock, where the answer has it.
   std::optional<std::chrono::milliseconds> clock = std::nullopt;
+  /// Why there is no answer; empty where there is one.
+  std::string reason = {};
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/platform/worker_client.h
+++ b/src/fireflythread/platform/worker_client.h
@@ -20,7 +20,7 @@
   using OrderCallback = std::function<void(OrderReply)>;
   /// A report, or why there is none.
   using ReportCallback =
-      std::function<void(std::variant<WorkerReport, OrderVerdict>)>;
+      std::function<void(std::variant<WorkerReport, OrderReply>)>;
 
   virtual ~WorkerClient() = default;
 
--- a/src/fireflythread/telemetry/io_stdout_logger.cc
+++ b/src/fireflythread/telemetry/io_stdout_logger.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -21,35 +22,40 @@
   return poll(&descriptor, 1, 0) == 1 && (descriptor.revents & POLLOUT) != 0;
 }
 
-auto WriteLine(LineBudget& budget, std::string_view line) -> void {
-  if (!TakeLine(budget, ReadBootClock())) {
-    return;
-  }
+/// Writes whole lines; one that would block is left out.
+auto WriteText(std::string text) -> void {
   if (!CanWrite()) {
-    ++budget.left_out;
     return;
   }
-  std::string text;
-  if (budget.left_out > 0) {
-    text = fmt::format("{{\"event\":\"lines_left_out\",\"count\":{}}}\n",
-                       std::exchange(budget.left_out, 0));
-  }
-  text += line;
   text += '\n';
   // A line that is cut short by the reader's end cannot be helped.
   [[maybe_unused]] const ssize_t written =
       write(STDOUT_FILENO, text.data(), text.size());
 }
 
+/// Takes a line of the event's budget. Tells first how many were left out.
+auto PassGate(LineBudget& budget, std::string_view event) -> bool {
+  if (!TakeLine(budget, event, ReadBootClock())) {
+    return false;
+  }
+  if (const std::uint64_t count = TakeLeftOut(budget, event)) {
+    WriteText(fmt::format(
+        R"({{"event":"lines_left_out","of":"{}","count":{}}})", event, count));
+  }
+  return true;
+}
+
 }  // namespace
 
 auto MakeStdoutLogger(LogIdentity identity, LogLevel least) -> Logger {
   auto budget = std::make_shared<LineBudget>();
-  budget->refilled_at = ReadBootClock();
   return Logger(
       std::move(identity), least,
-      [budget](std::string_view line) -> void { WriteLine(*budget, line); },
-      []() -> WallTime { return std::chrono::system_clock::now(); });
+      [](std::string_view line) -> void { WriteText(std::string(line)); },
+      []() -> WallTime { return std::chrono::system_clock::now(); },
+      [budget](std::string_view event) -> bool {
+        return PassGate(*budget, event);
+      });
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/telemetry/logger.cc
+++ b/src/fireflythread/telemetry/logger.cc
@@ -7,18 +7,21 @@
 Logger::Logger(LogIdentity log_identity,
                LogLevel least_level,
                Sink line_sink,
-               Clock wall_clock)
+               Clock wall_clock,
+               Gate record_gate)
     : identity(std::move(log_identity)),
       least(least_level),
       sink(std::move(line_sink)),
-      clock(std::move(wall_clock)) {}
+      clock(std::move(wall_clock)),
+      gate(std::move(record_gate)) {}
 
 auto Logger::IsEnabled(LogLevel level) const -> bool {
   return level >= this->least;
 }
 
 auto Logger::Write(const LogRecord& record) const -> void {
-  if (this->IsEnabled(record.level)) {
+  if (this->IsEnabled(record.level) &&
+      (!this->gate || this->gate(record.event))) {
     this->sink(FormatLogLine(record, this->identity, this->clock()));
   }
 }
--- a/src/fireflythread/telemetry/logger.h
+++ b/src/fireflythread/telemetry/logger.h
@@ -20,8 +20,15 @@
  public:
   using Sink = std::function<void(std::string_view line)>;
   using Clock = std::function<WallTime()>;
+  /// Whether a record of this event may be written now. Asked before the record
+  /// is formatted, so a record that is left out costs little.
+  using Gate = std::function<bool(std::string_view event)>;
 
-  Logger(LogIdentity identity, LogLevel least, Sink sink, Clock clock);
+  Logger(LogIdentity identity,
+         LogLevel least,
+         Sink sink,
+         Clock clock,
+         Gate gate = nullptr);
 
   /// Whether a record of this level would be written.
   [[nodiscard]] auto IsEnabled(LogLevel level) const -> bool;
@@ -51,6 +58,7 @@
   LogLevel least;
   Sink sink;
   Clock clock;
+  Gate gate;
 };
 
 }  // namespace fireflythread
