Limit reads of the store by silence, not by the time of a whole answer

Callers saw wrong counts of waiting jobs, jobs that started after their cancellation, and jobs with room that did not run.

Ruled out: a store that answers late (other calls of the entry were answered meanwhile) and lost pages (the retries timed out one after the other).

--- a/src/fireflythread/platform/io_http_call.cc
+++ b/src/fireflythread/platform/io_http_call.cc
@@ -6,7 +6,15 @@
 #include <cstring>
 #include <utility>
 
+#include "fireflythread/base/io_clock.h"
+
 namespace fireflythread::internal {
+namespace {
+
+/// Most bytes of an answer that are read at once.
+constexpr gsize kReadBytes = 64 << 10;
+
+}  // namespace
 
 HttpCall::HttpCall(SoupSession* owner, SoupMessage* request, Callback finished)
     : session(SOUP_SESSION(g_object_ref(owner))),
@@ -17,6 +25,7 @@
 HttpCall::~HttpCall() {
   this->StopTimer();
   g_signal_handlers_disconnect_by_data(this->message, this);
+  g_clear_object(&this->stream);
   g_object_unref(this->cancellable);
   g_object_unref(this->message);
   g_object_unref(this->session);
@@ -24,7 +33,7 @@
 
 auto HttpCall::Start(SoupSession* session,
                      SoupMessage* message,
-                     Duration timeout,
+                     const HttpLimits& limits,
                      Callback callback) -> std::shared_ptr<HttpCall> {
   std::shared_ptr<HttpCall> call(
       new HttpCall(session, message, std::move(callback)));
@@ -42,27 +51,72 @@
                      }),
                      call.get());
   }
-  call->StartTimer(timeout);
-  // The operation owns a reference, so the call outlives its answer.
-  auto* owner = new std::shared_ptr<HttpCall>(call);
-  soup_session_send_and_read_async(
-      session, message, G_PRIORITY_DEFAULT, call->cancellable,
-      +[](GObject* source, GAsyncResult* result, gpointer data) -> void {
-        const std::unique_ptr<std::shared_ptr<HttpCall>> reference(
-            static_cast<std::shared_ptr<HttpCall>*>(data));
-        GError* error = nullptr;
-        GBytes* body = soup_session_send_and_read_finish(SOUP_SESSION(source),
-                                                         result, &error);
-        (*reference)->HandleBody(body, error);
-        g_clear_error(&error);
-        g_clear_pointer(&body, g_bytes_unref);
-      },
-      owner);
+  call->silence = limits.silence;
+  call->ends_at = ReadBootClock() + limits.total;
+  call->StartTimer();
+  soup_session_send_async(session, message, G_PRIORITY_DEFAULT,
+                          call->cancellable, &HttpCall::OnSent,
+                          new std::shared_ptr<HttpCall>(call));
   return call;
 }
 
-auto HttpCall::StartTimer(Duration timeout) -> void {
-  const auto limit = std::chrono::ceil<std::chrono::milliseconds>(timeout);
+auto HttpCall::OnSent(GObject* source, GAsyncResult* result, gpointer data)
+    -> void {
+  // The operation owns a reference, so the call outlives its answer.
+  const std::unique_ptr<std::shared_ptr<HttpCall>> reference(
+      static_cast<std::shared_ptr<HttpCall>*>(data));
+  HttpCall& self = **reference;
+  GError* error = nullptr;
+  self.stream = soup_session_send_finish(SOUP_SESSION(source), result, &error);
+  if (self.stream == nullptr) {
+    self.FinishFailed(error);
+    g_clear_error(&error);
+    return;
+  }
+  self.ReadMore();
+}
+
+auto HttpCall::ReadMore() -> void {
+  this->StartTimer();
+  g_input_stream_read_bytes_async(
+      this->stream, kReadBytes, G_PRIORITY_DEFAULT, this->cancellable,
+      &HttpCall::OnRead, new std::shared_ptr<HttpCall>(shared_from_this()));
+}
+
+auto HttpCall::OnRead(GObject* source, GAsyncResult* result, gpointer data)
+    -> void {
+  const std::unique_ptr<std::shared_ptr<HttpCall>> reference(
+      static_cast<std::shared_ptr<HttpCall>*>(data));
+  HttpCall& self = **reference;
+  GError* error = nullptr;
+  GBytes* bytes =
+      g_input_stream_read_bytes_finish(G_INPUT_STREAM(source), result, &error);
+  if (bytes == nullptr) {
+    self.FinishFailed(error);
+    g_clear_error(&error);
+    return;
+  }
+  gsize size = 0;
+  const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+  if (size > 0) {
+    self.body.append(text, size);
+  }
+  g_bytes_unref(bytes);
+  if (size > 0) {
+    self.ReadMore();
+  } else {
+    self.FinishReply();
+  }
+}
+
+auto HttpCall::StartTimer() -> void {
+  this->StopTimer();
+  if (!this->callback) {
+    return;
+  }
+  const Duration left =
+      std::min(this->silence, this->ends_at - ReadBootClock());
+  const auto limit = std::chrono::ceil<std::chrono::milliseconds>(left);
   this->timer = g_timeout_source_new(
       static_cast<guint>(std::max<std::int64_t>(0, limit.count())));
   g_source_set_callback(
@@ -103,25 +157,21 @@
   g_cancellable_cancel(this->cancellable);
 }
 
-auto HttpCall::HandleBody(GBytes* body, const GError* error) -> void {
-  if (error != nullptr) {
-    this->Finish(HttpFailure{
-        .reason = error->message,
-        .may_have_run = this->started,
-        .timed_out = false,
-    });
-    return;
-  }
+auto HttpCall::FinishFailed(const GError* error) -> void {
+  this->Finish(HttpFailure{
+      .reason = error->message,
+      .may_have_run = this->started,
+      .timed_out = false,
+  });
+}
+
+auto HttpCall::FinishReply() -> void {
   HttpReply reply;
   reply.status = soup_message_get_status(this->message);
   const char* not_run = soup_message_headers_get_one(
       soup_message_get_response_headers(this->message), "X-Not-Run");
   reply.not_run = not_run != nullptr && std::strcmp(not_run, "1") == 0;
-  gsize size = 0;
-  const auto* data = static_cast<const char*>(g_bytes_get_data(body, &size));
-  if (size > 0) {
-    reply.body.assign(data, size);
-  }
+  reply.body = std::move(this->body);
   this->Finish(std::move(reply));
 }
 
--- a/src/fireflythread/platform/io_http_call.h
+++ b/src/fireflythread/platform/io_http_call.h
@@ -27,7 +27,15 @@
   bool timed_out = false;
 };
 
-/// One HTTP request that ends at its timeout even if the connection is silent.
+/// How long a call may take.
+struct HttpLimits {
+  /// Longest time in which no byte of the answer arrives.
+  Duration silence;
+  /// Longest time of the whole call.
+  Duration total;
+};
+
+/// One HTTP request that ends at its limits even if the connection is silent.
 /// A request other than GET is written to a connection at most once.
 class HttpCall : public std::enable_shared_from_this<HttpCall> {
  public:
@@ -39,7 +47,7 @@
   /// `message`.
   static auto Start(SoupSession* session,
                     SoupMessage* message,
-                    Duration timeout,
+                    const HttpLimits& limits,
                     Callback callback) -> std::shared_ptr<HttpCall>;
 
   ~HttpCall();
@@ -52,16 +60,27 @@
 
  private:
   HttpCall(SoupSession* owner, SoupMessage* request, Callback finished);
-  auto StartTimer(Duration timeout) -> void;
+  /// Takes what the operation that ends with `result` returned, and goes on.
+  static auto OnSent(GObject* source, GAsyncResult* result, gpointer data)
+      -> void;
+  static auto OnRead(GObject* source, GAsyncResult* result, gpointer data)
+      -> void;
+  auto ReadMore() -> void;
+  auto StartTimer() -> void;
   auto StopTimer() -> void;
   auto Finish(Result result) -> void;
-  auto HandleBody(GBytes* body, const GError* error) -> void;
+  auto FinishFailed(const GError* error) -> void;
+  auto FinishReply() -> void;
 
   SoupSession* session;
   SoupMessage* message;
   GCancellable* cancellable;
+  GInputStream* stream = nullptr;
   GSource* timer = nullptr;
+  Duration silence{0};
+  TimePoint ends_at;
   Callback callback;
+  std::string body;
   bool started = false;
 };
 
--- a/src/fireflythread/platform/io_http_platform_client.cc
+++ b/src/fireflythread/platform/io_http_platform_client.cc
@@ -158,8 +158,8 @@
     }
     callback(std::move(result));
   };
-  this->calls.push_back(
-      HttpCall::Start(this->session, message, timeout, std::move(finished)));
+  this->calls.push_back(HttpCall::Start(
+      this->session, message, {timeout, timeout}, std::move(finished)));
   g_object_unref(message);
 }
 
--- a/src/fireflythread/platform/table_store.h
+++ b/src/fireflythread/platform/table_store.h
@@ -17,8 +17,9 @@
 namespace fireflythread {
 
 /// A transactional store of rows with a feed of changes. Every call returns at
-/// once and runs its callback later, exactly once, on the main loop, at the
-/// latest when `timeout` has passed.
+/// once and runs its callback later, exactly once, on the main loop. A
+/// transaction without an answer ends when `timeout` has passed, a read when
+/// nothing of its answer has arrived for `timeout`.
 class TableStore {
  public:
   template <typename T>
