Relay an owner's orders to workers through other entries

One main loop makes all HTTP calls of a pool and saturates at 500 to 800 starts a second. RelayedWorkerClient hands orders in batches to entries that own no shard; OrderRelay performs them there.

--- a/src/fireflythread/entry/ownership_task.h
+++ b/src/fireflythread/entry/ownership_task.h
@@ -6,6 +6,8 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string>
+#include <utility>
 
 #include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/base/time.h"
@@ -41,6 +43,11 @@
 
   auto Start() -> void;
 
+  /// Sets the address at which this entry listens for peers.
+  auto SetPeer(std::string address) -> void {
+    this->state.peer = std::move(address);
+  }
+
   /// Sets the shards that must have an owner.
   auto SetWanted(std::set<ServiceName> shards) -> void;
 
@@ -58,6 +65,11 @@
     return this->confirmed_at;
   }
 
+  /// What is known of all entries and shards.
+  [[nodiscard]] auto State() const -> const OwnershipState& {
+    return this->state;
+  }
+
  private:
   auto Renew() -> void;
   auto ReadEntries() -> void;
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -58,6 +58,12 @@
   return workers;
 }
 
+auto ReadPeer(const Json& json) -> std::string {
+  const auto peer = json.find("peer");
+  return peer != json.end() && peer->is_string() ? peer->get<std::string>()
+                                                 : std::string();
+}
+
 auto HashOf(const EntryId& entry, const ServiceName& shard) -> std::size_t {
   return std::hash<std::string>{}(entry.value + "/" + shard.value);
 }
@@ -111,6 +117,7 @@
     EntryView entry;
     entry.incarnation = json.value("incarnation", std::uint64_t{0});
     entry.stopping = json.value("stopping", false);
+    entry.peer = ReadPeer(json);
     entry.version = row.version;
     entry.changed_at = now;
     const EntryId id(row.key);
@@ -142,11 +149,13 @@
 }
 
 auto MakeRenewal(const OwnershipState& state) -> Transaction {
+  Json row{{"incarnation", state.incarnation}, {"stopping", state.stopping}};
+  if (!state.peer.empty()) {
+    row["peer"] = state.peer;
+  }
   Transaction transaction;
   transaction.writes.push_back(
-      {std::string(kEntryTable), state.self.value,
-       Json{{"incarnation", state.incarnation}, {"stopping", state.stopping}}
-           .dump()});
+      {std::string(kEntryTable), state.self.value, row.dump()});
   return transaction;
 }
 
--- a/src/fireflythread/ownership/ownership_state.h
+++ b/src/fireflythread/ownership/ownership_state.h
@@ -20,6 +20,8 @@
   std::uint64_t version = 0;
   /// When this version was first seen.
   TimePoint changed_at;
+  /// Where the entry listens for peers; empty when it takes no relayed orders.
+  std::string peer = {};
 };
 
 /// A shard's row as last read. `owner` is empty after a release.
@@ -36,6 +38,8 @@
   EntryId self;
   std::uint64_t incarnation = 0;
   bool stopping = false;
+  /// Where this entry listens for peers; may be empty.
+  std::string peer = {};
   std::map<EntryId, EntryView> entries;
   std::map<ServiceName, ShardOwner> shards;
   /// Shards that must have an owner.
--- a/src/fireflythread/peer/peer_transport.cc
+++ b/src/fireflythread/peer/peer_transport.cc
@@ -134,17 +134,23 @@
     return;
   }
   const auto link = this->links.find(EntryId(envelope->sender()));
-  if (link == this->links.end() ||
+  if ((link == this->links.end() && !this->Admits(*envelope)) ||
       (this->settings.keys &&
        AuthenticatedPeer(payload) != envelope->sender())) {
     ++this->counters.unknown_sender;
     return;
   }
   ++this->counters.received;
-  link->second->NoteHeard(ReadBootClock());
+  if (link != this->links.end()) {
+    link->second->NoteHeard(ReadBootClock());
+  }
   this->handler(*envelope);
 }
 
+auto PeerTransport::Admits(const peer::Envelope& envelope) const -> bool {
+  return this->settings.admit_relay_hellos && envelope.has_relay_hello();
+}
+
 auto PeerTransport::Send(const EntryId& peer, peer::Envelope envelope) -> bool {
   envelope.set_sender(this->settings.self.value);
   envelope.set_incarnation(this->settings.incarnation);
@@ -188,6 +194,10 @@
   }
 }
 
+auto PeerTransport::RemovePeer(const EntryId& peer) -> void {
+  this->links.erase(peer);
+}
+
 auto PeerTransport::RebuildLink(const EntryId& peer) -> void {
   const auto link = this->links.find(peer);
   if (link != this->links.end()) {
--- a/src/fireflythread/peer/peer_transport.h
+++ b/src/fireflythread/peer/peer_transport.h
@@ -53,6 +53,8 @@
 
   /// Adds a peer or changes its address, with a new socket if it differs.
   auto SetPeerAddress(const EntryId& peer, const std::string& address) -> void;
+  /// Closes the peer's socket and leaves out its messages from now on.
+  auto RemovePeer(const EntryId& peer) -> void;
   /// Replaces the peer's socket, for a caller that misses its answers.
   auto RebuildLink(const EntryId& peer) -> void;
 
@@ -72,6 +74,7 @@
   static auto OnSilenceCheck(gpointer data) -> gboolean;
   [[nodiscard]] auto ReceiveOne() -> bool;
   auto Deliver(zmq::message_t& payload) -> void;
+  [[nodiscard]] auto Admits(const peer::Envelope& envelope) const -> bool;
 
   PeerTransportSettings settings;
   Handler handler;
--- a/src/fireflythread/peer/peer_transport_settings.h
+++ b/src/fireflythread/peer/peer_transport_settings.h
@@ -28,6 +28,9 @@
   /// Allows listening beyond the loopback range without keys. Messages can
   /// then be read and forged by anyone on the network.
   bool allow_plaintext_beyond_loopback = false;
+  /// Hands a RelayHello of an unknown sender to the handler, which may add the
+  /// sender as a peer. All its other messages are left out as ever.
+  bool admit_relay_hellos = false;
   /// Messages that may wait for one peer; further ones are dropped. Every
   /// message is repeated or asked for again by the protocol above.
   int high_water_mark = 256;
--- /dev/null
+++ b/src/fireflythread/relay/fwd.h
@@ -0,0 +1,19 @@
+#ifndef FIREFLYTHREAD_RELAY_FWD_H_
+#define FIREFLYTHREAD_RELAY_FWD_H_
+
+namespace fireflythread {
+
+class OrderRelay;
+class RelayedWorkerClient;
+class RelayLinks;
+class RelayNode;
+struct PendingOrder;
+struct PendingOrders;
+struct RelayCandidate;
+struct RelayPath;
+struct RelayPaths;
+struct WorkerOrder;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_RELAY_FWD_H_
--- /dev/null
+++ b/src/fireflythread/relay/io_order_relay.cc
@@ -0,0 +1,238 @@
+#include "fireflythread/relay/io_order_relay.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/relay/io_order_codec.h"
+#include "fireflythread/relay/io_relay_links.h"
+#include "fireflythread/relay/relay_batching.h"
+#include "fireflythread/settings/endpoint.h"
+
+namespace fireflythread {
+namespace {
+
+/// Orders performed before other sources of the main loop get a turn. A call
+/// to a worker costs up to 1 ms of CPU, of which an entry may have an eighth.
+constexpr int kOrdersPerTurn = 8;
+
+/// Orders that may wait; further ones go back to their owners unperformed. A
+/// longer queue would hold orders until their time is over.
+constexpr std::size_t kLongestQueue = 512;
+
+/// An owner says hello once a second; one that is silent for this long has
+/// gone or owns nothing any more.
+constexpr std::chrono::seconds kOwnerSilence{30};
+
+constexpr std::chrono::milliseconds kSilenceCheck{1000};
+
+/// More than a cell has entries. Each owner costs a socket.
+constexpr std::size_t kMostOwners = 128;
+
+}  // namespace
+
+OrderRelay::OrderRelay(RelayLinks& relay_links, WorkerClient& local_client)
+    : links(relay_links),
+      local(local_client),
+      flush([this] { this->FlushAll(); }),
+      silence_check(kSilenceCheck, [this] { this->DropSilentOwners(); }) {}
+
+OrderRelay::~OrderRelay() {
+  if (this->turn != 0) {
+    g_source_remove(this->turn);
+  }
+}
+
+auto OrderRelay::TakeHello(const peer::Envelope& envelope) -> void {
+  const EntryId owner(envelope.sender());
+  if (!this->Admit(owner, envelope)) {
+    return;
+  }
+  peer::Envelope answer;
+  answer.mutable_relay_welcome()->set_owner_incarnation(envelope.incarnation());
+  answer.mutable_relay_welcome()->set_stopping(this->stopping);
+  // The first answer finds no connection yet; the hello is repeated.
+  this->links.Send(owner, std::move(answer));
+}
+
+auto OrderRelay::Admit(const EntryId& owner_id, const peer::Envelope& envelope)
+    -> bool {
+  const std::string& address = envelope.relay_hello().address();
+  const bool known = this->owners.contains(owner_id);
+  if (!ParseEndpoint(address) ||
+      (!known && this->owners.size() >= kMostOwners)) {
+    return false;
+  }
+  Owner& owner = this->owners[owner_id];
+  this->links.Connect(RelayLinks::Side::kOwner, owner_id, address);
+  if (owner.incarnation != envelope.incarnation()) {
+    if (known) {
+      this->links.Renew(owner_id);
+    }
+    owner = Owner{};
+    owner.incarnation = envelope.incarnation();
+  }
+  owner.heard_at = ReadBootClock();
+  return true;
+}
+
+auto OrderRelay::TakeOrders(const peer::Envelope& envelope) -> void {
+  const EntryId owner_id(envelope.sender());
+  const auto owner = this->owners.find(owner_id);
+  const peer::OrderBatch& batch = envelope.order_batch();
+  // A batch that comes twice or late, over a connection that was replaced, must
+  // not be performed.
+  if (owner == this->owners.end() ||
+      owner->second.incarnation != envelope.incarnation() ||
+      batch.number() <= owner->second.last_batch) {
+    return;
+  }
+  owner->second.last_batch = batch.number();
+  owner->second.heard_at = ReadBootClock();
+  for (const peer::RelayedOrder& order : batch.orders()) {
+    this->Enqueue({owner_id, envelope.incarnation(), order.number()}, order);
+  }
+}
+
+auto OrderRelay::Enqueue(const Origin& origin,
+                         const peer::RelayedOrder& message) -> void {
+  auto order = DecodeOrder(message);
+  if (!order || this->stopping || this->queue.size() >= kLongestQueue) {
+    this->Refuse(origin);
+    return;
+  }
+  this->queue.push_back({origin, *std::move(order), ReadBootClock()});
+  if (this->turn == 0) {
+    this->turn =
+        g_idle_add_full(G_PRIORITY_DEFAULT, &OrderRelay::OnTurn, this, nullptr);
+  }
+}
+
+auto OrderRelay::OnTurn(gpointer data) -> gboolean {
+  auto* relay = static_cast<OrderRelay*>(data);
+  relay->PerformSome();
+  if (!relay->queue.empty()) {
+    return G_SOURCE_CONTINUE;
+  }
+  relay->turn = 0;
+  return G_SOURCE_REMOVE;
+}
+
+auto OrderRelay::PerformSome() -> void {
+  for (int i = 0; i < kOrdersPerTurn && !this->queue.empty(); ++i) {
+    const QueuedOrder queued = std::move(this->queue.front());
+    this->queue.pop_front();
+    this->Perform(queued);
+  }
+}
+
+auto OrderRelay::Perform(const QueuedOrder& queued) -> void {
+  const Duration waited = ReadBootClock() - queued.arrived_at;
+  if (waited >= queued.order.timeout) {
+    this->Answer(queued.origin, OrderReply{OrderVerdict::kNotSent, std::nullopt,
+                                           "its time passed at the helper"});
+    return;
+  }
+  ++this->in_progress;
+  PerformOrder(
+      this->local, queued.order, queued.order.timeout - waited,
+      this->alive.Guard([this, origin = queued.origin](OrderResult result) {
+        --this->in_progress;
+        this->Answer(origin, result);
+      }));
+}
+
+auto OrderRelay::Refuse(const Origin& origin) -> void {
+  if (Owner* owner = this->FindOwner(origin)) {
+    peer::RelayedAnswer answer;
+    answer.set_number(origin.number);
+    answer.set_not_performed(true);
+    this->Gather(origin.owner, *owner, std::move(answer));
+  }
+}
+
+auto OrderRelay::Answer(const Origin& origin, const OrderResult& result)
+    -> void {
+  if (Owner* owner = this->FindOwner(origin)) {
+    peer::RelayedAnswer answer;
+    answer.set_number(origin.number);
+    EncodeResult(result, answer);
+    this->Gather(origin.owner, *owner, std::move(answer));
+  }
+}
+
+auto OrderRelay::FindOwner(const Origin& origin) -> Owner* {
+  const auto owner = this->owners.find(origin.owner);
+  return owner != this->owners.end() &&
+                 owner->second.incarnation == origin.incarnation
+             ? &owner->second
+             : nullptr;
+}
+
+auto OrderRelay::Gather(const EntryId& owner_id,
+                        Owner& owner,
+                        peer::RelayedAnswer answer) -> void {
+  owner.bytes += answer.ByteSizeLong();
+  *owner.answers.add_answers() = std::move(answer);
+  if (owner.answers.answers_size() >= kBatchCount ||
+      owner.bytes >= kBatchBytes) {
+    this->Flush(owner_id, owner);
+  } else {
+    this->flush.Start(kBatchTime);
+  }
+}
+
+auto OrderRelay::FlushAll() -> void {
+  for (auto& [id, owner] : this->owners) {
+    if (owner.answers.answers_size() > 0) {
+      this->Flush(id, owner);
+    }
+  }
+}
+
+auto OrderRelay::Flush(const EntryId& owner_id, Owner& owner) -> void {
+  peer::Envelope envelope;
+  envelope.mutable_order_reply_batch()->Swap(&owner.answers);
+  owner.answers.Clear();
+  owner.bytes = 0;
+  envelope.mutable_order_reply_batch()->set_owner_incarnation(
+      owner.incarnation);
+  envelope.mutable_order_reply_batch()->set_stopping(this->stopping);
+  // Without a connection the answers are lost; the owner takes the orders for
+  // unknown then.
+  this->links.Send(owner_id, std::move(envelope));
+}
+
+auto OrderRelay::Leave() -> void {
+  this->stopping = true;
+  for (auto& [id, owner] : this->owners) {
+    this->Flush(id, owner);
+  }
+}
+
+auto OrderRelay::IsIdle() const -> bool {
+  if (!this->queue.empty() || this->in_progress > 0) {
+    return false;
+  }
+  for (const auto& [id, owner] : this->owners) {
+    if (owner.answers.answers_size() > 0) {
+      return false;
+    }
+  }
+  return true;
+}
+
+auto OrderRelay::DropSilentOwners() -> void {
+  const TimePoint now = ReadBootClock();
+  for (auto owner = this->owners.begin(); owner != this->owners.end();) {
+    if (now - owner->second.heard_at < kOwnerSilence) {
+      ++owner;
+      continue;
+    }
+    this->links.Disconnect(RelayLinks::Side::kOwner, owner->first);
+    owner = this->owners.erase(owner);
+  }
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/relay/io_order_relay.h
@@ -0,0 +1,94 @@
+#ifndef FIREFLYTHREAD_RELAY_IO_ORDER_RELAY_H_
+#define FIREFLYTHREAD_RELAY_IO_ORDER_RELAY_H_
+
+#include <glib.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/entry/alive_token.h"
+#include "fireflythread/entry/one_shot_timer.h"
+#include "fireflythread/peer/generated/peer.pb.h"
+#include "fireflythread/platform/worker_client.h"
+#include "fireflythread/relay/fwd.h"
+#include "fireflythread/relay/worker_order.h"
+
+namespace fireflythread {
+
+/// Performs other entries' orders to workers and returns the replies. Each
+/// order that arrives gets one answer, unless its owner has restarted.
+class OrderRelay {
+ public:
+  OrderRelay(RelayLinks& links, WorkerClient& local);
+  ~OrderRelay();
+  OrderRelay(const OrderRelay&) = delete;
+  auto operator=(const OrderRelay&) -> OrderRelay& = delete;
+
+  /// Takes a RelayHello.
+  auto TakeHello(const peer::Envelope& envelope) -> void;
+  /// Takes an OrderBatch.
+  auto TakeOrders(const peer::Envelope& envelope) -> void;
+
+  /// Takes nothing new and says so to the owners; finishes what it has.
+  auto Leave() -> void;
+  /// Whether all orders are answered.
+  [[nodiscard]] auto IsIdle() const -> bool;
+
+ private:
+  /// One life of an entry that gives orders.
+  struct Owner {
+    std::uint64_t incarnation = 0;
+    TimePoint heard_at;
+    std::uint64_t last_batch = 0;
+    /// Answers that are gathered.
+    peer::OrderReplyBatch answers;
+    std::size_t bytes = 0;
+  };
+
+  /// Where an order's answer goes.
+  struct Origin {
+    EntryId owner;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+  };
+
+  struct QueuedOrder {
+    Origin origin;
+    WorkerOrder order;
+    TimePoint arrived_at;
+  };
+
+  static auto OnTurn(gpointer data) -> gboolean;
+  auto Admit(const EntryId& owner, const peer::Envelope& envelope) -> bool;
+  auto Enqueue(const Origin& origin, const peer::RelayedOrder& message) -> void;
+  auto PerformSome() -> void;
+  auto Perform(const QueuedOrder& queued) -> void;
+  auto Refuse(const Origin& origin) -> void;
+  auto Answer(const Origin& origin, const OrderResult& result) -> void;
+  auto Gather(const EntryId& owner_id, Owner& owner, peer::RelayedAnswer answer)
+      -> void;
+  auto FindOwner(const Origin& origin) -> Owner*;
+  auto FlushAll() -> void;
+  auto Flush(const EntryId& owner_id, Owner& owner) -> void;
+  auto DropSilentOwners() -> void;
+
+  RelayLinks& links;
+  WorkerClient& local;
+  std::map<EntryId, Owner> owners;
+  std::deque<QueuedOrder> queue;
+  int in_progress = 0;
+  bool stopping = false;
+  guint turn = 0;
+  OneShotTimer flush;
+  PeriodicTimer silence_check;
+  AliveToken alive;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_RELAY_IO_ORDER_RELAY_H_
--- /dev/null
+++ b/src/fireflythread/relay/io_relay_node.cc
@@ -0,0 +1,39 @@
+#include "fireflythread/relay/io_relay_node.h"
+
+#include <utility>
+
+namespace fireflythread {
+
+RelayNode::RelayNode(EntryId self,
+                     std::uint64_t incarnation,
+                     WorkerClient& local,
+                     const Logger& logger,
+                     MetricsRegistry& metrics)
+    : links(std::move(self), incarnation),
+      relay(this->links, local),
+      client(this->links, local, logger, metrics) {}
+
+auto RelayNode::Open(const std::string& address) -> std::optional<std::string> {
+  RelayLinks::Handlers handlers;
+  handlers.hello = [this](const peer::Envelope& envelope) {
+    this->relay.TakeHello(envelope);
+  };
+  handlers.orders = [this](const peer::Envelope& envelope) {
+    this->relay.TakeOrders(envelope);
+  };
+  handlers.welcome = [this](const peer::Envelope& envelope) {
+    this->client.TakeWelcomeMessage(envelope);
+  };
+  handlers.replies = [this](const peer::Envelope& envelope) {
+    this->client.TakeReplies(envelope);
+  };
+  return this->links.Open(address, std::move(handlers));
+}
+
+auto RelayNode::SetEntries(const std::vector<RelayCandidate>& entries,
+                           bool owns_pool) -> void {
+  this->client.UseHelpers(owns_pool ? ChooseHelpers(entries)
+                                    : std::vector<RelayCandidate>{});
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/relay/io_relayed_worker_client.cc
@@ -0,0 +1,240 @@
+#include "fireflythread/relay/io_relayed_worker_client.h"
+
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <variant>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/relay/io_order_codec.h"
+#include "fireflythread/relay/io_relay_links.h"
+#include "fireflythread/relay/path_choice.h"
+#include "fireflythread/relay/relay_batching.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{50};
+
+/// A tick this late shows that the main loop was held up. Replies may wait
+/// unread then, so nothing is given up before the next tick.
+constexpr milliseconds kLateTick{200};
+
+constexpr const char* kCounterName = "fireflythread_relayed_orders_total";
+constexpr const char* kCounterHelp = "Orders to workers by their way.";
+
+/// For orders that are answered by a verdict alone.
+auto ToReportCallback(WorkerClient::OrderCallback callback)
+    -> WorkerClient::ReportCallback {
+  return [done = std::move(callback)](OrderResult result) -> void {
+    if (auto* reply = std::get_if<OrderReply>(&result)) {
+      done(std::move(*reply));
+    } else {
+      done({OrderVerdict::kUnknown, std::nullopt, "a report for an order"});
+    }
+  };
+}
+
+}  // namespace
+
+RelayedWorkerClient::RelayedWorkerClient(RelayLinks& relay_links,
+                                         WorkerClient& local_client,
+                                         const Logger& log,
+                                         MetricsRegistry& metrics)
+    : links(relay_links),
+      local(local_client),
+      logger(log),
+      relayed_count(metrics.GetCounter(kCounterName,
+                                       kCounterHelp,
+                                       {{"outcome", "relayed"}})),
+      local_count(metrics.GetCounter(kCounterName,
+                                     kCounterHelp,
+                                     {{"outcome", "local"}})),
+      unanswered_count(metrics.GetCounter(kCounterName,
+                                          kCounterHelp,
+                                          {{"outcome", "unanswered"}})),
+      ticked_at(ReadBootClock()),
+      flush([this] { this->FlushAll(); }),
+      tick(kTick, [this] { this->Tick(); }) {}
+
+auto RelayedWorkerClient::Start(const StartCommand& start,
+                                Duration timeout,
+                                OrderCallback callback) -> void {
+  this->Submit({start, timeout}, ToReportCallback(std::move(callback)));
+}
+
+auto RelayedWorkerClient::Stop(const StopCommand& stop,
+                               Duration timeout,
+                               OrderCallback callback) -> void {
+  this->Submit({stop, timeout}, ToReportCallback(std::move(callback)));
+}
+
+auto RelayedWorkerClient::Hold(const HoldCommand& hold,
+                               Duration timeout,
+                               ReportCallback callback) -> void {
+  this->Submit({hold, timeout}, std::move(callback));
+}
+
+auto RelayedWorkerClient::UseHelpers(const std::vector<RelayCandidate>& helpers)
+    -> void {
+  SetHelpers(this->paths, helpers);
+  for (const auto& [id, path] : this->paths.paths) {
+    if (path.wanted) {
+      this->links.Connect(RelayLinks::Side::kHelper, id, path.address);
+    }
+  }
+}
+
+auto RelayedWorkerClient::Submit(WorkerOrder order, ReportCallback callback)
+    -> void {
+  const RelayPath* path =
+      ChoosePath(this->paths, WorkerOf(order), ReadBootClock());
+  if (path == nullptr) {
+    this->SendLocally(order, std::move(callback));
+  } else {
+    this->Gather(path->entry, std::move(order), std::move(callback));
+  }
+}
+
+auto RelayedWorkerClient::Gather(const EntryId& helper,
+                                 WorkerOrder order,
+                                 ReportCallback callback) -> void {
+  peer::RelayedOrder message;
+  EncodeOrder(order, message);
+  const std::size_t bytes = message.ByteSizeLong();
+  if (bytes > kLargestOrder) {
+    this->SendLocally(order, std::move(callback));
+    return;
+  }
+  const std::uint64_t number = AddPending(
+      this->pending,
+      {helper, std::move(order), std::move(callback), ReadBootClock()});
+  message.set_number(number);
+  Batch& batch = this->batches[helper];
+  *batch.envelope.mutable_order_batch()->add_orders() = std::move(message);
+  batch.numbers.push_back(number);
+  batch.bytes += bytes;
+  if (batch.numbers.size() >= kBatchCount || batch.bytes >= kBatchBytes) {
+    auto full = this->batches.extract(helper);
+    this->Flush(full.key(), std::move(full.mapped()));
+  } else {
+    this->flush.Start(kBatchTime);
+  }
+}
+
+auto RelayedWorkerClient::FlushAll() -> void {
+  auto gathered = std::exchange(this->batches, {});
+  for (auto& [helper, batch] : gathered) {
+    this->Flush(helper, std::move(batch));
+  }
+}
+
+auto RelayedWorkerClient::Flush(const EntryId& helper, Batch batch) -> void {
+  batch.envelope.mutable_order_batch()->set_number(++this->last_batch);
+  if (this->links.Send(helper, std::move(batch.envelope))) {
+    return;
+  }
+  if (NoteSendFailure(this->paths, helper)) {
+    this->LogClosed(helper, "no connection");
+  }
+  for (const std::uint64_t number : batch.numbers) {
+    if (auto order = TakePending(this->pending, number, helper)) {
+      this->SendLocally(order->order, std::move(order->callback));
+    }
+  }
+}
+
+auto RelayedWorkerClient::SendLocally(const WorkerOrder& order,
+                                      ReportCallback callback) -> void {
+  this->local_count.Add();
+  PerformOrder(this->local, order, order.timeout, std::move(callback));
+}
+
+auto RelayedWorkerClient::TakeWelcomeMessage(const peer::Envelope& envelope)
+    -> void {
+  const peer::RelayWelcome& welcome = envelope.relay_welcome();
+  if (welcome.owner_incarnation() != this->links.Incarnation()) {
+    return;
+  }
+  const EntryId helper(envelope.sender());
+  if (TakeWelcome(this->paths, helper, envelope.incarnation(),
+                  welcome.stopping(), ReadBootClock())) {
+    this->logger.Info("relay", "relay_path_opened", {{"helper", helper}});
+  }
+}
+
+auto RelayedWorkerClient::TakeReplies(const peer::Envelope& envelope) -> void {
+  const peer::OrderReplyBatch& batch = envelope.order_reply_batch();
+  if (batch.owner_incarnation() != this->links.Incarnation()) {
+    return;
+  }
+  const EntryId helper(envelope.sender());
+  NoteReplies(this->paths, helper, batch.stopping(), ReadBootClock());
+  for (const peer::RelayedAnswer& answer : batch.answers()) {
+    this->TakeAnswer(helper, answer);
+  }
+}
+
+auto RelayedWorkerClient::TakeAnswer(const EntryId& helper,
+                                     const peer::RelayedAnswer& answer)
+    -> void {
+  auto order = TakePending(this->pending, answer.number(), helper);
+  if (!order) {
+    return;
+  }
+  if (answer.not_performed()) {
+    this->SendLocally(order->order, std::move(order->callback));
+    return;
+  }
+  this->relayed_count.Add();
+  order->callback(DecodeResult(answer));
+}
+
+auto RelayedWorkerClient::Tick() -> void {
+  const TimePoint now = ReadBootClock();
+  const bool late = now - this->ticked_at >= kLateTick;
+  this->ticked_at = now;
+  this->SendHellos(now);
+  if (late) {
+    return;
+  }
+  this->ExpireOrders(now);
+  for (const EntryId& helper : CloseSilentPaths(this->paths, now)) {
+    this->LogClosed(helper, "silent");
+  }
+  for (const EntryId& helper : DropUnwanted(this->paths, this->pending)) {
+    this->links.Disconnect(RelayLinks::Side::kHelper, helper);
+    this->LogClosed(helper, "not chosen");
+  }
+}
+
+auto RelayedWorkerClient::SendHellos(TimePoint now) -> void {
+  for (const EntryId& helper : TakeDueHellos(this->paths, now)) {
+    peer::Envelope envelope;
+    envelope.mutable_relay_hello()->set_address(this->links.Address());
+    // Repeated until it is answered.
+    this->links.Send(helper, std::move(envelope));
+  }
+}
+
+auto RelayedWorkerClient::ExpireOrders(TimePoint now) -> void {
+  for (PendingOrder& order : TakeOverdue(this->pending, now)) {
+    if (NoteUnanswered(this->paths, order.helper, order.sent_at, now)) {
+      this->logger.Warning("relay", "relay_path_paused",
+                           {{"helper", order.helper}});
+    }
+    this->unanswered_count.Add();
+    order.callback(OrderReply{OrderVerdict::kUnknown, std::nullopt,
+                              "no reply from helper " + order.helper.value});
+  }
+}
+
+auto RelayedWorkerClient::LogClosed(const EntryId& helper, const char* reason)
+    -> void {
+  this->logger.Info("relay", "relay_path_closed",
+                    {{"helper", helper}, {"reason", reason}});
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/relay/io_relayed_worker_client.h
@@ -0,0 +1,88 @@
+#ifndef FIREFLYTHREAD_RELAY_IO_RELAYED_WORKER_CLIENT_H_
+#define FIREFLYTHREAD_RELAY_IO_RELAYED_WORKER_CLIENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "fireflythread/base/io_periodic_timer.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/entry/one_shot_timer.h"
+#include "fireflythread/peer/generated/peer.pb.h"
+#include "fireflythread/platform/worker_client.h"
+#include "fireflythread/relay/fwd.h"
+#include "fireflythread/relay/pending_orders.h"
+#include "fireflythread/relay/relay_paths.h"
+#include "fireflythread/telemetry/counter.h"
+#include "fireflythread/telemetry/logger.h"
+#include "fireflythread/telemetry/metrics_registry.h"
+
+namespace fireflythread {
+
+/// Has a shard's orders to workers performed by other entries. An order goes to
+/// one helper, or to the local client when no helper can be reached; it is
+/// never repeated after it has left the process.
+class RelayedWorkerClient : public WorkerClient {
+ public:
+  RelayedWorkerClient(RelayLinks& links,
+                      WorkerClient& local,
+                      const Logger& logger,
+                      MetricsRegistry& metrics);
+
+  auto Start(const StartCommand& start,
+             Duration timeout,
+             OrderCallback callback) -> void override;
+  auto Stop(const StopCommand& stop, Duration timeout, OrderCallback callback)
+      -> void override;
+  auto Hold(const HoldCommand& hold, Duration timeout, ReportCallback callback)
+      -> void override;
+
+  /// Sets the entries to link to; none ends all links once their orders are
+  /// answered.
+  auto UseHelpers(const std::vector<RelayCandidate>& helpers) -> void;
+
+  /// Takes a RelayWelcome.
+  auto TakeWelcomeMessage(const peer::Envelope& envelope) -> void;
+  /// Takes an OrderReplyBatch.
+  auto TakeReplies(const peer::Envelope& envelope) -> void;
+
+ private:
+  /// Orders that are gathered for one helper.
+  struct Batch {
+    peer::Envelope envelope;
+    std::vector<std::uint64_t> numbers;
+    std::size_t bytes = 0;
+  };
+
+  auto Submit(WorkerOrder order, ReportCallback callback) -> void;
+  auto Gather(const EntryId& helper, WorkerOrder order, ReportCallback callback)
+      -> void;
+  auto FlushAll() -> void;
+  auto Flush(const EntryId& helper, Batch batch) -> void;
+  auto SendLocally(const WorkerOrder& order, ReportCallback callback) -> void;
+  auto TakeAnswer(const EntryId& helper, const peer::RelayedAnswer& answer)
+      -> void;
+  auto Tick() -> void;
+  auto SendHellos(TimePoint now) -> void;
+  auto ExpireOrders(TimePoint now) -> void;
+  auto LogClosed(const EntryId& helper, const char* reason) -> void;
+
+  RelayLinks& links;
+  WorkerClient& local;
+  const Logger& logger;
+  Counter& relayed_count;
+  Counter& local_count;
+  Counter& unanswered_count;
+  RelayPaths paths;
+  PendingOrders pending;
+  std::map<EntryId, Batch> batches;
+  std::uint64_t last_batch = 0;
+  TimePoint ticked_at;
+  OneShotTimer flush;
+  PeriodicTimer tick;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_RELAY_IO_RELAYED_WORKER_CLIENT_H_
--- /dev/null
+++ b/src/fireflythread/relay/pending_order.h
@@ -0,0 +1,21 @@
+#ifndef FIREFLYTHREAD_RELAY_PENDING_ORDER_H_
+#define FIREFLYTHREAD_RELAY_PENDING_ORDER_H_
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/platform/worker_client.h"
+#include "fireflythread/relay/worker_order.h"
+
+namespace fireflythread {
+
+/// An order handed to a path that has no reply yet.
+struct PendingOrder {
+  EntryId helper;
+  WorkerOrder order;
+  WorkerClient::ReportCallback callback;
+  TimePoint sent_at;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_RELAY_PENDING_ORDER_H_
--- /dev/null
+++ b/src/fireflythread/relay/relay_batching.h
@@ -0,0 +1,25 @@
+#ifndef FIREFLYTHREAD_RELAY_RELAY_BATCHING_H_
+#define FIREFLYTHREAD_RELAY_RELAY_BATCHING_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace fireflythread {
+
+/// Orders and answers are gathered for this long, so that one message carries
+/// many of them.
+inline constexpr std::chrono::milliseconds kBatchTime{2};
+
+/// A batch of this many is sent at once.
+inline constexpr int kBatchCount = 64;
+
+/// A batch of this many bytes is sent at once, so that no batch reaches the
+/// transport's limit of 8 MiB, beyond which a connection is closed.
+inline constexpr std::size_t kBatchBytes = std::size_t{256} << 10;
+
+/// A larger order is not relayed.
+inline constexpr std::size_t kLargestOrder = std::size_t{4} << 20;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_RELAY_RELAY_BATCHING_H_
--- /dev/null
+++ b/src/fireflythread/relay/relay_path.h
@@ -0,0 +1,34 @@
+#ifndef FIREFLYTHREAD_RELAY_RELAY_PATH_H_
+#define FIREFLYTHREAD_RELAY_RELAY_PATH_H_
+
+#include <cstdint>
+#include <string>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+
+namespace fireflythread {
+
+/// What an owner knows of one helper.
+struct RelayPath {
+  EntryId entry;
+  /// Of the helper's row; the path is used once this life has welcomed it.
+  std::uint64_t incarnation = 0;
+  std::string address;
+  double weight = 1;
+  /// Hash of the helper's id.
+  std::uint64_t hash = 0;
+  /// False once the helper is chosen no more; the path stays until its orders
+  /// are answered.
+  bool wanted = false;
+  /// The helper said that it takes no further orders.
+  bool stopping = false;
+  bool welcomed = false;
+  TimePoint heard_at;
+  TimePoint paused_until;
+  TimePoint next_hello;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_RELAY_RELAY_PATH_H_
--- /dev/null
+++ b/src/fireflythread/relay/relay_paths.h
@@ -0,0 +1,80 @@
+#ifndef FIREFLYTHREAD_RELAY_RELAY_PATHS_H_
+#define FIREFLYTHREAD_RELAY_RELAY_PATHS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/relay/fwd.h"
+#include "fireflythread/relay/relay_candidate.h"
+#include "fireflythread/relay/relay_path.h"
+
+namespace fireflythread {
+
+/// The helpers that an owner is linked to.
+struct RelayPaths {
+  std::map<EntryId, RelayPath> paths;
+};
+
+/// Period of the hello until it is answered.
+inline constexpr std::chrono::milliseconds kHelloRetry{250};
+
+/// Period of the hello to a helper that has welcomed it.
+inline constexpr std::chrono::milliseconds kHelloPeriod{1000};
+
+/// A path whose helper left three hellos unanswered is closed.
+inline constexpr std::chrono::milliseconds kPathSilence{3000};
+
+/// Pause of a path that left an order unanswered.
+inline constexpr std::chrono::milliseconds kPathPause{2000};
+
+/// Takes the helpers to use from now on. Paths to others get no more orders.
+auto SetHelpers(RelayPaths& state, const std::vector<RelayCandidate>& helpers)
+    -> void;
+
+/// The helpers that a hello is due for; counts as sent.
+[[nodiscard]] auto TakeDueHellos(RelayPaths& state, TimePoint now)
+    -> std::vector<EntryId>;
+
+/// Takes a welcome. True if it opens the path.
+[[nodiscard]] auto TakeWelcome(RelayPaths& state,
+                               const EntryId& helper,
+                               std::uint64_t incarnation,
+                               bool stopping,
+                               TimePoint now) -> bool;
+
+/// Notes a batch of replies.
+auto NoteReplies(RelayPaths& state,
+                 const EntryId& helper,
+                 bool stopping,
+                 TimePoint now) -> void;
+
+/// Notes that a message to the helper found no connection or a full queue. The
+/// path is used again after the next welcome. True if this closes the path.
+[[nodiscard]] auto NoteSendFailure(RelayPaths& state, const EntryId& helper)
+    -> bool;
+
+/// Notes that an order had no reply in time. True if this pauses the path:
+/// nothing was heard since the order was sent.
+[[nodiscard]] auto NoteUnanswered(RelayPaths& state,
+                                  const EntryId& helper,
+                                  TimePoint sent_at,
+                                  TimePoint now) -> bool;
+
+/// Closes the paths whose helpers are silent and gives their names.
+[[nodiscard]] auto CloseSilentPaths(RelayPaths& state, TimePoint now)
+    -> std::vector<EntryId>;
+
+/// Removes the paths that are chosen no more and have no open orders, and gives
+/// their names.
+[[nodiscard]] auto DropUnwanted(RelayPaths& state, const PendingOrders& pending)
+    -> std::vector<EntryId>;
+
+[[nodiscard]] auto IsUsable(const RelayPath& path, TimePoint now) -> bool;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_RELAY_RELAY_PATHS_H_
