--- a/test/fireflythread/peer/peer_transport_test.cc
+++ b/test/fireflythread/peer/peer_transport_test.cc
@@ -163,6 +163,53 @@
                  [&] { peer_b.transport->Broadcast(PingOf(1)); }));
 }
 
+// Guards against a daemon that takes hellos of strangers without its setting,
+// and against a helper that takes anything else of a stranger.
+TEST_CASE("a stranger's hello is admitted by setting only") {
+  const bool admits = GENERATE(false, true);
+  PeerTransportSettings settings;
+  settings.self = EntryId("a");
+  settings.listen_address = "127.0.0.1:0";
+  settings.admit_relay_hellos = admits;
+  int hellos = 0;
+  int others = 0;
+  const auto opened = PeerTransport::Open(
+      settings, nullptr, [&](const peer::Envelope& envelope) {
+        ++(envelope.has_relay_hello() ? hellos : others);
+      });
+  const auto& transport = *std::get<std::unique_ptr<PeerTransport>>(opened);
+  End stranger("z", {{EntryId("a"), transport.ListenAddress()}});
+  peer::Envelope hello;
+  hello.mutable_relay_hello()->set_address("127.0.0.1:1");
+  const PeerCounters& counters = transport.Counters();
+  CHECK(RunUntil(
+      [&] {
+        return counters.unknown_sender > 0 &&
+               counters.unknown_sender + counters.received > 4;
+      },
+      [&] {
+        stranger.transport->Send(EntryId("a"), hello);
+        stranger.transport->Send(EntryId("a"), PingOf(1));
+      }));
+  CHECK((hellos > 0) == admits);
+  CHECK(others == 0);
+}
+
+// Guards against messages of a peer that was removed.
+TEST_CASE("a removed peer is a stranger") {
+  End first("a");
+  End second("b", {{EntryId("a"), first.Address()}});
+  first.transport->SetPeerAddress(EntryId("b"), second.Address());
+  const auto send = [&] { second.transport->Broadcast(PingOf(1)); };
+  REQUIRE(RunUntil([&] { return first.received > 0; }, send));
+  first.transport->RemovePeer(EntryId("b"));
+  const int received = first.received;
+  CHECK(RunUntil([&] { return first.transport->Counters().unknown_sender > 0; },
+                 send));
+  CHECK(first.received == received);
+  CHECK_FALSE(first.transport->Send(EntryId("b"), PingOf(2)));
+}
+
 // Guards against an entry that listens to the whole network without keys.
 TEST_CASE("without keys the transport listens on loopback only") {
   PeerTransportSettings settings;
--- /dev/null
+++ b/test/fireflythread/relay/fake_workers.h
@@ -0,0 +1,53 @@
+#ifndef TEST_FIREFLYTHREAD_RELAY_FAKE_WORKERS_H_
+#define TEST_FIREFLYTHREAD_RELAY_FAKE_WORKERS_H_
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+#include "fireflythread/platform/worker_client.h"
+
+namespace fireflythread::test {
+
+/// Workers that note each order and answer when they are told to.
+class FakeWorkers : public WorkerClient {
+ public:
+  auto Start(const StartCommand& start, Duration, OrderCallback callback)
+      -> void override {
+    this->called.push_back(start.worker);
+    this->open.emplace_back([done = std::move(callback)] {
+      done({OrderVerdict::kDone, std::chrono::milliseconds(7), "as told"});
+    });
+  }
+
+  auto Stop(const StopCommand& stop, Duration, OrderCallback callback)
+      -> void override {
+    this->called.push_back(stop.worker);
+    this->open.emplace_back(
+        [done = std::move(callback)] { done({OrderVerdict::kOldRun}); });
+  }
+
+  auto Hold(const HoldCommand& hold, Duration, ReportCallback callback)
+      -> void override {
+    this->called.push_back(hold.worker);
+    this->open.emplace_back([done = std::move(callback)] {
+      WorkerReport report;
+      report.clock = std::chrono::milliseconds(8);
+      done(report);
+    });
+  }
+
+  auto AnswerAll() -> void {
+    for (const auto& answer : std::exchange(this->open, {})) {
+      answer();
+    }
+  }
+
+  /// The worker of each order that this client sent.
+  std::vector<WorkerId> called;
+  std::vector<std::function<void()>> open;
+};
+
+}  // namespace fireflythread::test
+
+#endif  // TEST_FIREFLYTHREAD_RELAY_FAKE_WORKERS_H_
--- /dev/null
+++ b/test/fireflythread/relay/order_codec_test.cc
@@ -0,0 +1,177 @@
+#include <rapidcheck.h>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "fireflythread/relay/io_order_codec.h"
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+auto Text() -> std::string {
+  return *rc::gen::arbitrary<std::string>();
+}
+
+auto Number() -> std::uint64_t {
+  return *rc::gen::arbitrary<std::uint64_t>();
+}
+
+auto Int() -> int {
+  return *rc::gen::arbitrary<int>();
+}
+
+auto Time() -> milliseconds {
+  return milliseconds(*rc::gen::arbitrary<std::int64_t>());
+}
+
+auto MaybeTime() -> std::optional<milliseconds> {
+  return *rc::gen::arbitrary<bool>() ? std::optional(Time()) : std::nullopt;
+}
+
+auto Task() -> TaskName {
+  return {JobId(Text()), Int(), Int(), Int()};
+}
+
+/// The message after the way over the wire. Texts may hold any bytes, which
+/// protobuf's type `string` would refuse here.
+template <typename Message>
+auto Transmit(const Message& message) -> Message {
+  Message received;
+  RC_ASSERT(received.ParseFromString(message.SerializeAsString()));
+  return received;
+}
+
+auto Transmit(const WorkerOrder& order) -> WorkerOrder {
+  peer::RelayedOrder message;
+  EncodeOrder(order, message);
+  const auto decoded = DecodeOrder(Transmit(message));
+  RC_ASSERT(decoded.has_value());
+  RC_ASSERT(decoded->timeout == order.timeout);
+  return *decoded;
+}
+
+auto Transmit(const OrderResult& result) -> OrderResult {
+  peer::RelayedAnswer message;
+  EncodeResult(result, message);
+  return DecodeResult(Transmit(message));
+}
+
+auto CheckSame(const RunningRun& run, const RunningRun& sent) -> void {
+  RC_ASSERT(run.task == sent.task);
+  RC_ASSERT(run.run == sent.run);
+  RC_ASSERT(run.checkpoint == sent.checkpoint);
+  RC_ASSERT(run.percent == sent.percent);
+  RC_ASSERT(run.usage == sent.usage);
+}
+
+auto CheckSame(const EndedRun& run, const EndedRun& sent) -> void {
+  RC_ASSERT(run.number == sent.number);
+  RC_ASSERT(run.task == sent.task);
+  RC_ASSERT(run.run == sent.run);
+  RC_ASSERT(run.end == sent.end);
+  RC_ASSERT(run.checkpoint == sent.checkpoint);
+}
+
+}  // namespace
+
+// Guards against a member of an order that is lost on the way to a helper.
+TEST_CASE("orders arrive as they were given") {
+  CHECK(rc::check("start", [] {
+    const StartCommand sent{WorkerId(Text()), Text(),   Task(), Int(), Text(),
+                            Time(),           Number(), Text(), Text()};
+    const WorkerOrder order = Transmit(WorkerOrder{sent, Time()});
+    const auto& start = std::get<StartCommand>(order.command);
+    RC_ASSERT(start.worker == sent.worker);
+    RC_ASSERT(start.address == sent.address);
+    RC_ASSERT(start.task == sent.task);
+    RC_ASSERT(start.run == sent.run);
+    RC_ASSERT(start.spec == sent.spec);
+    RC_ASSERT(start.deadline == sent.deadline);
+    RC_ASSERT(start.fence == sent.fence);
+    RC_ASSERT(start.checkpoint == sent.checkpoint);
+    RC_ASSERT(start.ticket == sent.ticket);
+  }));
+  CHECK(rc::check("stop", [] {
+    const StopCommand sent{WorkerId(Text()), Text(), Task(), Int(), Number()};
+    const WorkerOrder order = Transmit(WorkerOrder{sent, Time()});
+    const auto& stop = std::get<StopCommand>(order.command);
+    RC_ASSERT(stop.worker == sent.worker);
+    RC_ASSERT(stop.address == sent.address);
+    RC_ASSERT(stop.task == sent.task);
+    RC_ASSERT(stop.run == sent.run);
+    RC_ASSERT(stop.fence == sent.fence);
+  }));
+  CHECK(rc::check("hold", [] {
+    const HoldCommand sent{WorkerId(Text()), Text(),      Number(),
+                           Number(),         MaybeTime(), Time()};
+    const WorkerOrder order = Transmit(WorkerOrder{sent, Time()});
+    const auto& hold = std::get<HoldCommand>(order.command);
+    RC_ASSERT(hold.worker == sent.worker);
+    RC_ASSERT(hold.address == sent.address);
+    RC_ASSERT(hold.fence == sent.fence);
+    RC_ASSERT(hold.last_seen == sent.last_seen);
+    RC_ASSERT(hold.deadline == sent.deadline);
+    RC_ASSERT(hold.wait == sent.wait);
+  }));
+}
+
+// Guards against a verdict, a reason or a run that changes on the way back.
+TEST_CASE("replies and reports arrive as they were given") {
+  CHECK(rc::check("reply", [] {
+    const OrderReply sent{static_cast<OrderVerdict>(*rc::gen::inRange(
+                              0, static_cast<int>(OrderVerdict::kNotSent) + 1)),
+                          MaybeTime(), Text()};
+    const OrderResult result = Transmit(OrderResult(sent));
+    const auto& reply = std::get<OrderReply>(result);
+    RC_ASSERT(reply.verdict == sent.verdict);
+    RC_ASSERT(reply.clock == sent.clock);
+    RC_ASSERT(reply.reason == sent.reason);
+  }));
+  CHECK(rc::check("report", [] {
+    WorkerReport sent;
+    sent.clock = Time();
+    sent.born = Time();
+    for (int left = *rc::gen::inRange(0, 5); left > 0; --left) {
+      sent.running.push_back(
+          {Task(), Int(), Text(), Int(), *rc::gen::arbitrary<std::int64_t>()});
+    }
+    for (int left = *rc::gen::inRange(0, 5); left > 0; --left) {
+      sent.ended.push_back({Number(), Task(), Int(),
+                            static_cast<RunEnd>(*rc::gen::inRange(
+                                0, static_cast<int>(RunEnd::kAlone) + 1)),
+                            Text()});
+    }
+    const OrderResult result = Transmit(OrderResult(sent));
+    const auto& report = std::get<WorkerReport>(result);
+    RC_ASSERT(report.clock == sent.clock);
+    RC_ASSERT(report.born == sent.born);
+    RC_ASSERT(report.running.size() == sent.running.size());
+    for (std::size_t i = 0; i < sent.running.size(); ++i) {
+      CheckSame(report.running[i], sent.running[i]);
+    }
+    RC_ASSERT(report.ended.size() == sent.ended.size());
+    for (std::size_t i = 0; i < sent.ended.size(); ++i) {
+      CheckSame(report.ended[i], sent.ended[i]);
+    }
+  }));
+}
+
+// Guards against a message of a newer version that is taken for something
+// else, e.g. an order that may have run for one that did not.
+TEST_CASE("what this version cannot read is no order and an unknown result") {
+  CHECK_FALSE(DecodeOrder(peer::RelayedOrder()).has_value());
+  peer::RelayedAnswer answer;
+  CHECK(std::get<OrderReply>(DecodeResult(answer)).verdict ==
+        OrderVerdict::kUnknown);
+  answer.mutable_reply()->set_verdict(1000);
+  CHECK(std::get<OrderReply>(DecodeResult(answer)).verdict ==
+        OrderVerdict::kUnknown);
+  answer.mutable_report()->add_ended()->set_end(1000);
+  CHECK(std::get<OrderReply>(DecodeResult(answer)).verdict ==
+        OrderVerdict::kUnknown);
+}
+
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/relay/order_relay_test.cc
@@ -0,0 +1,132 @@
+#include "fireflythread/relay/io_order_relay.h"
+
+#include <glib.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/relay/io_order_codec.h"
+#include "fireflythread/relay/io_relay_links.h"
+#include "test/fireflythread/relay/fake_workers.h"
+
+namespace fireflythread::test {
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(20);
+
+auto RunUntil(
+    const std::function<bool()>& done,
+    const std::function<void()>& action = [] {}) -> bool {
+  const TimePoint end = ReadBootClock() + kPatience;
+  const guint tick = g_timeout_add(
+      20, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; }, nullptr);
+  while (!done() && ReadBootClock() < end) {
+    action();
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  g_source_remove(tick);
+  return done();
+}
+
+auto Ignore(const peer::Envelope& /*envelope*/) -> void {}
+
+/// A helper, and an owner that speaks the messages by hand.
+struct Pair {
+  Pair() {
+    RelayLinks::Handlers helper_side{
+        [this](const auto& envelope) { this->relay.TakeHello(envelope); },
+        Ignore,
+        [this](const auto& envelope) { this->relay.TakeOrders(envelope); },
+        Ignore};
+    REQUIRE(this->helper.Open("127.0.0.1:0", helper_side) == std::nullopt);
+    RelayLinks::Handlers owner_side{
+        Ignore, [this](const auto&) { ++this->welcomes; }, Ignore,
+        [this](const peer::Envelope& envelope) {
+          for (const auto& answer : envelope.order_reply_batch().answers()) {
+            this->answers.push_back(answer);
+          }
+        }};
+    REQUIRE(this->owner.Open("127.0.0.1:0", owner_side) == std::nullopt);
+    this->owner.Connect(RelayLinks::Side::kHelper, EntryId("h"),
+                        this->helper.Address());
+  }
+
+  auto SayHello() -> void {
+    peer::Envelope hello;
+    hello.mutable_relay_hello()->set_address(this->owner.Address());
+    this->owner.Send(EntryId("h"), std::move(hello));
+  }
+
+  auto Greet() -> void {
+    REQUIRE(RunUntil([this] { return this->welcomes > 0; },
+                     [this] { this->SayHello(); }));
+  }
+
+  auto SendBatch(std::uint64_t batch, std::uint64_t order, Duration timeout)
+      -> void {
+    peer::Envelope envelope;
+    envelope.mutable_order_batch()->set_number(batch);
+    peer::RelayedOrder& message = *envelope.mutable_order_batch()->add_orders();
+    EncodeOrder({StopCommand{}, timeout}, message);
+    message.set_number(order);
+    REQUIRE(this->owner.Send(EntryId("h"), std::move(envelope)));
+  }
+
+  FakeWorkers workers;
+  RelayLinks helper{EntryId("h"), 1};
+  RelayLinks owner{EntryId("o"), 2};
+  OrderRelay relay{this->helper, this->workers};
+  int welcomes = 0;
+  std::vector<peer::RelayedAnswer> answers;
+};
+
+constexpr Duration kLongTimeout = std::chrono::seconds(60);
+
+}  // namespace
+
+// Guards against an order that is carried out after its owner gave it up.
+TEST_CASE("a helper does not start an order whose time has passed", "[relay]") {
+  Pair pair;
+  pair.Greet();
+  pair.SendBatch(1, 11, Duration(0));
+  REQUIRE(RunUntil([&] { return pair.answers.size() == 1; }));
+  CHECK(pair.answers[0].number() == 11);
+  CHECK(std::get<OrderReply>(DecodeResult(pair.answers[0])).verdict ==
+        OrderVerdict::kNotSent);
+  CHECK(pair.workers.called.empty());
+}
+
+// Guards against an order that is carried out twice when the network delivers
+// its message twice.
+TEST_CASE("a helper performs a batch once", "[relay]") {
+  Pair pair;
+  pair.Greet();
+  pair.SendBatch(2, 12, kLongTimeout);
+  pair.SendBatch(2, 12, kLongTimeout);
+  pair.SendBatch(1, 11, kLongTimeout);
+  pair.SendBatch(3, 13, kLongTimeout);
+  REQUIRE(RunUntil([&] { return pair.answers.size() == 2; },
+                   [&] { pair.workers.AnswerAll(); }));
+  CHECK(pair.workers.called.size() == 2);
+  CHECK(pair.answers[0].number() == 12);
+  CHECK(pair.answers[1].number() == 13);
+}
+
+// Guards against an order of a newer version that its owner takes for done.
+TEST_CASE("a helper hands back an order that it cannot read", "[relay]") {
+  Pair pair;
+  pair.Greet();
+  peer::Envelope envelope;
+  envelope.mutable_order_batch()->set_number(1);
+  envelope.mutable_order_batch()->add_orders()->set_number(11);
+  REQUIRE(pair.owner.Send(EntryId("h"), std::move(envelope)));
+  REQUIRE(RunUntil([&] { return pair.answers.size() == 1; }));
+  CHECK(pair.answers[0].not_performed());
+  CHECK(pair.workers.called.empty());
+}
+
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/relay/path_choice_test.cc
@@ -0,0 +1,96 @@
+#include "fireflythread/relay/path_choice.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fireflythread/relay/relay_paths.h"
+
+namespace fireflythread::test {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::hours(1)};
+constexpr int kWorkers = 20000;
+
+auto MakePaths(const std::vector<double>& weights) -> RelayPaths {
+  std::vector<RelayCandidate> helpers;
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    RelayCandidate helper;
+    helper.entry = EntryId("depot-" + std::to_string(i));
+    helper.incarnation = 1;
+    helper.address = "127.0.0.1:1";
+    helper.weight = weights[i];
+    helpers.push_back(helper);
+  }
+  RelayPaths state;
+  SetHelpers(state, helpers);
+  for (const RelayCandidate& helper : helpers) {
+    REQUIRE(TakeWelcome(state, helper.entry, 1, false, kNow));
+  }
+  return state;
+}
+
+auto ChooseAll(const RelayPaths& state) -> std::vector<EntryId> {
+  std::vector<EntryId> choices;
+  for (int i = 0; i < kWorkers; ++i) {
+    const RelayPath* path =
+        ChoosePath(state, WorkerId("i-" + std::to_string(i)), kNow);
+    REQUIRE(path != nullptr);
+    choices.push_back(path->entry);
+  }
+  return choices;
+}
+
+}  // namespace
+
+// Guards against an order that is handed to a path that cannot be used.
+TEST_CASE("no path is chosen when none is usable") {
+  CHECK(ChoosePath(RelayPaths{}, WorkerId("i-1"), kNow) == nullptr);
+  RelayPaths state = MakePaths({1});
+  CHECK(ChoosePath(state, WorkerId("i-1"), kNow) != nullptr);
+  SetHelpers(state, {});
+  CHECK(ChoosePath(state, WorkerId("i-1"), kNow) == nullptr);
+}
+
+// Guards against connections to all workers that are opened anew whenever an
+// entry comes or goes.
+TEST_CASE("only the workers of a helper that leaves change") {
+  RelayPaths state = MakePaths({1, 4, 1, 2});
+  const std::vector<EntryId> before = ChooseAll(state);
+  const EntryId gone("depot-1");
+  CHECK(NoteSendFailure(state, gone));
+  const std::vector<EntryId> after = ChooseAll(state);
+  int moved_to_others = 0;
+  for (int i = 0; i < kWorkers; ++i) {
+    CHECK(after[i] != gone);
+    if (before[i] == gone) {
+      moved_to_others += after[i] != before[(i + 1) % kWorkers] ? 1 : 0;
+    } else {
+      CHECK(after[i] == before[i]);
+    }
+  }
+  CHECK(moved_to_others > 0);
+}
+
+// Guards against a small entry that gets as much work as a large one.
+TEST_CASE("workers are spread in proportion to weight") {
+  const std::vector<double> weights = {0.12, 0.12, 0.25, 0.5};
+  std::map<EntryId, int> counts;
+  for (const EntryId& entry : ChooseAll(MakePaths(weights))) {
+    ++counts[entry];
+  }
+  double sum = 0;
+  for (const double weight : weights) {
+    sum += weight;
+  }
+  for (std::size_t i = 0; i < weights.size(); ++i) {
+    const double expected = kWorkers * weights[i] / sum;
+    // Five standard deviations of a count of 2,400 are 10%.
+    CHECK(counts[EntryId("depot-" + std::to_string(i))] ==
+          Approx(expected).epsilon(0.1));
+  }
+}
+
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/relay/relay_candidate_test.cc
@@ -0,0 +1,81 @@
+#include "fireflythread/relay/relay_candidate.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "fireflythread/ownership/ownership.h"
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+/// The row that an entry writes.
+auto RowOf(const char* entry,
+           const char* peer,
+           bool stopping,
+           std::uint64_t version) -> Row {
+  OwnershipState state;
+  state.self = EntryId(entry);
+  state.incarnation = version;
+  state.stopping = stopping;
+  state.peer = peer;
+  const Transaction renewal = MakeRenewal(state);
+  return {renewal.writes.at(0).table, renewal.writes.at(0).key, version,
+          *renewal.writes.at(0).value};
+}
+
+auto Names(const std::vector<RelayCandidate>& candidates) -> std::string {
+  std::string names;
+  for (const RelayCandidate& candidate : candidates) {
+    names += candidate.entry.value;
+  }
+  return names;
+}
+
+auto MakeState() -> OwnershipState {
+  OwnershipState state;
+  state.self = EntryId("s");
+  TakeEntryRows(
+      state,
+      {RowOf("a", "10.0.0.1:2", false, 1), RowOf("b", "10.0.0.2:2", false, 2),
+       RowOf("c", "", false, 3), RowOf("d", "10.0.0.4:2", true, 4),
+       RowOf("s", "10.0.0.9:2", false, 9)},
+      kStart);
+  return state;
+}
+
+}  // namespace
+
+// Guards against links to entries that are gone, leave, or do not listen, and
+// against work for an entry that has a shard of its own.
+TEST_CASE("helpers are live entries, first those without a shard") {
+  OwnershipState state = MakeState();
+  CHECK(Names(ListCandidates(state)) == "abcd");
+  CHECK(ListCandidates(state).at(1).address == "10.0.0.2:2");
+  CHECK(ListCandidates(state).at(1).incarnation == 2);
+  CHECK(Names(ChooseHelpers(ListCandidates(state))) == "ab");
+  TakeShardRow(state, {std::string(kShardTable), "p", 10,
+                       R"({"owner":"a","incarnation":1})"});
+  CHECK(Names(ChooseHelpers(ListCandidates(state))) == "b");
+  TakeShardRow(state, {std::string(kShardTable), "q", 11,
+                       R"({"owner":"b","incarnation":2})"});
+  CHECK(Names(ChooseHelpers(ListCandidates(state))) == "ab");
+}
+
+// Guards against helpers that are all dropped while the store is down.
+TEST_CASE("entries are alive as of the last reading of their rows") {
+  OwnershipState state = MakeState();
+  const TimePoint later = kStart + milliseconds(3000);
+  TakeEntryRows(
+      state,
+      {RowOf("a", "10.0.0.1:2", false, 1), RowOf("b", "10.0.0.2:2", false, 20)},
+      later);
+  CHECK(Names(ChooseHelpers(ListCandidates(state))) == "b");
+}
+
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/relay/relay_node_test.cc
@@ -0,0 +1,290 @@
+#include "fireflythread/relay/io_relay_node.h"
+
+#include <glib.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fireflythread/base/io_clock.h"
+#include "test/fireflythread/relay/fake_workers.h"
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// How long an event may take before a test fails. Only a failing test waits
+/// for all of it.
+constexpr Duration kPatience = seconds(20);
+
+/// Longer than any of these tests, so that no order is given up.
+constexpr Duration kLongTimeout = seconds(60);
+
+/// Runs the main loop, and `action` each 20 ms, until `done`.
+auto RunUntil(
+    const std::function<bool()>& done,
+    const std::function<void()>& action = [] {}) -> bool {
+  const TimePoint end = ReadBootClock() + kPatience;
+  const guint tick = g_timeout_add(
+      20, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; }, nullptr);
+  while (!done() && ReadBootClock() < end) {
+    action();
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  g_source_remove(tick);
+  return done();
+}
+
+/// One entry on a free port of loopback, with workers of its own.
+struct Entry {
+  explicit Entry(const char* name, std::uint64_t incarnation = 1)
+      : id(name), life(incarnation) {
+    REQUIRE(this->node.Open("127.0.0.1:0") == std::nullopt);
+  }
+
+  [[nodiscard]] auto AsCandidate() const -> RelayCandidate {
+    RelayCandidate candidate;
+    candidate.entry = this->id;
+    candidate.incarnation = this->life;
+    candidate.address = this->node.Address();
+    candidate.alive = true;
+    return candidate;
+  }
+
+  /// How often the entry logged the event.
+  [[nodiscard]] auto Logged(const std::string& event) const -> int {
+    int count = 0;
+    for (const std::string& line : this->lines) {
+      count += line.find('"' + event + '"') == std::string::npos ? 0 : 1;
+    }
+    return count;
+  }
+
+  EntryId id;
+  std::uint64_t life;
+  std::vector<std::string> lines;
+  Logger logger{
+      {EntryId("test"), ZoneName("test")},
+      LogLevel::kDebug,
+      [this](std::string_view line) { this->lines.emplace_back(line); },
+      [] { return WallTime(); }};
+  MetricsRegistry metrics;
+  FakeWorkers workers;
+  RelayNode node{this->id, this->life, this->workers, this->logger,
+                 this->metrics};
+};
+
+/// The owner knows the helpers and all paths are open.
+auto Link(Entry& owner, const std::vector<Entry*>& helpers) -> void {
+  std::vector<RelayCandidate> candidates;
+  for (const Entry* helper : helpers) {
+    candidates.push_back(helper->AsCandidate());
+  }
+  const int opened = owner.Logged("relay_path_opened");
+  owner.node.SetEntries(candidates, true);
+  REQUIRE(RunUntil([&] {
+    return owner.Logged("relay_path_opened") - opened ==
+           static_cast<int>(helpers.size());
+  }));
+}
+
+auto StartOf(const std::string& worker) -> StartCommand {
+  StartCommand start;
+  start.worker = WorkerId(worker);
+  start.task.job = JobId("job");
+  return start;
+}
+
+/// The replies that the owner got, by the order's name.
+using Replies = std::map<std::string, std::vector<OrderReply>>;
+
+auto SendStart(Entry& owner,
+               const std::string& worker,
+               Duration timeout,
+               Replies& replies) -> void {
+  owner.node.Workers().Start(StartOf(worker), timeout,
+                             [worker, &replies](OrderReply reply) {
+                               replies[worker].push_back(std::move(reply));
+                             });
+}
+
+}  // namespace
+
+// Guards against an owner whose main loop is taken up by calls to workers. An
+// owner without the relay sends all 300 orders itself.
+TEST_CASE("An owner with helpers sends no order itself", "[relay]") {
+  Entry owner("owner");
+  Entry first("first");
+  Entry second("second");
+  Link(owner, {&first, &second});
+  constexpr int kWorkers = 100;
+  int done = 0;
+  int reports = 0;
+  int stopped = 0;
+  for (int i = 0; i < kWorkers; ++i) {
+    const std::string worker = "i-" + std::to_string(i);
+    WorkerClient& client = owner.node.Workers();
+    client.Start(StartOf(worker), kLongTimeout, [&](const OrderReply& reply) {
+      done += reply.verdict == OrderVerdict::kDone &&
+                      reply.clock == milliseconds(7) &&
+                      reply.reason == "as told"
+                  ? 1
+                  : 0;
+    });
+    HoldCommand hold;
+    hold.worker = WorkerId(worker);
+    client.Hold(hold, kLongTimeout, [&](const OrderResult& result) {
+      const auto* report = std::get_if<WorkerReport>(&result);
+      reports += report != nullptr && report->clock == milliseconds(8) ? 1 : 0;
+    });
+    StopCommand stop;
+    stop.worker = WorkerId(worker);
+    client.Stop(stop, kLongTimeout, [&](const OrderReply& reply) {
+      stopped += reply.verdict == OrderVerdict::kOldRun ? 1 : 0;
+    });
+  }
+  CHECK(RunUntil([&] { return done + reports + stopped == 3 * kWorkers; },
+                 [&] {
+                   owner.workers.AnswerAll();
+                   first.workers.AnswerAll();
+                   second.workers.AnswerAll();
+                 }));
+  CHECK(owner.workers.called.empty());
+  CHECK(first.workers.called.size() + second.workers.called.size() ==
+        3 * kWorkers);
+  // Each worker is called by one helper, whose connection is used again.
+  std::set<WorkerId> of_first(first.workers.called.begin(),
+                              first.workers.called.end());
+  std::set<WorkerId> of_second(second.workers.called.begin(),
+                               second.workers.called.end());
+  CHECK_FALSE(of_first.empty());
+  CHECK_FALSE(of_second.empty());
+  CHECK(of_first.size() + of_second.size() == kWorkers);
+}
+
+// Guards against a run that starts twice because its order is repeated, and
+// against an owner that waits for ever.
+TEST_CASE("an order whose helper vanishes is unknown and not sent again",
+          "[relay]") {
+  Entry owner("owner");
+  auto helper = std::make_unique<Entry>("helper");
+  Link(owner, {helper.get()});
+  Replies replies;
+  SendStart(owner, "lost", milliseconds(500), replies);
+  REQUIRE(RunUntil([&] { return helper->workers.called.size() == 1; }));
+  helper.reset();
+  REQUIRE(RunUntil([&] { return !replies["lost"].empty(); }));
+  CHECK(replies["lost"][0].verdict == OrderVerdict::kUnknown);
+  // The next order finds the path closed and goes out locally.
+  SendStart(owner, "next", kLongTimeout, replies);
+  REQUIRE(RunUntil([&] { return !replies["next"].empty(); },
+                   [&] { owner.workers.AnswerAll(); }));
+  CHECK(replies["next"][0].verdict == OrderVerdict::kDone);
+  CHECK(owner.workers.called == std::vector<WorkerId>{WorkerId("next")});
+  CHECK(replies["lost"].size() == 1);
+}
+
+// Guards against orders that are not sent at all where there is one entry, or
+// before the helpers are known.
+TEST_CASE("orders go out locally when there is no helper", "[relay]") {
+  Entry owner("owner");
+  Replies replies;
+  SendStart(owner, "i-1", kLongTimeout, replies);
+  CHECK(owner.workers.called.size() == 1);
+  RelayCandidate gone;
+  gone.entry = EntryId("gone");
+  gone.incarnation = 1;
+  gone.address = "127.0.0.1:1";
+  gone.alive = true;
+  owner.node.SetEntries({gone}, true);
+  SendStart(owner, "i-2", kLongTimeout, replies);
+  CHECK(owner.workers.called.size() == 2);
+  owner.workers.AnswerAll();
+  CHECK(replies["i-1"].size() == 1);
+  CHECK(replies["i-2"].size() == 1);
+}
+
+// Guards against orders that are lost because their helper restarts by plan.
+TEST_CASE("a helper that leaves finishes what it has and hands back the rest",
+          "[relay]") {
+  Entry owner("owner");
+  Entry helper("helper");
+  Link(owner, {&helper});
+  Replies replies;
+  SendStart(owner, "taken", kLongTimeout, replies);
+  REQUIRE(RunUntil([&] { return helper.workers.called.size() == 1; }));
+  helper.node.Leave();
+  CHECK_FALSE(helper.node.IsIdle());
+  // The owner has not heard of it yet, so that this order reaches the helper.
+  SendStart(owner, "refused", kLongTimeout, replies);
+  REQUIRE(RunUntil([&] { return !owner.workers.called.empty(); }));
+  helper.workers.AnswerAll();
+  owner.workers.AnswerAll();
+  REQUIRE(RunUntil([&] { return !replies["taken"].empty(); }));
+  REQUIRE(RunUntil([&] { return helper.node.IsIdle(); }));
+  CHECK(replies["taken"].size() == 1);
+  CHECK(replies["taken"][0].verdict == OrderVerdict::kDone);
+  CHECK(replies["refused"].size() == 1);
+  CHECK(replies["refused"][0].verdict == OrderVerdict::kDone);
+  CHECK(helper.workers.called.size() == 1);
+  SendStart(owner, "later", kLongTimeout, replies);
+  CHECK(owner.workers.called.size() == 2);
+}
+
+// Guards against a callback that runs again for a reply after its time.
+TEST_CASE("a late reply is ignored", "[relay]") {
+  Entry owner("owner");
+  Entry helper("helper");
+  Link(owner, {&helper});
+  Replies replies;
+  SendStart(owner, "late", milliseconds(50), replies);
+  SendStart(owner, "patient", kLongTimeout, replies);
+  REQUIRE(RunUntil([&] { return helper.workers.open.size() == 2; }));
+  REQUIRE(RunUntil([&] { return !replies["late"].empty(); }));
+  CHECK(replies["late"][0].verdict == OrderVerdict::kUnknown);
+  helper.workers.AnswerAll();
+  REQUIRE(RunUntil([&] { return !replies["patient"].empty(); }));
+  CHECK(replies["late"].size() == 1);
+  CHECK(owner.workers.called.empty());
+}
+
+// Guards against the end of one direction that cuts the other: both entries
+// own a shard and help each other.
+TEST_CASE("a link stays while the other side uses it", "[relay]") {
+  Entry first("first");
+  Entry second("second");
+  Link(first, {&second});
+  Link(second, {&first});
+  first.node.SetEntries({}, false);
+  REQUIRE(RunUntil([&] { return first.Logged("relay_path_closed") == 1; }));
+  Replies replies;
+  SendStart(second, "i-1", kLongTimeout, replies);
+  CHECK(RunUntil([&] { return !replies["i-1"].empty(); },
+                 [&] { first.workers.AnswerAll(); }));
+  CHECK(second.workers.called.empty());
+}
+
+// Guards against a helper that restarted and is never used again, and against
+// one that is used before it knows the owner.
+TEST_CASE("a helper is used again in its next life", "[relay]") {
+  Entry owner("owner");
+  auto helper = std::make_unique<Entry>("helper", 1);
+  Link(owner, {helper.get()});
+  helper = std::make_unique<Entry>("helper", 2);
+  Link(owner, {helper.get()});
+  Replies replies;
+  SendStart(owner, "i-1", kLongTimeout, replies);
+  CHECK(RunUntil([&] { return !replies["i-1"].empty(); },
+                 [&] { helper->workers.AnswerAll(); }));
+  CHECK(helper->workers.called.size() == 1);
+  CHECK(owner.workers.called.empty());
+}
+
+}  // namespace fireflythread::test
