Make submissions depend on another shard only where its queue came from

Callers of the two short queues got too few answers in time.

For two minutes after its start, each entry made its submissions depend on the absence of the job in all other shards. Such a transaction runs in the parts of all shards and takes twice as long, so 180 jobs a second of one queue needed more than the whole time of every part.

A row for each queue now tells which service its jobs go to and which they went to in the last two minutes. All entries read and write it when a configuration comes into force, so an entry that starts knows the moves before it. Only while the row is unknown, all shards count.

--- a/src/fireflythread/entry/config_task.cc
+++ b/src/fireflythread/entry/config_task.cc
@@ -3,17 +3,9 @@
 #include <utility>
 #include <variant>
 
-#include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/store_timeouts.h"
 
 namespace fireflythread {
-namespace {
-
-/// A caller may repeat a submission for this long.
-constexpr std::chrono::minutes kRepeatTime{2};
-
-}  // namespace
-
 ConfigTask::ConfigTask(PlatformRecords& platform_records,
                        const Logger& log,
                        std::function<void()> changed)
@@ -23,7 +15,6 @@
       retry([this] { this->must_read ? this->Read() : this->Follow(); }) {}
 
 auto ConfigTask::Start() -> void {
-  this->started_at = ReadBootClock();
   this->Read();
 }
 
@@ -31,29 +22,6 @@
   return this->configuration ? &*this->configuration : nullptr;
 }
 
-auto ConfigTask::MayHaveMoved(const QueueName& queue) const -> bool {
-  const TimePoint now = ReadBootClock();
-  const auto moved = this->moved_at.find(queue);
-  return now - this->started_at < kRepeatTime ||
-         (moved != this->moved_at.end() && now - moved->second < kRepeatTime);
-}
-
-auto ConfigTask::NoteMoves(const Configuration& next) -> void {
-  if (!this->configuration) {
-    return;
-  }
-  std::map<QueueName, ServiceName> before;
-  for (const Queue& queue : this->configuration->queues) {
-    before.emplace(queue.name, queue.service);
-  }
-  for (const Queue& queue : next.queues) {
-    const auto known = before.find(queue.name);
-    if (known != before.end() && known->second != queue.service) {
-      this->moved_at[queue.name] = ReadBootClock();
-    }
-  }
-}
-
 auto ConfigTask::Read() -> void {
   this->records.ReadOperator(kStoreTimeout,
                              this->alive.Guard([this](auto&& result) {
@@ -99,7 +67,6 @@
                      (!this->configuration || news.configuration->version >
                                                   this->configuration->version);
   if (newer) {
-    this->NoteMoves(*news.configuration);
     this->configuration = std::move(news.configuration);
     this->logger.Info("config", "configuration_applied",
                       {{"version", this->configuration->version},
--- a/src/fireflythread/entry/config_task.h
+++ b/src/fireflythread/entry/config_task.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 
-#include "fireflythread/base/time.h"
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/jobs/configuration.h"
@@ -30,9 +29,6 @@
 
   /// Null until the first configuration has been read.
   [[nodiscard]] auto Current() const -> const Configuration*;
-  /// Whether a queue may have jobs in the shard of another service: it was
-  /// seen there, or this entry has not watched for long enough to know.
-  [[nodiscard]] auto MayHaveMoved(const QueueName& queue) const -> bool;
 
   [[nodiscard]] auto Waves() const
       -> const std::map<std::int64_t, WaveRequest>& {
@@ -43,14 +39,11 @@
   auto Read() -> void;
   auto Follow() -> void;
   auto Take(OperatorNews news) -> void;
-  auto NoteMoves(const Configuration& next) -> void;
 
   PlatformRecords& records;
   const Logger& logger;
   std::function<void()> on_change;
   std::optional<Configuration> configuration;
-  TimePoint started_at;
-  std::map<QueueName, TimePoint> moved_at;
   std::map<std::int64_t, WaveRequest> waves;
   std::uint64_t revision = 0;
   bool must_read = true;
--- /dev/null
+++ b/src/fireflythread/entry/queue_homes_task.cc
@@ -0,0 +1,71 @@
+#include "fireflythread/entry/queue_homes_task.h"
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "fireflythread/entry/store_timeouts.h"
+
+namespace fireflythread {
+
+QueueHomesTask::QueueHomesTask(TableStore& table_store,
+                               const Logger& log,
+                               std::chrono::milliseconds delay)
+    : store(table_store),
+      logger(log),
+      write_delay(delay),
+      again([this] { this->Read(); }) {}
+
+auto QueueHomesTask::SetConfiguration(const Configuration& next) -> void {
+  this->configuration = next;
+  this->homes.current = false;
+  this->delayed = false;
+  this->Read();
+}
+
+auto QueueHomesTask::FormerHomesOf(const Queue& queue) const
+    -> std::optional<std::vector<ServiceName>> {
+  return FormerHomes(this->homes, queue, std::chrono::system_clock::now());
+}
+
+auto QueueHomesTask::Read() -> void {
+  // A reading that is on its way may be older than the configuration.
+  this->loader = std::make_unique<RangeLoader>(
+      this->store, RangeRequest{std::string(kQueueHomeTable)},
+      [this](const std::vector<Row>& rows, std::uint64_t) {
+        this->TakeRows(rows);
+      });
+  this->loader->Start();
+}
+
+auto QueueHomesTask::TakeRows(const std::vector<Row>& rows) -> void {
+  TakeQueueHomes(this->homes, rows);
+  Transaction transaction = MakeQueueHomes(this->homes, this->configuration,
+                                           std::chrono::system_clock::now());
+  if (transaction.writes.empty()) {
+    return;
+  }
+  if (!this->delayed) {
+    this->delayed = true;
+    this->again.Start(this->write_delay);
+    return;
+  }
+  this->Write(std::move(transaction));
+}
+
+auto QueueHomesTask::Write(Transaction transaction) -> void {
+  this->logger.Info("config", "queue_homes_written",
+                    {{"version", this->configuration.version},
+                     {"queues", transaction.writes.size()}});
+  this->store.Commit(
+      std::move(transaction), kStoreTimeout,
+      this->alive.Guard([this](const TransactionOutcome& done) {
+        // Another entry may have written the same; the rows
+        // that are read next tell.
+        const bool stored = std::holds_alternative<Committed>(done);
+        this->again.Start(stored ? std::chrono::milliseconds(0) : kStoreRetry);
+      }));
+}
+
+}  // namespace fireflythread
--- /dev/null
+++ b/src/fireflythread/entry/queue_homes_task.h
@@ -0,0 +1,58 @@
+#ifndef FIREFLYTHREAD_ENTRY_QUEUE_HOMES_TASK_H_
+#define FIREFLYTHREAD_ENTRY_QUEUE_HOMES_TASK_H_
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "fireflythread/entry/alive_token.h"
+#include "fireflythread/entry/one_shot_timer.h"
+#include "fireflythread/entry/range_loader.h"
+#include "fireflythread/jobs/configuration.h"
+#include "fireflythread/jobs/queue_homes.h"
+#include "fireflythread/platform/table_store.h"
+#include "fireflythread/telemetry/logger.h"
+
+namespace fireflythread {
+
+/// Keeps the rows that tell which services a queue's jobs have gone to, so that
+/// a submission depends on another shard only where a repeat of it may have
+/// been accepted there. A transaction over several shards holds up all of them.
+class QueueHomesTask {
+ public:
+  /// An entry that finds rows to write waits for `write_delay` first. Different
+  /// delays keep the entries from writing the same rows all at once.
+  QueueHomesTask(TableStore& store,
+                 const Logger& logger,
+                 std::chrono::milliseconds write_delay);
+  QueueHomesTask(const QueueHomesTask&) = delete;
+  auto operator=(const QueueHomesTask&) -> QueueHomesTask& = delete;
+
+  /// Takes a configuration that has come into force.
+  auto SetConfiguration(const Configuration& configuration) -> void;
+
+  /// See FormerHomes() in queue_homes.h.
+  [[nodiscard]] auto FormerHomesOf(const Queue& queue) const
+      -> std::optional<std::vector<ServiceName>>;
+
+ private:
+  auto Read() -> void;
+  auto TakeRows(const std::vector<Row>& rows) -> void;
+  auto Write(Transaction transaction) -> void;
+
+  TableStore& store;
+  const Logger& logger;
+  Configuration configuration;
+  QueueHomes homes;
+  std::chrono::milliseconds write_delay;
+  std::unique_ptr<RangeLoader> loader;
+  /// Rows to write were found, and the delay began.
+  bool delayed = false;
+  OneShotTimer again;
+  AliveToken alive;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_QUEUE_HOMES_TASK_H_
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -3,12 +3,15 @@
 
 namespace fireflythread {
 
+struct Configuration;
 struct EndedRun;
 struct HoldCommand;
 struct JobProgress;
 struct JobRequest;
 struct JobStep;
 struct Queue;
+struct QueueHome;
+struct QueueHomes;
 struct RecordBatch;
 struct RunningRun;
 struct ShardJob;
--- /dev/null
+++ b/src/fireflythread/jobs/queue_homes.h
@@ -0,0 +1,58 @@
+#ifndef FIREFLYTHREAD_JOBS_QUEUE_HOMES_H_
+#define FIREFLYTHREAD_JOBS_QUEUE_HOMES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
+#include "fireflythread/jobs/fwd.h"
+#include "fireflythread/platform/fwd.h"
+
+namespace fireflythread {
+
+/// Holds one row for each queue: the service that its jobs go to, and those
+/// they went to before.
+inline constexpr std::string_view kQueueHomeTable = "queue_home";
+
+/// A caller may repeat a submission for this long.
+inline constexpr std::chrono::minutes kRepeatTime{2};
+
+/// A queue's row as last read.
+struct QueueHome {
+  ServiceName service;
+  /// Services that the queue left, with the time when that was noticed.
+  std::map<ServiceName, WallTime> former;
+  std::uint64_t version = 0;
+};
+
+/// What an entry knows of the queues' rows.
+struct QueueHomes {
+  std::map<QueueName, QueueHome> rows;
+  /// The rows were read after the configuration changed last.
+  bool current = false;
+};
+
+/// Takes in all rows of the table.
+auto TakeQueueHomes(QueueHomes& homes, const std::vector<Row>& rows) -> void;
+
+/// The rows that have to be written so that they agree with a configuration, as
+/// one transaction. Empty when nothing is to be written.
+[[nodiscard]] auto MakeQueueHomes(const QueueHomes& homes,
+                                  const Configuration& configuration,
+                                  WallTime now) -> Transaction;
+
+/// The other services whose shards may hold jobs of a queue that callers still
+/// repeat. No value as long as that is not known: then each may.
+[[nodiscard]] auto FormerHomes(const QueueHomes& homes,
+                               const Queue& queue,
+                               WallTime now)
+    -> std::optional<std::vector<ServiceName>>;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_QUEUE_HOMES_H_
--- /dev/null
+++ b/test/fireflythread/jobs/queue_homes_test.cc
@@ -0,0 +1,108 @@
+#include "fireflythread/jobs/queue_homes.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fireflythread/jobs/configuration.h"
+#include "fireflythread/platform/row.h"
+#include "fireflythread/platform/transaction.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const WallTime kNow{milliseconds(1'000'000'000)};
+const ServiceName kDesk{"desk"};
+const ServiceName kOffice{"office"};
+
+auto QueueAt(const ServiceName& service) -> Queue {
+  Queue queue;
+  queue.name = QueueName("quotes");
+  queue.service = service;
+  return queue;
+}
+
+auto ConfigurationWith(const ServiceName& service) -> Configuration {
+  Configuration configuration;
+  configuration.version = 1;
+  configuration.queues.push_back(QueueAt(service));
+  return configuration;
+}
+
+/// Applies a transaction to the rows and reads them again, as the store does.
+auto Apply(QueueHomes& homes, const Transaction& transaction) -> void {
+  static std::uint64_t version = 0;
+  ++version;
+  std::vector<Row> rows;
+  for (const Write& write : transaction.writes) {
+    Row row;
+    row.table = write.table;
+    row.key = write.key;
+    row.value = *write.value;
+    row.version = version;
+    rows.push_back(row);
+  }
+  TakeQueueHomes(homes, rows);
+}
+
+TEST_CASE("A submission depends on no other shard once its queue's row is read",
+          "[jobs]") {
+  // Guards against submissions that run in the parts of all shards: in the peak
+  // of one queue they held up the records of every pool.
+  QueueHomes homes;
+  TakeQueueHomes(homes, {});
+  CHECK_FALSE(FormerHomes(homes, QueueAt(kDesk), kNow).has_value());
+  Apply(homes, MakeQueueHomes(homes, ConfigurationWith(kDesk), kNow));
+  const auto former = FormerHomes(homes, QueueAt(kDesk), kNow);
+  REQUIRE(former.has_value());
+  CHECK(former->empty());
+  CHECK(MakeQueueHomes(homes, ConfigurationWith(kDesk), kNow).writes.empty());
+}
+
+TEST_CASE("A submission to a queue that has moved depends on its former shard",
+          "[jobs]") {
+  // Guards against a job that is accepted again in the queue's new shard.
+  QueueHomes homes;
+  TakeQueueHomes(homes, {});
+  Apply(homes, MakeQueueHomes(homes, ConfigurationWith(kDesk), kNow));
+
+  SECTION("before the row tells of the move") {
+    const auto former = FormerHomes(homes, QueueAt(kOffice), kNow);
+    REQUIRE(former.has_value());
+    CHECK(*former == std::vector<ServiceName>{kDesk});
+  }
+  SECTION("for as long as callers repeat") {
+    Apply(homes, MakeQueueHomes(homes, ConfigurationWith(kOffice), kNow));
+    const Queue queue = QueueAt(kOffice);
+    CHECK(FormerHomes(homes, queue, kNow + seconds(1))->size() == 1);
+    CHECK(FormerHomes(homes, queue, kNow + kRepeatTime)->empty());
+  }
+  SECTION("also after it has moved back") {
+    Apply(homes, MakeQueueHomes(homes, ConfigurationWith(kOffice), kNow));
+    Apply(homes,
+          MakeQueueHomes(homes, ConfigurationWith(kDesk), kNow + seconds(5)));
+    const auto former = FormerHomes(homes, QueueAt(kDesk), kNow + seconds(6));
+    REQUIRE(former.has_value());
+    CHECK(*former == std::vector<ServiceName>{kOffice});
+  }
+}
+
+TEST_CASE(
+    "A changed configuration makes former shards unknown until rows are "
+    "read again",
+    "[jobs]") {
+  // Guards against rows of before a move that another entry noticed first.
+  QueueHomes homes;
+  TakeQueueHomes(homes, {});
+  Apply(homes, MakeQueueHomes(homes, ConfigurationWith(kDesk), kNow));
+  homes.current = false;
+  CHECK_FALSE(FormerHomes(homes, QueueAt(kDesk), kNow).has_value());
+}
+
+}  // namespace
+}  // namespace fireflythread
