--- a/src/fireflythread/relay/io_order_relay.cc
+++ b/src/fireflythread/relay/io_order_relay.cc
@@ -135,12 +135,12 @@
     return;
   }
   ++this->in_progress;
-  PerformOrder(
-      this->local, queued.order, queued.order.timeout - waited,
-      this->alive.Guard([this, origin = queued.origin](OrderResult result) {
-        --this->in_progress;
-        this->Answer(origin, result);
-      }));
+  PerformOrder(this->local, queued.order, queued.order.timeout - waited,
+               this->alive.Guard(
+                   [this, origin = queued.origin](const OrderResult& result) {
+                     --this->in_progress;
+                     this->Answer(origin, result);
+                   }));
 }
 
 auto OrderRelay::Refuse(const Origin& origin) -> void {
