Place shards by the capacity of entries

An entry publishes its millicores and the Mbit/s of its link (settings limits cpu_cores and link_mbps) in its row. A shard goes to the entry for which (shards + 1) / capacity is smallest, where the link counts as 12 millicores a Mbit/s if that is less. Before, it went to the entry with the fewest shards, so that a pool with a high peak could lie on the smallest VM.

"Shards owned already count against an entry's capacity" passed before and guards the new rule.

--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -13,6 +13,7 @@
                              const Logger& log,
                              EntryId self,
                              std::uint64_t incarnation,
+                             EntryCapacity capacity,
                              Events on_events)
     : store(table_store),
       logger(log),
@@ -21,6 +22,7 @@
       timer(kEntryRenewal, [this] { this->Renew(); }) {
   this->state.self = std::move(self);
   this->state.incarnation = incarnation;
+  this->state.capacity = capacity;
 }
 
 auto OwnershipTask::Start() -> void {
--- a/src/fireflythread/entry/ownership_task.h
+++ b/src/fireflythread/entry/ownership_task.h
@@ -35,6 +35,7 @@
                 const Logger& logger,
                 EntryId self,
                 std::uint64_t incarnation,
+                EntryCapacity capacity,
                 Events events);
   OwnershipTask(const OwnershipTask&) = delete;
   auto operator=(const OwnershipTask&) -> OwnershipTask& = delete;
--- a/src/fireflythread/ownership/fwd.h
+++ b/src/fireflythread/ownership/fwd.h
@@ -3,8 +3,12 @@
 
 namespace fireflythread {
 
+struct EntryCapacity;
+struct EntryLoad;
 struct EntryView;
+struct Handover;
 struct OwnershipState;
+struct Placement;
 struct ShardClaim;
 struct ShardOwner;
 
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -1,47 +1,15 @@
 #include "fireflythread/ownership/ownership.h"
 
-#include <algorithm>
-#include <functional>
 #include <nlohmann/json.hpp>
-#include <optional>
-#include <tuple>
 #include <utility>
 
+#include "fireflythread/ownership/placement.h"
+
 namespace fireflythread {
 namespace {
 
 using Json = nlohmann::json;
 
-auto IsAlive(const EntryView& entry, TimePoint now) -> bool {
-  return !entry.stopping && now - entry.changed_at < kEntryTimeout;
-}
-
-/// Whether the process that owned the shard has ended: its entry's row, written
-/// after the shard's, is of another process. An older row says nothing.
-auto IsFormerStopped(const OwnershipState& state, const ShardOwner& shard)
-    -> bool {
-  if (shard.owner.empty()) {
-    return true;
-  }
-  const auto owner = state.entries.find(shard.owner);
-  return owner != state.entries.end() &&
-         owner->second.incarnation != shard.incarnation &&
-         owner->second.version > shard.version;
-}
-
-/// Whether nobody acts for the shard any more.
-auto IsOrphan(const OwnershipState& state,
-              const ShardOwner& shard,
-              TimePoint now) -> bool {
-  if (IsFormerStopped(state, shard)) {
-    return true;
-  }
-  const auto owner = state.entries.find(shard.owner);
-  return owner != state.entries.end() &&
-         owner->second.incarnation == shard.incarnation &&
-         now - owner->second.changed_at >= kEntryTimeout;
-}
-
 auto ReadSilentWorkers(const Json& json)
     -> std::map<WorkerId, std::chrono::milliseconds> {
   std::map<WorkerId, std::chrono::milliseconds> workers;
@@ -58,10 +26,6 @@
   return workers;
 }
 
-auto HashOf(const EntryId& entry, const ServiceName& shard) -> std::size_t {
-  return std::hash<std::string>{}(entry.value + "/" + shard.value);
-}
-
 auto MakeClaim(const OwnershipState& state, const ServiceName& shard)
     -> ShardClaim {
   Transaction transaction;
@@ -111,6 +75,8 @@
     EntryView entry;
     entry.incarnation = json.value("incarnation", std::uint64_t{0});
     entry.stopping = json.value("stopping", false);
+    entry.capacity = {json.value("cpu_millicores", 0),
+                      json.value("link_mbps", 0)};
     entry.version = row.version;
     entry.changed_at = now;
     const EntryId id(row.key);
@@ -145,7 +111,10 @@
   Transaction transaction;
   transaction.writes.push_back(
       {std::string(kEntryTable), state.self.value,
-       Json{{"incarnation", state.incarnation}, {"stopping", state.stopping}}
+       Json{{"incarnation", state.incarnation},
+            {"stopping", state.stopping},
+            {"cpu_millicores", state.capacity.cpu_millicores},
+            {"link_mbps", state.capacity.link_mbps}}
            .dump()});
   return transaction;
 }
@@ -159,38 +128,14 @@
       self->second.incarnation != state.incarnation) {
     return claims;
   }
-  std::map<EntryId, int> owned;
-  for (const auto& [id, entry] : state.entries) {
-    if (IsAlive(entry, now)) {
-      owned.emplace(id, 0);
-    }
-  }
-  std::vector<ServiceName> orphans;
-  for (const ServiceName& name : state.wanted) {
-    const auto shard = state.shards.find(name);
-    if (shard == state.shards.end() || IsOrphan(state, shard->second, now)) {
-      orphans.push_back(name);
-      continue;
-    }
-    const auto owner = owned.find(shard->second.owner);
-    if (owner != owned.end()) {
-      ++owner->second;
-    }
-  }
-  for (const ServiceName& name : orphans) {
-    // Every entry comes to the same choice from the same rows: the one with
-    // the fewest shards.
-    const auto choice = std::min_element(
-        owned.begin(), owned.end(),
-        [&name](const auto& left, const auto& right) -> bool {
-          return std::make_tuple(left.second, HashOf(left.first, name)) <
-                 std::make_tuple(right.second, HashOf(right.first, name));
-        });
-    if (choice == owned.end()) {
+  Placement placement = MakePlacement(state, now);
+  for (const ServiceName& name : placement.orphans) {
+    const auto choice = ChooseEntry(placement.loads, name);
+    if (!choice) {
       break;
     }
-    ++choice->second;
-    if (choice->first == state.self) {
+    ++placement.loads[*choice].shards;
+    if (*choice == state.self) {
       claims.push_back(MakeClaim(state, name));
     }
   }
--- a/src/fireflythread/ownership/ownership_state.h
+++ b/src/fireflythread/ownership/ownership_state.h
@@ -9,6 +9,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/ownership/entry_capacity.h"
 
 namespace fireflythread {
 
@@ -20,6 +21,8 @@
   std::uint64_t version = 0;
   /// When this version was first seen.
   TimePoint changed_at;
+  /// Nothing is known of an entry of a version that does not publish it.
+  EntryCapacity capacity = {};
 };
 
 /// A shard's row as last read. `owner` is empty after a release.
@@ -36,6 +39,8 @@
   EntryId self;
   std::uint64_t incarnation = 0;
   bool stopping = false;
+  /// Of this entry.
+  EntryCapacity capacity;
   std::map<EntryId, EntryView> entries;
   std::map<ServiceName, ShardOwner> shards;
   /// Shards that must have an owner.
--- /dev/null
+++ b/src/fireflythread/ownership/placement.cc
@@ -0,0 +1,96 @@
+#include "fireflythread/ownership/placement.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace fireflythread {
+namespace {
+
+/// Whether nobody acts for the shard any more.
+auto IsOrphan(const OwnershipState& state,
+              const ShardOwner& shard,
+              TimePoint now) -> bool {
+  if (IsFormerStopped(state, shard)) {
+    return true;
+  }
+  const auto owner = state.entries.find(shard.owner);
+  return owner != state.entries.end() &&
+         owner->second.incarnation == shard.incarnation &&
+         now - owner->second.changed_at >= kEntryTimeout;
+}
+
+auto HashOf(const EntryId& entry, const ServiceName& shard) -> std::size_t {
+  return std::hash<std::string>{}(entry.value + "/" + shard.value);
+}
+
+/// Order of (shards + 1) / capacity, without a division.
+auto CompareLoads(const EntryLoad& left, const EntryLoad& right)
+    -> std::int64_t {
+  return (std::int64_t{left.shards} + 1) * right.capacity -
+         (std::int64_t{right.shards} + 1) * left.capacity;
+}
+
+}  // namespace
+
+auto IsAlive(const EntryView& entry, TimePoint now) -> bool {
+  return !entry.stopping && now - entry.changed_at < kEntryTimeout;
+}
+
+auto IsFormerStopped(const OwnershipState& state, const ShardOwner& shard)
+    -> bool {
+  if (shard.owner.empty()) {
+    return true;
+  }
+  const auto owner = state.entries.find(shard.owner);
+  return owner != state.entries.end() &&
+         owner->second.incarnation != shard.incarnation &&
+         owner->second.version > shard.version;
+}
+
+auto CapacityOf(const EntryCapacity& capacity) -> int {
+  const std::int64_t link =
+      std::int64_t{capacity.link_mbps} * kMillicoresPerMbps;
+  return static_cast<int>(std::max<std::int64_t>(
+      1, std::min<std::int64_t>(capacity.cpu_millicores, link)));
+}
+
+auto MakePlacement(const OwnershipState& state, TimePoint now) -> Placement {
+  Placement placement;
+  for (const auto& [id, entry] : state.entries) {
+    if (IsAlive(entry, now)) {
+      placement.loads[id].capacity = CapacityOf(entry.capacity);
+    }
+  }
+  for (const ServiceName& name : state.wanted) {
+    const auto shard = state.shards.find(name);
+    if (shard == state.shards.end() || IsOrphan(state, shard->second, now)) {
+      placement.orphans.push_back(name);
+      continue;
+    }
+    const auto owner = placement.loads.find(shard->second.owner);
+    if (owner != placement.loads.end()) {
+      ++owner->second.shards;
+    }
+  }
+  return placement;
+}
+
+auto ChooseEntry(const std::map<EntryId, EntryLoad>& loads,
+                 const ServiceName& shard) -> std::optional<EntryId> {
+  const auto choice = std::min_element(
+      loads.begin(), loads.end(),
+      [&shard](const auto& left, const auto& right) -> bool {
+        const std::int64_t order = CompareLoads(left.second, right.second);
+        return order != 0
+                   ? order < 0
+                   : HashOf(left.first, shard) < HashOf(right.first, shard);
+      });
+  if (choice == loads.end()) {
+    return std::nullopt;
+  }
+  return choice->first;
+}
+
+}  // namespace fireflythread
--- a/test/fireflythread/ownership/ownership_test.cc
+++ b/test/fireflythread/ownership/ownership_test.cc
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <map>
 #include <string>
+#include <vector>
 
 namespace fireflythread::test {
 namespace {
@@ -16,6 +18,17 @@
               R"(,"stopping":false})"};
 }
 
+/// The row of an entry that publishes its capacity.
+auto SizedRow(const std::string& id,
+              int millicores,
+              int link_mbps,
+              std::uint64_t version) -> Row {
+  return {std::string(kEntryTable), id, version,
+          R"({"incarnation":1,"stopping":false,"cpu_millicores":)" +
+              std::to_string(millicores) + R"(,"link_mbps":)" +
+              std::to_string(link_mbps) + "}"};
+}
+
 auto ShardRow(const std::string& shard,
               const std::string& owner,
               int incarnation,
@@ -53,6 +66,68 @@
   CHECK(claimed == 4);
 }
 
+/// The claims of each entry, all from the same rows.
+auto ClaimsOfAll(const std::vector<Row>& entries,
+                 const std::set<ServiceName>& shards,
+                 TimePoint now) -> std::map<std::string, std::size_t> {
+  std::map<std::string, std::size_t> claims;
+  for (const Row& row : entries) {
+    OwnershipState state;
+    state.self = EntryId(row.key);
+    state.incarnation = 1;
+    state.wanted = shards;
+    state.shards_read = true;
+    TakeEntryRows(state, entries, now);
+    claims[row.key] = NextClaims(state, now).size();
+  }
+  return claims;
+}
+
+TEST_CASE("Shards go to the entries with the most capacity left",
+          "[ownership]") {
+  // Guards against a pool with a high peak on the smallest entry. The duties
+  // are a shard like any other.
+  const TimePoint now{std::chrono::hours(1)};
+  const auto claims =
+      ClaimsOfAll({SizedRow("large", 500, 200, 1), SizedRow("older", 0, 0, 2),
+                   EntryRow("oldest", 1, 3), SizedRow("small", 120, 10, 4)},
+                  {ServiceName("@duties"), ServiceName("p"), ServiceName("q"),
+                   ServiceName("r"), ServiceName("s")},
+                  now);
+  CHECK(claims == std::map<std::string, std::size_t>{
+                      {"large", 4}, {"older", 0}, {"oldest", 0}, {"small", 1}});
+}
+
+TEST_CASE("An entry with a small link counts as small", "[ownership]") {
+  // Guards against a pool on an entry whose link cannot carry its reports.
+  const TimePoint now{std::chrono::hours(1)};
+  const auto claims =
+      ClaimsOfAll({SizedRow("a", 500, 10, 1), SizedRow("b", 400, 200, 2)},
+                  {ServiceName("p"), ServiceName("q"), ServiceName("r")}, now);
+  CHECK(claims == std::map<std::string, std::size_t>{{"a", 0}, {"b", 3}});
+}
+
+TEST_CASE("Shards owned already count against an entry's capacity",
+          "[ownership]") {
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state;
+  state.self = EntryId("small");
+  state.incarnation = 1;
+  state.shards_read = true;
+  TakeEntryRows(state,
+                {SizedRow("large", 500, 200, 1), SizedRow("small", 120, 10, 2)},
+                now);
+  std::uint64_t version = 10;
+  for (const char* shard : {"@duties", "p", "q", "r"}) {
+    state.wanted.insert(ServiceName(shard));
+    TakeShardRow(state, ShardRow(shard, "large", 1, ++version));
+  }
+  state.wanted.insert(ServiceName("s"));
+  const auto claims = NextClaims(state, now);
+  REQUIRE(claims.size() == 1);
+  CHECK(claims[0].shard == ServiceName("s"));
+}
+
 TEST_CASE("A shard is taken from an entry only when its row is stale",
           "[ownership]") {
   // Guards against a takeover from an owner that still renews.
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -1,5 +1,7 @@
 #include <rapidcheck.h>
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
 #include <string>
 
 #include "platform/entry_settings.h"
@@ -7,6 +9,7 @@
 #include "platform/orders_wire.h"
 #include "platform/records_wire.h"
 #include "platform/store_wire.h"
+#include "test/fireflythread/settings/settings_text.h"
 
 namespace fireflythread::adapter {
 namespace {
@@ -135,5 +138,47 @@
   CHECK(faults->size() == 4);
 }
 
+auto EntryText(const std::string& limits) -> std::string {
+  return "[entry]\nid = a\nzone = z\ncaller_listen = 127.0.0.1:1\n"
+         "ready_listen = 127.0.0.1:2\n[platform]\nstore = 127.0.0.1:3\n"
+         "[limits]\n" +
+         limits;
+}
+
+TEST_CASE("The capacity of the entry is read", "[platform]") {
+  const auto result =
+      ParseEntrySettings("f", EntryText("cpu_cores = 0.12\nlink_mbps = 200\n"));
+  const auto* settings = std::get_if<EntrySettings>(&result);
+  REQUIRE(settings != nullptr);
+  CHECK(settings->capacity.cpu_millicores == 120);
+  CHECK(settings->capacity.link_mbps == 200);
+  CHECK(std::holds_alternative<EntrySettings>(
+      ParseEntrySettings("f", EntryText(""))));
+}
+
+TEST_CASE("A capacity that is no amount is a fault", "[platform]") {
+  // Guards against an entry that attracts or refuses all shards by a mistake.
+  for (const char* value :
+       {"0", "-1", "", "x", "1x", "nan", "inf", "1e300", "0.5 0.5"}) {
+    for (const char* key : {"cpu_cores", "link_mbps"}) {
+      const auto result = ParseEntrySettings(
+          "f", EntryText(std::string(key) + " = " + value + "\n"));
+      const auto* faults = std::get_if<std::vector<SettingsFault>>(&result);
+      REQUIRE(faults != nullptr);
+      REQUIRE(faults->size() == 1);
+      CHECK(faults->front().problem == "not an allowed value");
+    }
+  }
+}
+
+TEST_CASE("The template gives the entry's capacity", "[platform]") {
+  // Guards against settings that the platform never fills in.
+  std::ifstream file(test::SourceFile("deploy/entry.ini.in"));
+  const std::string text((std::istreambuf_iterator<char>(file)),
+                         std::istreambuf_iterator<char>());
+  CHECK(text.find("cpu_cores = {{limits.cpu_share}}") != std::string::npos);
+  CHECK(text.find("link_mbps = {{limits.link_mbps}}") != std::string::npos);
+}
+
 }  // namespace
 }  // namespace fireflythread::adapter
