--- a/src/fireflythread/ownership/fwd.h
+++ b/src/fireflythread/ownership/fwd.h
@@ -3,8 +3,13 @@
 
 namespace fireflythread {
 
+struct EntryCapacity;
+struct EntryLoad;
 struct EntryView;
+struct Handover;
+struct HandoverPlan;
 struct OwnershipState;
+struct Placement;
 struct ShardClaim;
 struct ShardOwner;
 
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -1,47 +1,16 @@
 #include "fireflythread/ownership/ownership.h"
 
-#include <algorithm>
-#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <tuple>
 #include <utility>
 
+#include "fireflythread/ownership/placement.h"
+
 namespace fireflythread {
 namespace {
 
 using Json = nlohmann::json;
 
-auto IsAlive(const EntryView& entry, TimePoint now) -> bool {
-  return !entry.stopping && now - entry.changed_at < kEntryTimeout;
-}
-
-/// Whether the process that owned the shard has ended: its entry's row, written
-/// after the shard's, is of another process. An older row says nothing.
-auto IsFormerStopped(const OwnershipState& state, const ShardOwner& shard)
-    -> bool {
-  if (shard.owner.empty()) {
-    return true;
-  }
-  const auto owner = state.entries.find(shard.owner);
-  return owner != state.entries.end() &&
-         owner->second.incarnation != shard.incarnation &&
-         owner->second.version > shard.version;
-}
-
-/// Whether nobody acts for the shard any more.
-auto IsOrphan(const OwnershipState& state,
-              const ShardOwner& shard,
-              TimePoint now) -> bool {
-  if (IsFormerStopped(state, shard)) {
-    return true;
-  }
-  const auto owner = state.entries.find(shard.owner);
-  return owner != state.entries.end() &&
-         owner->second.incarnation == shard.incarnation &&
-         now - owner->second.changed_at >= kEntryTimeout;
-}
-
 auto ReadSilentWorkers(const Json& json)
     -> std::map<WorkerId, std::chrono::milliseconds> {
   std::map<WorkerId, std::chrono::milliseconds> workers;
@@ -64,10 +33,6 @@
                                                  : std::string();
 }
 
-auto HashOf(const EntryId& entry, const ServiceName& shard) -> std::size_t {
-  return std::hash<std::string>{}(entry.value + "/" + shard.value);
-}
-
 auto MakeClaim(const OwnershipState& state, const ServiceName& shard)
     -> ShardClaim {
   Transaction transaction;
@@ -103,6 +68,31 @@
   return {shard, std::move(transaction), std::move(handover)};
 }
 
+auto ReadEntry(const Row& row) -> std::optional<EntryView> {
+  const Json json = Json::parse(row.value, nullptr, false);
+  if (!json.is_object()) {
+    return std::nullopt;
+  }
+  EntryView entry;
+  entry.incarnation = json.value("incarnation", std::uint64_t{0});
+  entry.stopping = json.value("stopping", false);
+  entry.version = row.version;
+  entry.capacity = {json.value("cpu_millicores", 0),
+                    json.value("link_mbps", 0)};
+  entry.peer = ReadPeer(json);
+  return entry;
+}
+
+/// Sets the times of an entry's row that was known before.
+auto TakeTimes(EntryView& entry, const EntryView& known, TimePoint now)
+    -> void {
+  const bool same_row = known.version == entry.version;
+  const bool same_life = known.incarnation == entry.incarnation &&
+                         now - known.changed_at < kEntryTimeout;
+  entry.changed_at = same_row ? known.changed_at : now;
+  entry.alive_since = same_row || same_life ? known.alive_since : now;
+}
+
 }  // namespace
 
 auto TakeEntryRows(OwnershipState& state,
@@ -110,30 +100,27 @@
                    TimePoint now) -> void {
   std::map<EntryId, EntryView> entries;
   for (const Row& row : rows) {
-    const Json json = Json::parse(row.value, nullptr, false);
-    if (!json.is_object()) {
+    auto entry = ReadEntry(row);
+    if (!entry) {
       continue;
     }
-    EntryView entry;
-    entry.incarnation = json.value("incarnation", std::uint64_t{0});
-    entry.stopping = json.value("stopping", false);
-    entry.peer = ReadPeer(json);
-    entry.version = row.version;
-    entry.changed_at = now;
     const EntryId id(row.key);
     const auto known = state.entries.find(id);
-    if (known != state.entries.end() &&
-        known->second.version == entry.version) {
-      entry.changed_at = known->second.changed_at;
+    if (known != state.entries.end()) {
+      TakeTimes(*entry, known->second, now);
+    } else {
+      entry->changed_at = now;
+      entry->alive_since = now;
     }
-    entries.emplace(id, entry);
+    entries.emplace(id, *entry);
   }
   state.entries = std::move(entries);
   state.entries_read_at = now;
   state.entries_read = true;
 }
 
-auto TakeShardRow(OwnershipState& state, const Row& row) -> void {
+auto TakeShardRow(OwnershipState& state, const Row& row, TimePoint now)
+    -> void {
   const Json json = Json::parse(row.value, nullptr, false);
   if (!json.is_object()) {
     return;
@@ -142,6 +129,9 @@
   if (row.version < shard.version) {
     return;
   }
+  if (row.version != shard.version) {
+    shard.changed_at = now;
+  }
   shard.owner = EntryId(json.value("owner", std::string()));
   shard.incarnation = json.value("incarnation", std::uint64_t{0});
   shard.version = row.version;
@@ -149,7 +139,10 @@
 }
 
 auto MakeRenewal(const OwnershipState& state) -> Transaction {
-  Json row{{"incarnation", state.incarnation}, {"stopping", state.stopping}};
+  Json row{{"incarnation", state.incarnation},
+           {"stopping", state.stopping},
+           {"cpu_millicores", state.capacity.cpu_millicores},
+           {"link_mbps", state.capacity.link_mbps}};
   if (!state.peer.empty()) {
     row["peer"] = state.peer;
   }
@@ -168,38 +161,14 @@
       self->second.incarnation != state.incarnation) {
     return claims;
   }
-  std::map<EntryId, int> owned;
-  for (const auto& [id, entry] : state.entries) {
-    if (IsAlive(entry, now)) {
-      owned.emplace(id, 0);
-    }
-  }
-  std::vector<ServiceName> orphans;
-  for (const ServiceName& name : state.wanted) {
-    const auto shard = state.shards.find(name);
-    if (shard == state.shards.end() || IsOrphan(state, shard->second, now)) {
-      orphans.push_back(name);
-      continue;
-    }
-    const auto owner = owned.find(shard->second.owner);
-    if (owner != owned.end()) {
-      ++owner->second;
-    }
-  }
-  for (const ServiceName& name : orphans) {
-    // Every entry comes to the same choice from the same rows: the one with
-    // the fewest shards.
-    const auto choice = std::min_element(
-        owned.begin(), owned.end(),
-        [&name](const auto& left, const auto& right) -> bool {
-          return std::make_tuple(left.second, HashOf(left.first, name)) <
-                 std::make_tuple(right.second, HashOf(right.first, name));
-        });
-    if (choice == owned.end()) {
+  Placement placement = MakePlacement(state, now);
+  for (const ServiceName& name : placement.orphans) {
+    const auto choice = ChooseEntry(placement.loads, name);
+    if (!choice) {
       break;
     }
-    ++choice->second;
-    if (choice->first == state.self) {
+    ++placement.loads[*choice].shards;
+    if (*choice == state.self) {
       claims.push_back(MakeClaim(state, name));
     }
   }
--- a/src/fireflythread/ownership/ownership_state.h
+++ b/src/fireflythread/ownership/ownership_state.h
@@ -9,6 +9,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/ownership/entry_capacity.h"
 
 namespace fireflythread {
 
@@ -22,6 +23,11 @@
   TimePoint changed_at;
   /// Where the entry listens for peers; empty when it takes no relayed orders.
   std::string peer = {};
+  /// Nothing is known of an entry of a version that does not publish it.
+  EntryCapacity capacity = {};
+  /// Since when this process has been seen to renew without a pause of
+  /// kEntryTimeout.
+  TimePoint alive_since = {};
 };
 
 /// A shard's row as last read. `owner` is empty after a release.
@@ -31,6 +37,8 @@
   std::uint64_t version = 0;
   /// After a release: what SilentWorkers() gave.
   std::map<WorkerId, std::chrono::milliseconds> silent_workers = {};
+  /// When this version was first seen.
+  TimePoint changed_at = {};
 };
 
 /// What an entry knows of all entries and of who owns which shard.
@@ -40,6 +48,8 @@
   bool stopping = false;
   /// Where this entry listens for peers; may be empty.
   std::string peer = {};
+  /// Of this entry.
+  EntryCapacity capacity;
   std::map<EntryId, EntryView> entries;
   std::map<ServiceName, ShardOwner> shards;
   /// Shards that must have an owner.
