Look no more at workers that have been emptied

A VM that moves away leaves its entry in the list for 4.5 s; the owner looked at the old address every 250 ms until then.

A worker without runs that is to be emptied gets no look: nothing starts there and nothing has to be learned. Looks begin again when it is to be emptied no longer. For other workers without runs each refused connection doubles the pause from 250 ms to 2 s; a new life or address of the worker ends the pause. Looks that get no answer, which a cut network causes, keep their 250 ms, and so do all looks at workers with runs. Leases and takeovers are unchanged.

--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -469,6 +469,8 @@
   }
   if (reply.verdict == OrderVerdict::kOtherInstance) {
     TakeWorkerGone(this->state, hold.worker, now);
+  } else if (reply.verdict == OrderVerdict::kNotSent) {
+    TakeLookRefusal(this->state, hold.worker, now);
   } else {
     TakeLookFailure(this->state, hold.worker, now);
   }
--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -28,6 +28,9 @@
   std::chrono::milliseconds report_validity{2500};
   /// Pause after a look that got no answer.
   std::chrono::milliseconds look_retry{250};
+  /// The pause doubles up to this with each refused connection to a worker
+  /// without runs: its VM has probably moved away.
+  std::chrono::milliseconds longest_look_retry{2000};
   /// Pause before a stop that got no answer is sent again.
   std::chrono::milliseconds stop_retry{250};
   /// Pause after a worker refused a start.
--- a/src/fireflythread/jobs/shard_worker.h
+++ b/src/fireflythread/jobs/shard_worker.h
@@ -49,6 +49,8 @@
   bool look_in_flight = false;
   TimePoint next_look;
   int failed_looks = 0;
+  /// Looks in a row whose connection was refused.
+  int refused_looks = 0;
   /// When the last report arrived.
   TimePoint reported_at;
 };
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -129,6 +129,27 @@
   }
 }
 
+/// Whether a report of the worker could change anything. Without runs nothing
+/// has to be learned of a worker that gets no starts either.
+auto NeedsLook(const ShardWorker& worker) -> bool {
+  return !worker.tasks.empty() || (worker.listed && !worker.vacating);
+}
+
+/// Pause after a look that found nothing at the worker's address.
+auto RefusedPause(const ShardLimits& limits, const ShardWorker& worker)
+    -> std::chrono::milliseconds {
+  if (!worker.tasks.empty()) {
+    return limits.look_retry;
+  }
+  std::chrono::milliseconds pause = limits.look_retry;
+  for (int refused = 1;
+       refused < worker.refused_looks && pause < limits.longest_look_retry;
+       ++refused) {
+    pause *= 2;
+  }
+  return std::min(pause, limits.longest_look_retry);
+}
+
 }  // namespace
 
 auto TakeWorkers(ShardState& state,
@@ -141,6 +162,11 @@
     ShardWorker& worker = state.workers[view.id];
     const bool reborn =
         worker.view.born.count() != 0 && worker.view.born != view.born;
+    if (reborn || worker.view.address != view.address) {
+      // The refusals were of the former life or address.
+      worker.refused_looks = 0;
+      worker.next_look = std::min(worker.next_look, now);
+    }
     worker.view = view;
     worker.listed = true;
     if (reborn && worker.reported_born != view.born) {
@@ -171,7 +197,7 @@
               TimePoint now) -> std::optional<HoldCommand> {
   ShardWorker& worker = state.workers.at(worker_id);
   if (worker.look_in_flight || worker.gone || now < worker.next_look ||
-      worker.view.address.empty()) {
+      worker.view.address.empty() || !NeedsLook(worker)) {
     return std::nullopt;
   }
   HoldCommand look;
@@ -205,6 +231,7 @@
   ShardWorker& worker = found->second;
   worker.look_in_flight = false;
   worker.failed_looks = 0;
+  worker.refused_looks = 0;
   worker.reported_at = now;
   if (worker.reported_born.count() != 0 &&
       worker.reported_born != report.born) {
@@ -239,6 +266,19 @@
   worker.next_look = now + state.limits.look_retry;
 }
 
+auto TakeLookRefusal(ShardState& state,
+                     const WorkerId& worker_id,
+                     TimePoint now) -> void {
+  TakeLookFailure(state, worker_id, now);
+  const auto found = state.workers.find(worker_id);
+  if (found == state.workers.end()) {
+    return;
+  }
+  ShardWorker& worker = found->second;
+  ++worker.refused_looks;
+  worker.next_look = now + RefusedPause(state.limits, worker);
+}
+
 auto TakeWorkerGone(ShardState& state, const WorkerId& worker_id, TimePoint now)
     -> void {
   const auto found = state.workers.find(worker_id);
--- a/src/fireflythread/jobs/shard_workers.h
+++ b/src/fireflythread/jobs/shard_workers.h
@@ -37,6 +37,10 @@
 auto TakeLookFailure(ShardState& state, const WorkerId& worker, TimePoint now)
     -> void;
 
+/// Nothing accepts connections at the worker's address.
+auto TakeLookRefusal(ShardState& state, const WorkerId& worker, TimePoint now)
+    -> void;
+
 /// Another instance answers at the worker's address.
 auto TakeWorkerGone(ShardState& state, const WorkerId& worker, TimePoint now)
     -> void;
