Take in reports without copies of the task set

Each report of a worker copied its set of tasks and built a map of those that run, with an allocation for each name. The report's runs are now sorted by pointer and compared with the set in one pass; only a task that the report does not list is copied, since it may leave the set.

The machine is shared, so a gain is likely but not shown.

--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -1,7 +1,6 @@
 #include "fireflythread/jobs/shard_workers.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <utility>
 
@@ -112,19 +111,30 @@
               const WorkerReport& report,
               TimePoint sent_at,
               TimePoint now) -> void {
-  std::map<TaskName, const RunningRun*> running;
+  std::vector<const RunningRun*> running;
+  running.reserve(report.running.size());
   for (const RunningRun& run : report.running) {
-    running.emplace(run.task, &run);
+    running.push_back(&run);
   }
-  const std::set<TaskName> tasks = worker.tasks;
-  for (const TaskName& name : tasks) {
-    TaskState* task = FindTask(state, name);
-    const auto found = running.find(name);
-    if (found != running.end() && found->second->run == task->run) {
-      TakeRunning(*task, *found->second, now);
-      state.jobs.at(name.job).began = true;
+  std::stable_sort(running.begin(), running.end(),
+                   [](const RunningRun* left, const RunningRun* right) -> bool {
+                     return left->task < right->task;
+                   });
+  auto found = running.begin();
+  for (auto next = worker.tasks.begin(); next != worker.tasks.end();) {
+    // The task may leave the set, so the loop goes on first.
+    const auto name = next++;
+    while (found != running.end() && (*found)->task < *name) {
+      ++found;
+    }
+    ShardJob& job = state.jobs.at(name->job);
+    TaskState& task = *FindTask(job, *name);
+    if (found != running.end() && (*found)->task == *name &&
+        (*found)->run == task.run) {
+      TakeRunning(task, **found, now);
+      job.began = true;
     } else {
-      TakeAbsence(state, name, sent_at, now);
+      TakeAbsence(state, TaskName(*name), sent_at, now);
     }
   }
 }
