Leave out of a batch what it does not change

A batch listed the newest end of each worker, 463 names in a large pool, though only few have an end that is not stored yet. For the others the answer changed nothing: their ended_stored equals ended_seen. They are left out, and jobs without runs are not searched for planned ones.

--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -10,6 +10,9 @@
 namespace {
 
 auto AddPlannedRuns(const ShardJob& job, RecordBatch& batch) -> void {
+  if (job.assigned == 0) {
+    return;
+  }
   const int occurrences = OccurrenceCount(job.request);
   const auto steps = static_cast<int>(job.request.steps.size());
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
@@ -62,7 +65,9 @@
   // An end counts as stored only when no job of it is left out.
   if (state.dirty.empty()) {
     for (const auto& [id, worker] : state.workers) {
-      batch.ends.emplace(id, worker.ended_seen);
+      if (worker.ended_stored < worker.ended_seen) {
+        batch.ends.emplace(id, worker.ended_seen);
+      }
     }
   }
   return batch;
