Show what planning looks at in the owner's status line

step_ms tells how long planning takes on a busy VM, not why. planned_steps, planned_tasks and planned_workers count what was looked at since the last line, so that a step that is slow for its size is told from one that waited for the processor.

--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -98,8 +98,12 @@
        {"store_ms", ToMilliseconds(this->store_time)},
        {"steps", this->steps},
        {"step_ms", ToMilliseconds(this->step_time)},
+       {"planned_steps", state.plan_cost.steps - this->plan_cost.steps},
+       {"planned_tasks", state.plan_cost.tasks - this->plan_cost.tasks},
+       {"planned_workers", state.plan_cost.workers - this->plan_cost.workers},
        {"longest_step_ms", ToMilliseconds(this->longest_step)},
        {"longest_gap_ms", ToMilliseconds(this->longest_gap)}});
+  this->plan_cost = state.plan_cost;
   this->feed_rows = 0;
   this->starts = 0;
   this->ends = 0;
--- a/src/fireflythread/entry/shard_monitor.h
+++ b/src/fireflythread/entry/shard_monitor.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "fireflythread/base/time.h"
+#include "fireflythread/jobs/plan_cost.h"
 #include "fireflythread/jobs/shard_state.h"
 #include "fireflythread/telemetry/logger.h"
 #include "fireflythread/telemetry/metrics_registry.h"
@@ -40,6 +41,8 @@
   Duration longest_step{0};
   /// Longest time between the begins of two steps.
   Duration longest_gap{0};
+  /// The cost of planning up to the last report.
+  PlanCost plan_cost;
   int starts = 0;
   int ends = 0;
   int stores = 0;
