Leave the main loop as much time as the last step took

The next step of an owner was due 5 ms after an event, whatever a step costs. Steps of 10 to 28 ms took 40% of the time of the loop that also sends all orders, takes all reports and stores progress, and stored transactions waited for it.

DelayOfStep() keeps at least the duration of the last step between its end and the next one; an event that comes later than that waits 5 ms as before. The delay ends at 100 ms, the period of the owner's tick: a step during which the VM was suspended seems to last seconds, and looks extend leases of 6 s.

The share of steps in a peak was not measured again on the platform.

--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -15,6 +15,7 @@
 #include "fireflythread/jobs/shard_plan.h"
 #include "fireflythread/jobs/shard_record.h"
 #include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/jobs/step_pace.h"
 #include "fireflythread/jobs/vacate.h"
 #include "fireflythread/jobs/worker_lease.h"
 #include "fireflythread/ownership/ownership.h"
@@ -24,9 +25,6 @@
 
 using std::chrono::milliseconds;
 
-/// Events within this time are handled together.
-constexpr milliseconds kWakeDelay{5};
-
 /// Period of the checks that no event brings about.
 constexpr milliseconds kTick{100};
 
@@ -207,7 +205,8 @@
 }
 
 auto ShardTask::Wake() -> void {
-  this->wake.Start(kWakeDelay);
+  const Duration idle = ReadBootClock() - this->step_ended;
+  this->wake.Start(DelayOfStep(this->last_step, idle));
 }
 
 auto ShardTask::Step() -> void {
@@ -220,7 +219,9 @@
     this->PlanAndOrder(now);
   }
   this->Flush();
-  this->monitor.NoteStep(now, ReadBootClock());
+  this->step_ended = ReadBootClock();
+  this->last_step = this->step_ended - now;
+  this->monitor.NoteStep(now, this->step_ended);
   this->monitor.Report(this->state, this->loaded_once, now);
   this->FinishDrain();
 }
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -114,6 +114,9 @@
   bool draining = false;
   std::function<void()> drained;
   std::set<WorkerId> vacating;
+  /// When the last step ended, and how long it took.
+  TimePoint step_ended;
+  Duration last_step{0};
   OneShotTimer wake;
   OneShotTimer follow_retry;
   PeriodicTimer tick;
--- /dev/null
+++ b/src/fireflythread/jobs/step_pace.h
@@ -0,0 +1,19 @@
+#ifndef FIREFLYTHREAD_JOBS_STEP_PACE_H_
+#define FIREFLYTHREAD_JOBS_STEP_PACE_H_
+
+#include <chrono>
+
+#include "fireflythread/base/time.h"
+
+namespace fireflythread {
+
+/// Time from an event to the step of the shard's owner that handles it. At
+/// least as long as the last step took lies between that step's end, which was
+/// `idle` ago, and the next step, so that steps leave half of the main loop's
+/// time to orders, reports and the store.
+[[nodiscard]] auto DelayOfStep(Duration last_step, Duration idle)
+    -> std::chrono::milliseconds;
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_STEP_PACE_H_
