Keep a job in memory until its final state is stored

Callers saw a failed or cancelled job as "running" until the shard changed owner. While the transaction with the final state was on its way, the job was not among the dirty ones any more, so the end of its last run dropped it from memory. When that transaction was not carried out, nothing was left to store again.

A job now remembers that its progress is on its way, and is dropped only when the store has answered. The new test failed before: no record was left to store after the transaction failed.

--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -55,7 +55,8 @@
   while (!state.dirty.empty() && batch.records.size() < max_jobs) {
     const JobId id = *state.dirty.begin();
     state.dirty.erase(state.dirty.begin());
-    const ShardJob& job = state.jobs.at(id);
+    ShardJob& job = state.jobs.at(id);
+    job.storing = true;
     batch.records.push_back({id, job.version, EncodeJobProgress(job.progress)});
     AddPlannedRuns(job, batch);
   }
@@ -77,6 +78,7 @@
     const auto job = state.jobs.find(record.job);
     if (job != state.jobs.end()) {
       job->second.version = version;
+      job->second.storing = false;
     }
   }
   for (const auto& [id, number] : batch.ends) {
@@ -112,7 +114,9 @@
 auto TakeNotStored(ShardState& state, const RecordBatch& batch) -> void {
   state.storing = false;
   for (const JobRecord& record : batch.records) {
-    if (state.jobs.contains(record.job)) {
+    const auto job = state.jobs.find(record.job);
+    if (job != state.jobs.end()) {
+      job->second.storing = false;
       state.dirty.insert(record.job);
     }
   }
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -84,7 +84,8 @@
 auto ForgetIfFinished(ShardState& state, const JobId& id) -> void {
   const auto job = state.jobs.find(id);
   if (job == state.jobs.end() || !IsFinal(job->second.progress.state) ||
-      job->second.assigned > 0 || state.dirty.contains(id)) {
+      job->second.assigned > 0 || job->second.storing ||
+      state.dirty.contains(id)) {
     return;
   }
   state.finished.insert(id);
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -76,7 +76,8 @@
 /// Orders a stop of a task's newest run.
 auto BeginStop(ShardState& state, const TaskName& name, TimePoint now) -> void;
 
-/// Drops a job that has ended once none of its runs is left.
+/// Drops a job that has ended once its final state is stored and none of its
+/// runs is left.
 auto ForgetIfFinished(ShardState& state, const JobId& id) -> void;
 
 }  // namespace fireflythread
--- a/test/fireflythread/jobs/shard_runs_test.cc
+++ b/test/fireflythread/jobs/shard_runs_test.cc
@@ -36,6 +36,22 @@
   CHECK(shard.Worker("w0").ended_stored == 1);
 }
 
+TEST_CASE("A final state on its way to the store is kept until it is stored",
+          "[jobs]") {
+  // Guards against a job whose state stays "running" for ever: its last run
+  // ends while the transaction with its final state is on its way, and that
+  // transaction is not carried out.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(2, 1000));
+  REQUIRE(shard.StartAll().size() == 2);
+  CancelJob(shard.state, JobId("a"), shard.now);
+  const RecordBatch batch = TakeBatch(shard.state, 45);
+  TakeWorkerGone(shard.state, WorkerId("w0"), shard.now);
+  StepWorkers(shard.state, shard.now);
+  TakeNotStored(shard.state, batch);
+  CHECK(TakeBatch(shard.state, 45).records.size() == 1);
+}
+
 TEST_CASE("A silent worker's runs begin elsewhere after its lease", "[jobs]") {
   // Guards against looks without an answer that move the lease's end, as the
   // owner has to assume that they are carried out late.
