Leave default values of job steps out of the rows

A new owner decodes the rows of all open jobs before it starts anything, and 18 members of each step were written and parsed although a usual step sets four. Members with default values are now left out. Rows with all members stay readable; a test holds one. Adopting the runs of a loaded job copied the name of each task, also of those without a run; it copies only the names that it needs.

Programs from before this change cannot read the shorter rows. They must not own a shard next to an entry that stores jobs with this one.

"What a job's step leaves at its default is not in the row" failed before.

--- a/src/fireflythread/jobs/job_codec.cc
+++ b/src/fireflythread/jobs/job_codec.cc
@@ -24,53 +24,84 @@
   return WallTime(std::chrono::milliseconds(milliseconds));
 }
 
+/// Sets a member unless it has its default value, which readers assume.
+template <typename T>
+auto SetUnless(Json& json, const char* name, const T& value, const T& absent)
+    -> void {
+  if (value != absent) {
+    json[name] = value;
+  }
+}
+
 auto EncodeStep(const JobStep& step) -> Json {
-  return Json{{"count", step.count},
-              {"millicores", step.size.millicores},
-              {"memory_mb", step.size.memory_mb},
-              {"accelerators", step.size.accelerators},
-              {"estimate_ms", step.estimate.count()},
-              {"after", step.after},
-              {"checkpointing", step.checkpointing},
-              {"gang", step.gang},
-              {"same_rack", step.same_rack},
-              {"speculative", step.speculative},
-              {"long_running", step.long_running},
-              {"filler", step.filler},
-              {"required_label", step.required_label},
-              {"data_rack", step.data_rack},
-              {"max_per_worker", step.max_per_worker},
-              {"image", step.image},
-              {"latency_target_ms", step.latency_target.count()},
-              {"disruption_budget", step.has_disruption_budget
-                                        ? Json(step.disruption_budget)
-                                        : Json(nullptr)}};
+  const JobStep none;
+  Json json{{"count", step.count}};
+  SetUnless(json, "millicores", step.size.millicores, none.size.millicores);
+  SetUnless(json, "memory_mb", step.size.memory_mb, none.size.memory_mb);
+  SetUnless(json, "accelerators", step.size.accelerators,
+            none.size.accelerators);
+  SetUnless(json, "estimate_ms", step.estimate.count(), none.estimate.count());
+  SetUnless(json, "after", step.after, none.after);
+  SetUnless(json, "checkpointing", step.checkpointing, none.checkpointing);
+  SetUnless(json, "gang", step.gang, none.gang);
+  SetUnless(json, "same_rack", step.same_rack, none.same_rack);
+  SetUnless(json, "speculative", step.speculative, none.speculative);
+  SetUnless(json, "long_running", step.long_running, none.long_running);
+  SetUnless(json, "filler", step.filler, none.filler);
+  SetUnless(json, "required_label", step.required_label, none.required_label);
+  SetUnless(json, "data_rack", step.data_rack, none.data_rack);
+  SetUnless(json, "max_per_worker", step.max_per_worker, none.max_per_worker);
+  SetUnless(json, "image", step.image, none.image);
+  SetUnless(json, "latency_target_ms", step.latency_target.count(),
+            none.latency_target.count());
+  if (step.has_disruption_budget) {
+    json["disruption_budget"] = step.disruption_budget;
+  }
+  return json;
+}
+
+/// Reads a member if it is there.
+template <typename T>
+auto Read(const Json& json, const char* name, T& value) -> void {
+  const auto found = json.find(name);
+  if (found != json.end()) {
+    found->get_to(value);
+  }
+}
+
+auto ReadTime(const Json& json,
+              const char* name,
+              std::chrono::milliseconds& value) -> void {
+  std::int64_t milliseconds = value.count();
+  Read(json, name, milliseconds);
+  value = std::chrono::milliseconds(milliseconds);
 }
 
 auto DecodeStep(const Json& json) -> JobStep {
   JobStep step;
   step.count = json.at("count").get<int>();
-  step.size.millicores = json.at("millicores").get<std::int64_t>();
-  step.size.memory_mb = json.at("memory_mb").get<std::int64_t>();
-  step.size.accelerators = json.at("accelerators").get<std::int64_t>();
-  step.estimate =
-      std::chrono::milliseconds(json.at("estimate_ms").get<std::int64_t>());
-  step.after = json.at("after").get<std::vector<int>>();
-  step.checkpointing = json.at("checkpointing").get<bool>();
-  step.gang = json.at("gang").get<bool>();
-  step.same_rack = json.at("same_rack").get<bool>();
-  step.speculative = json.at("speculative").get<bool>();
-  step.long_running = json.at("long_running").get<bool>();
-  step.filler = json.at("filler").get<bool>();
-  step.required_label = json.at("required_label").get<std::string>();
-  step.data_rack = json.at("data_rack").get<std::string>();
-  step.max_per_worker = json.at("max_per_worker").get<int>();
-  step.image = json.at("image").get<std::string>();
-  step.latency_target = std::chrono::milliseconds(
-      json.at("latency_target_ms").get<std::int64_t>());
-  const Json& budget = json.at("disruption_budget");
-  step.has_disruption_budget = !budget.is_null();
-  step.disruption_budget = step.has_disruption_budget ? budget.get<int>() : 0;
+  Read(json, "millicores", step.size.millicores);
+  Read(json, "memory_mb", step.size.memory_mb);
+  Read(json, "accelerators", step.size.accelerators);
+  ReadTime(json, "estimate_ms", step.estimate);
+  Read(json, "after", step.after);
+  Read(json, "checkpointing", step.checkpointing);
+  Read(json, "gang", step.gang);
+  Read(json, "same_rack", step.same_rack);
+  Read(json, "speculative", step.speculative);
+  Read(json, "long_running", step.long_running);
+  Read(json, "filler", step.filler);
+  Read(json, "required_label", step.required_label);
+  Read(json, "data_rack", step.data_rack);
+  Read(json, "max_per_worker", step.max_per_worker);
+  Read(json, "image", step.image);
+  ReadTime(json, "latency_target_ms", step.latency_target);
+  // Earlier programs wrote null for a step without a budget.
+  const auto budget = json.find("disruption_budget");
+  step.has_disruption_budget = budget != json.end() && !budget->is_null();
+  if (step.has_disruption_budget) {
+    budget->get_to(step.disruption_budget);
+  }
   return step;
 }
 
--- a/src/fireflythread/jobs/job_codec.h
+++ b/src/fireflythread/jobs/job_codec.h
@@ -13,10 +13,12 @@
 
 namespace fireflythread {
 
-/// The value of a job's row, JSON.
+/// The value of a job's row, JSON. Members of a step that have their default
+/// values are left out.
 [[nodiscard]] auto EncodeJobRequest(const JobRequest& job) -> std::string;
 
-/// No value when the text is not what EncodeJobRequest() writes.
+/// No value when the text is not what EncodeJobRequest() writes. Rows of
+/// earlier programs, with all members of each step, are readable too.
 [[nodiscard]] auto DecodeJobRequest(const JobId& id, std::string_view text)
     -> std::optional<JobRequest>;
 
--- a/src/fireflythread/jobs/shard_jobs.cc
+++ b/src/fireflythread/jobs/shard_jobs.cc
@@ -7,30 +7,24 @@
 namespace fireflythread {
 namespace {
 
-/// Calls `visit` with the name and state of each task of a job.
-template <typename Visit>
-auto ForEachTask(ShardJob& job, Visit visit) -> void {
-  const JobId id = job.request.id;
+/// The tasks of a job with a run that may exist. Names, which hold a copy of
+/// the job's id, are made for these alone.
+auto AssignedTasks(const ShardJob& job) -> std::vector<TaskName> {
+  std::vector<TaskName> names;
   const int occurrences = OccurrenceCount(job.request);
   const auto steps = static_cast<int>(job.request.steps.size());
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
     for (int step = 0; step < steps; ++step) {
       const int count = job.request.steps[static_cast<std::size_t>(step)].count;
       for (int index = 0; index < count; ++index) {
-        visit(TaskName{id, occurrence, step, index},
-              job.progress.tasks[TaskPlace(job, occurrence, step, index)]);
+        const TaskState& task =
+            job.progress.tasks[TaskPlace(job, occurrence, step, index)];
+        if (!task.worker.empty()) {
+          names.push_back(TaskName{job.request.id, occurrence, step, index});
+        }
       }
     }
   }
-}
-
-auto AssignedTasks(ShardJob& job) -> std::vector<TaskName> {
-  std::vector<TaskName> names;
-  ForEachTask(job, [&names](const TaskName& name, const TaskState& task) {
-    if (!task.worker.empty()) {
-      names.push_back(name);
-    }
-  });
   return names;
 }
 
--- a/test/fireflythread/jobs/job_codec_test.cc
+++ b/test/fireflythread/jobs/job_codec_test.cc
@@ -33,10 +33,58 @@
   CHECK(decoded->first_due == job.first_due);
 }
 
+TEST_CASE("What a job's step leaves at its default is not in the row",
+          "[jobs]") {
+  // Guards against takeovers that spend their time on decoding members that
+  // say nothing: an owner decodes the rows of all open jobs.
+  JobRequest job;
+  job.queue = QueueName("orders");
+  JobStep step;
+  step.count = 2;
+  step.size.millicores = 500;
+  job.steps = {step};
+  const std::string text = EncodeJobRequest(job);
+  CHECK(text.find(R"("steps":[{"count":2,"millicores":500}])") !=
+        std::string::npos);
+  const auto decoded = DecodeJobRequest(job.id, text);
+  REQUIRE(decoded.has_value());
+  CHECK(decoded->steps[0].count == 2);
+  CHECK(decoded->steps[0].after.empty());
+  CHECK_FALSE(decoded->steps[0].has_disruption_budget);
+}
+
+TEST_CASE("A row with all members of a step is readable", "[jobs]") {
+  // Guards against jobs that are lost when the program that stored them wrote
+  // the default values too.
+  const auto job = DecodeJobRequest(
+      JobId("a"),
+      R"({"queue":"orders","spec":"s","steps":[{"count":3,"millicores":1500,)"
+      R"("memory_mb":2048,"accelerators":0,"estimate_ms":900,"after":[],)"
+      R"("checkpointing":true,"gang":false,"same_rack":false,)"
+      R"("speculative":false,"long_running":false,"filler":false,)"
+      R"("required_label":"","data_rack":"","max_per_worker":0,"image":"i",)"
+      R"("latency_target_ms":0,"disruption_budget":null}],"repeat_count":0,)"
+      R"("first_due_ms":0,"interval_ms":0,"accepted_ms":77})");
+  REQUIRE(job.has_value());
+  CHECK(job->steps[0].size.memory_mb == 2048);
+  CHECK(job->steps[0].estimate == std::chrono::milliseconds(900));
+  CHECK(job->steps[0].checkpointing);
+  CHECK_FALSE(job->steps[0].has_disruption_budget);
+}
+
 TEST_CASE("Unreadable rows give no value", "[jobs]") {
   CHECK_FALSE(DecodeJobRequest(JobId("a"), "").has_value());
   CHECK_FALSE(DecodeJobRequest(JobId("a"), "{}").has_value());
   CHECK_FALSE(DecodeJobRequest(JobId("a"), R"({"queue":7})").has_value());
+  for (const char* steps : {R"([{}])", R"([{"count":"x"}])", R"([7])",
+                            R"([{"count":1,"gang":5}])"}) {
+    CHECK_FALSE(DecodeJobRequest(JobId("a"),
+                                 std::string(R"({"queue":"q","spec":"",)") +
+                                     R"("repeat_count":0,"first_due_ms":0,)" +
+                                     R"("interval_ms":0,"accepted_ms":1,)" +
+                                     R"("steps":)" + steps + "}")
+                    .has_value());
+  }
   CHECK_FALSE(DecodeJobProgress("[]", 1).has_value());
   CHECK_FALSE(DecodeJobProgress(R"({"state":9,"tasks":[0]})", 1).has_value());
   CHECK_FALSE(DecodeJobProgress(R"({"state":1,"tasks":[0]})", 2).has_value());
