Give no number of waiting jobs that nobody stands for

After a change of owner, callers got the former owner's counts until the new one had loaded: 188 where 930 waited. Without a row they got 0.

- a claim removes the row in the same transaction
- without a row, or with one that cannot be read, the answer is 503
- counts are written again after a transaction whose answer was lost

ShardTask's part, the time that it passes on, has no test.

--- a/src/fireflythread/entry/job_desk.cc
+++ b/src/fireflythread/entry/job_desk.cc
@@ -283,15 +283,18 @@
           done(std::nullopt);
           return;
         }
-        int waiting = 0;
-        if (!page->rows.empty()) {
-          const auto counts =
-              nlohmann::json::parse(page->rows.front().value, nullptr, false);
-          if (counts.is_object()) {
-            waiting = counts.value(queue.value, 0);
-          }
+        // Without a row the shard's owner does not know how many wait.
+        if (page->rows.empty()) {
+          done(std::nullopt);
+          return;
+        }
+        const auto counts =
+            nlohmann::json::parse(page->rows.front().value, nullptr, false);
+        if (!counts.is_object()) {
+          done(std::nullopt);
+          return;
         }
-        done(waiting);
+        done(counts.value(queue.value, 0));
       }));
 }
 
--- a/src/fireflythread/entry/job_desk.h
+++ b/src/fireflythread/entry/job_desk.h
@@ -66,7 +66,8 @@
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
-  /// Reads how many jobs of a queue wait. No value when the store gives none.
+  /// Reads how many jobs of a queue wait. No value when the store gives none or
+  /// the shard's owner has not published current counts.
   auto ReadWaiting(const ServiceName& shard,
                    const QueueName& queue,
                    CountCallback callback) -> void;
--- a/src/fireflythread/entry/shard_monitor.h
+++ b/src/fireflythread/entry/shard_monitor.h
@@ -24,8 +24,9 @@
   /// A transaction that stored progress was answered after this time.
   auto NoteStored(Duration took) -> void;
   auto NoteLook(bool failed) -> void;
-  /// The feed of the shard's jobs was answered at this time.
+  /// The jobs are known as of this time: the feed was answered or a read began.
   auto NoteFeed(TimePoint answered, std::size_t rows) -> void;
+  [[nodiscard]] auto FeedAt() const -> TimePoint { return this->feed_at; }
 
   /// Writes the line when it is due.
   auto Report(const ShardState& state, bool loaded, TimePoint now) -> void;
@@ -46,7 +47,7 @@
   Duration store_time{0};
   int looks = 0;
   int failed_looks = 0;
-  /// When the feed of the shard's jobs was answered last.
+  /// As of when the shard's jobs are known.
   TimePoint feed_at;
   std::size_t feed_rows = 0;
 };
--- a/src/fireflythread/entry/shard_publisher.cc
+++ b/src/fireflythread/entry/shard_publisher.cc
@@ -6,7 +6,6 @@
 #include <utility>
 #include <variant>
 
-#include "fireflythread/base/io_clock.h"
 #include "fireflythread/duties/measure_load.h"
 #include "fireflythread/entry/duty_task.h"
 #include "fireflythread/entry/store_timeouts.h"
@@ -37,39 +36,56 @@
 
 ShardPublisher::ShardPublisher(TableStore& table_store) : store(table_store) {}
 
-auto ShardPublisher::Publish(ShardState& state) -> void {
-  const TimePoint now = ReadBootClock();
-  this->PublishWaiting(state, now);
+auto ShardPublisher::Publish(ShardState& state,
+                             TimePoint feed_at,
+                             TimePoint now) -> void {
+  this->PublishWaiting(state, feed_at, now);
   this->PublishLoad(state, now);
 }
 
-auto ShardPublisher::PublishWaiting(const ShardState& state, TimePoint now)
-    -> void {
+auto ShardPublisher::PublishWaiting(const ShardState& state,
+                                    TimePoint feed_at,
+                                    TimePoint now) -> void {
   if (this->storing_waiting || now - this->waiting_at < kWaitingPeriod) {
     return;
   }
-  std::map<QueueName, int> counts = CountWaiting(state);
-  if (this->waiting_stored && counts == this->waiting) {
+  std::optional<Counts> counts;
+  if (now - feed_at <= kFeedSilence) {
+    counts = CountWaiting(state);
+  }
+  if (this->waiting_known && counts == this->waiting) {
     return;
   }
+  this->waiting_at = now;
+  this->StoreWaiting(state, std::move(counts));
+}
+
+auto ShardPublisher::StoreWaiting(const ShardState& state,
+                                  std::optional<Counts> counts) -> void {
   Transaction transaction;
   transaction.conditions.push_back({std::string(kFenceTable),
                                     std::string(kFenceKey), state.fence,
                                     state.service.value});
-  transaction.writes.push_back({std::string(kWaitingTable), "counts",
-                                EncodeCounts(counts), state.service.value});
+  std::optional<std::string> value;
+  if (counts) {
+    value = EncodeCounts(*counts);
+  }
+  transaction.writes.push_back({std::string(kWaitingTable),
+                                std::string(kWaitingKey), std::move(value),
+                                state.service.value});
   this->storing_waiting = true;
-  this->waiting_at = now;
   this->store.Commit(
       std::move(transaction), kStoreTimeout,
-      this->alive.Guard(
-          [this, counts](const TransactionOutcome& outcome) -> void {
-            this->storing_waiting = false;
-            if (std::holds_alternative<Committed>(outcome)) {
-              this->waiting = counts;
-              this->waiting_stored = true;
-            }
-          }));
+      this->alive.Guard([this, stored = std::move(counts)](
+                            const TransactionOutcome& outcome) -> void {
+        this->storing_waiting = false;
+        if (std::holds_alternative<Committed>(outcome)) {
+          this->waiting = stored;
+          this->waiting_known = true;
+        } else if (std::holds_alternative<CommitUnknown>(outcome)) {
+          this->waiting_known = false;
+        }
+      }));
 }
 
 auto ShardPublisher::PublishLoad(ShardState& state, TimePoint now) -> void {
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -104,6 +104,7 @@
       this->environment.store, RangeRequest{std::string(kProgressTable), part},
       [this, part](std::vector<Row> rows, std::uint64_t) {
         this->loaded_progress.clear();
+        this->load_began = ReadBootClock();
         for (Row& row : rows) {
           std::string key = row.key;
           this->loaded_progress.emplace(std::move(key), std::move(row));
@@ -132,6 +133,8 @@
   this->loaded_progress.clear();
   this->loaded = true;
   this->job_revision = revision;
+  // The first page is the oldest; what came since is in the feed.
+  this->monitor.NoteFeed(this->load_began, 0);
   if (!this->loaded_once) {
     this->loaded_once = true;
     this->environment.logger.Info(
@@ -232,7 +235,7 @@
   }
   this->SendStops();
   this->LookAtWorkers();
-  this->publisher.Publish(this->state);
+  this->publisher.Publish(this->state, this->monitor.FeedAt(), now);
   const std::vector<WorkerId> vacated = VacatedWorkers(this->state);
   if (!vacated.empty()) {
     this->environment.on_vacated(vacated);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -107,6 +107,8 @@
   std::unique_ptr<RangeLoader> progress_loader;
   std::unique_ptr<RangeLoader> job_loader;
   std::map<std::string, Row> loaded_progress;
+  /// When the read of the job table began.
+  TimePoint load_began;
   bool loaded = false;
   bool loaded_once = false;
   std::uint64_t job_revision = 0;
--- a/src/fireflythread/jobs/job_tables.h
+++ b/src/fireflythread/jobs/job_tables.h
@@ -13,8 +13,10 @@
 /// owner only.
 inline constexpr std::string_view kProgressTable = "progress";
 
-/// Jobs that wait, by queue: key is the shard. Written by its owner.
+/// Jobs that wait, by queue: part is the shard, with one row. Written by the
+/// shard's owner, removed by each claim; without it, nobody knows.
 inline constexpr std::string_view kWaitingTable = "waiting";
+inline constexpr std::string_view kWaitingKey = "counts";
 
 /// A shard's accepted jobs and cancellations. Each shard has a table of its
 /// own, so that an owner follows only what concerns it. The part is the shard.
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/ownership/placement.h"
 
 namespace fireflythread {
@@ -54,6 +55,10 @@
   transaction.writes.push_back({std::string(kShardTable), shard.value, value});
   transaction.writes.push_back(
       {std::string(kFenceTable), std::string(kFenceKey), value, shard.value});
+  // The former owner's counts are out of date until the new one has loaded.
+  transaction.writes.push_back({std::string(kWaitingTable),
+                                std::string(kWaitingKey), std::nullopt,
+                                shard.value});
   Handover handover;
   if (known != state.shards.end()) {
     handover.former_stopped = IsFormerStopped(state, known->second);
--- /dev/null
+++ b/test/fireflythread/entry/job_desk_test.cc
@@ -0,0 +1,87 @@
+#include "fireflythread/entry/job_desk.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/ownership/ownership.h"
+#include "test/fireflythread/entry/memory_table_store.h"
+
+namespace fireflythread::test {
+namespace {
+
+const ServiceName kPool("p");
+
+auto MakeSilentLogger() -> Logger {
+  return Logger(
+      {EntryId("a"), ZoneName("z")}, LogLevel::kError, [](std::string_view) {},
+      [] { return std::chrono::system_clock::now(); });
+}
+
+auto PutCounts(MemoryTableStore& store, const std::string& value) -> void {
+  store.Put(std::string(kWaitingTable), kPool.value, std::string(kWaitingKey),
+            value);
+}
+
+/// The answer for the queue "orders"; -1 for none.
+auto ReadWaiting(MemoryTableStore& store) -> int {
+  const Logger logger = MakeSilentLogger();
+  JobDesk desk(store, logger);
+  std::optional<int> answer;
+  int answers = 0;
+  desk.ReadWaiting(kPool, QueueName("orders"), [&](std::optional<int> count) {
+    answer = count;
+    ++answers;
+  });
+  store.RunCallbacks();
+  CHECK(answers == 1);
+  return answer.value_or(-1);
+}
+
+TEST_CASE("The number of waiting jobs is read", "[entry]") {
+  MemoryTableStore store;
+  PutCounts(store, R"({"orders":7,"other":2})");
+  CHECK(ReadWaiting(store) == 7);
+  PutCounts(store, R"({"other":2})");
+  CHECK(ReadWaiting(store) == 0);
+}
+
+TEST_CASE("No number is given that nobody stands for", "[entry]") {
+  // Guards against 0 for a queue whose jobs the owner is still loading.
+  MemoryTableStore store;
+  CHECK(ReadWaiting(store) == -1);
+  PutCounts(store, "not JSON");
+  CHECK(ReadWaiting(store) == -1);
+  PutCounts(store, R"({"orders":7})");
+  store.reads_fail = true;
+  CHECK(ReadWaiting(store) == -1);
+}
+
+TEST_CASE("A claim withdraws the counts of the former owner", "[entry]") {
+  // Guards against counts that are long out of date while the new owner loads.
+  const TimePoint now{std::chrono::hours(1)};
+  MemoryTableStore store;
+  PutCounts(store, R"({"orders":188})");
+  OwnershipState state;
+  state.self = EntryId("a");
+  state.incarnation = 1;
+  state.wanted = {kPool};
+  state.shards_read = true;
+  TakeEntryRows(
+      state, {{std::string(kEntryTable), "a", 1, R"({"incarnation":1})"}}, now);
+  auto claims = NextClaims(state, now);
+  REQUIRE(claims.size() == 1);
+  bool committed = false;
+  store.Commit(std::move(claims[0].transaction), std::chrono::seconds(1),
+               [&committed](const TransactionOutcome& outcome) {
+                 committed = std::holds_alternative<Committed>(outcome);
+               });
+  store.RunCallbacks();
+  CHECK(committed);
+  CHECK(ReadWaiting(store) == -1);
+}
+
+}  // namespace
+}  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/entry/shard_publisher_test.cc
@@ -0,0 +1,141 @@
+#include "fireflythread/entry/shard_publisher.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/ownership/ownership.h"
+#include "test/fireflythread/entry/memory_table_store.h"
+#include "test/fireflythread/jobs/shard_fixture.h"
+
+namespace fireflythread::test {
+namespace {
+
+/// The owner of a shard that has just been loaded, on virtual time.
+class PublishingOwner {
+ public:
+  PublishingOwner() : shard(0), publisher(this->store) {
+    this->shard.state.fence = this->store.Put(
+        std::string(kFenceTable), this->Part(), std::string(kFenceKey), "{}");
+    this->feed_at = this->shard.now;
+  }
+
+  auto Pass(milliseconds time) -> void { this->shard.Advance(time); }
+  /// Time passes and the feed is answered all the while.
+  auto Run(milliseconds time) -> void {
+    this->shard.Advance(time);
+    this->feed_at = this->shard.now;
+    this->Publish();
+  }
+  /// Time passes and the feed is not answered.
+  auto RunWithoutFeed(milliseconds time) -> void {
+    for (milliseconds passed{0}; passed < time; passed += kTick) {
+      this->shard.Advance(kTick);
+      this->Publish();
+    }
+  }
+  auto Publish() -> void {
+    this->publisher.Publish(this->shard.state, this->feed_at, this->shard.now);
+    this->store.RunCallbacks();
+  }
+  auto AddJob(const std::string& id) -> void {
+    this->shard.AddJob(id, ShardFixture::Step(1, 100));
+  }
+  auto RemoveJobs() -> void { this->shard.state.jobs.clear(); }
+
+  [[nodiscard]] auto Row() const -> std::optional<std::string> {
+    return this->store.Find(std::string(kWaitingTable), this->Part(),
+                            std::string(kWaitingKey));
+  }
+  /// Transactions that wrote or removed the row.
+  [[nodiscard]] auto Writes() const -> std::size_t {
+    return std::count_if(
+        this->store.transactions.begin(), this->store.transactions.end(),
+        [](const Transaction& transaction) -> bool {
+          return transaction.writes.front().table == kWaitingTable;
+        });
+  }
+
+  MemoryTableStore store;
+
+ private:
+  static constexpr milliseconds kTick{100};
+
+  [[nodiscard]] auto Part() const -> std::string {
+    return this->shard.state.service.value;
+  }
+
+  ShardFixture shard;
+  ShardPublisher publisher;
+  TimePoint feed_at;
+};
+
+TEST_CASE("Counts are published at once, also when nothing waits", "[entry]") {
+  // Guards against callers that are refused for as long as no job arrives.
+  PublishingOwner owner;
+  owner.Publish();
+  CHECK(owner.Row() == "{}");
+  owner.Run(milliseconds(5000));
+  CHECK(owner.Writes() == 1);
+  owner.AddJob("a");
+  owner.Run(milliseconds(1000));
+  CHECK(owner.Row() == R"({"orders":1})");
+}
+
+TEST_CASE("Counts are withdrawn while the feed of jobs is not answered",
+          "[entry]") {
+  // Guards against counts that are presented as current though the owner has
+  // heard of no job for long.
+  PublishingOwner owner;
+  owner.AddJob("a");
+  owner.Publish();
+  REQUIRE(owner.Row() == R"({"orders":1})");
+  owner.RunWithoutFeed(kFeedSilence);
+  CHECK(owner.Row().has_value());
+  owner.RunWithoutFeed(milliseconds(1000));
+  CHECK_FALSE(owner.Row().has_value());
+  CHECK(owner.Writes() == 2);
+  owner.RunWithoutFeed(milliseconds(10000));
+  CHECK(owner.Writes() == 2);
+  // The same counts as before, but current again.
+  owner.Run(milliseconds(100));
+  CHECK(owner.Row() == R"({"orders":1})");
+}
+
+TEST_CASE("A withdrawal that was refused is tried again", "[entry]") {
+  PublishingOwner owner;
+  owner.Publish();
+  owner.store.fates = {MemoryTableStore::Fate::kRefused};
+  owner.RunWithoutFeed(kFeedSilence + milliseconds(200));
+  REQUIRE(owner.Row().has_value());
+  owner.RunWithoutFeed(milliseconds(1000));
+  CHECK_FALSE(owner.Row().has_value());
+}
+
+TEST_CASE("Counts that were never published are not withdrawn", "[entry]") {
+  // The claim has removed what the former owner wrote.
+  PublishingOwner owner;
+  owner.Pass(kFeedSilence + milliseconds(100));
+  owner.Publish();
+  CHECK(owner.Writes() == 0);
+}
+
+TEST_CASE("Counts are written again after a lost answer", "[entry]") {
+  // Guards against a row that keeps the counts of a transaction of which the
+  // owner does not know that it took effect.
+  PublishingOwner owner;
+  owner.Publish();
+  owner.AddJob("a");
+  owner.store.fates = {MemoryTableStore::Fate::kAnswerLost};
+  owner.Run(milliseconds(1000));
+  REQUIRE(owner.Row() == R"({"orders":1})");
+  owner.RemoveJobs();
+  owner.Run(milliseconds(1000));
+  CHECK(owner.Row() == "{}");
+}
+
+}  // namespace
+}  // namespace fireflythread::test
