--- a/src/fireflythread/relay/io_order_relay.cc
+++ b/src/fireflythread/relay/io_order_relay.cc
@@ -13,8 +13,8 @@
 namespace fireflythread {
 namespace {
 
-/// Orders performed before other sources of the main loop get a turn. A call
-/// to a worker costs up to 1 ms of CPU, of which an entry may have an eighth.
+/// Orders performed before other sources of the main loop get a turn. Calls are
+/// its most costly work, and an entry may have an eighth of a core.
 constexpr int kOrdersPerTurn = 8;
 
 /// Orders that may wait; further ones go back to their owners unperformed. A
--- a/test/fireflythread/relay/order_relay_test.cc
+++ b/test/fireflythread/relay/order_relay_test.cc
@@ -1,37 +1,19 @@
 #include "fireflythread/relay/io_order_relay.h"
 
-#include <glib.h>
-
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "fireflythread/base/io_clock.h"
 #include "fireflythread/relay/io_order_codec.h"
 #include "fireflythread/relay/io_relay_links.h"
 #include "test/fireflythread/relay/fake_workers.h"
+#include "test/fireflythread/relay/run_until.h"
 
 namespace fireflythread::test {
 namespace {
 
-constexpr Duration kPatience = std::chrono::seconds(20);
-
-auto RunUntil(
-    const std::function<bool()>& done,
-    const std::function<void()>& action = [] {}) -> bool {
-  const TimePoint end = ReadBootClock() + kPatience;
-  const guint tick = g_timeout_add(
-      20, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; }, nullptr);
-  while (!done() && ReadBootClock() < end) {
-    action();
-    g_main_context_iteration(nullptr, TRUE);
-  }
-  g_source_remove(tick);
-  return done();
-}
-
 auto Ignore(const peer::Envelope& /*envelope*/) -> void {}
 
 /// A helper, and an owner that speaks the messages by hand.
--- a/test/fireflythread/relay/relay_node_test.cc
+++ b/test/fireflythread/relay/relay_node_test.cc
@@ -1,7 +1,5 @@
 #include "fireflythread/relay/io_relay_node.h"
 
-#include <glib.h>
-
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <functional>
@@ -11,8 +9,8 @@
 #include <string>
 #include <vector>
 
-#include "fireflythread/base/io_clock.h"
 #include "test/fireflythread/relay/fake_workers.h"
+#include "test/fireflythread/relay/run_until.h"
 
 namespace fireflythread::test {
 namespace {
@@ -20,28 +18,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// How long an event may take before a test fails. Only a failing test waits
-/// for all of it.
-constexpr Duration kPatience = seconds(20);
-
 /// Longer than any of these tests, so that no order is given up.
 constexpr Duration kLongTimeout = seconds(60);
 
-/// Runs the main loop, and `action` each 20 ms, until `done`.
-auto RunUntil(
-    const std::function<bool()>& done,
-    const std::function<void()>& action = [] {}) -> bool {
-  const TimePoint end = ReadBootClock() + kPatience;
-  const guint tick = g_timeout_add(
-      20, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; }, nullptr);
-  while (!done() && ReadBootClock() < end) {
-    action();
-    g_main_context_iteration(nullptr, TRUE);
-  }
-  g_source_remove(tick);
-  return done();
-}
-
 /// One entry on a free port of loopback, with workers of its own.
 struct Entry {
   explicit Entry(const char* name, std::uint64_t incarnation = 1)
@@ -191,6 +170,29 @@
   CHECK(replies["lost"].size() == 1);
 }
 
+// Guards against orders that wait for a helper that is known to be gone.
+TEST_CASE("orders that do not leave the process go out locally at once",
+          "[relay]") {
+  Entry owner("owner");
+  auto helper = std::make_unique<Entry>("helper");
+  Link(owner, {helper.get()});
+  helper.reset();
+  Replies replies;
+  int sent = 0;
+  // Orders are lost until the end of the connection is noticed.
+  REQUIRE(RunUntil([&] { return owner.Logged("no connection") == 1; },
+                   [&] {
+                     SendStart(owner, "i-" + std::to_string(++sent),
+                               kLongTimeout, replies);
+                   }));
+  REQUIRE_FALSE(owner.workers.called.empty());
+  owner.workers.AnswerAll();
+  for (const WorkerId& worker : owner.workers.called) {
+    CHECK(replies[worker.value].size() == 1);
+  }
+  CHECK(replies.size() == owner.workers.called.size());
+}
+
 // Guards against orders that are not sent at all where there is one entry, or
 // before the helpers are known.
 TEST_CASE("orders go out locally when there is no helper", "[relay]") {
--- /dev/null
+++ b/test/fireflythread/relay/run_until.cc
@@ -0,0 +1,33 @@
+#include "test/fireflythread/relay/run_until.h"
+
+#include <glib.h>
+
+#include <chrono>
+
+#include "fireflythread/base/io_clock.h"
+
+namespace fireflythread::test {
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(20);
+
+/// Wakes the main loop, so that `done` is asked again.
+constexpr guint kPeriodMs = 20;
+
+}  // namespace
+
+auto RunUntil(const std::function<bool()>& done,
+              const std::function<void()>& action) -> bool {
+  const TimePoint end = ReadBootClock() + kPatience;
+  const guint tick = g_timeout_add(
+      kPeriodMs, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; },
+      nullptr);
+  while (!done() && ReadBootClock() < end) {
+    action();
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  g_source_remove(tick);
+  return done();
+}
+
+}  // namespace fireflythread::test
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -135,5 +135,23 @@
   CHECK(faults->size() == 4);
 }
 
+// Guards against an entry that listens for peers where none was asked for, or
+// that starts with an address that it cannot listen at.
+TEST_CASE("The address for peers may be left out", "[platform]") {
+  const std::string required =
+      "[entry]\nid = a\nzone = z\ncaller_listen = 127.0.0.1:1\n"
+      "ready_listen = 127.0.0.1:2\n";
+  const std::string store = "[platform]\nstore = 127.0.0.1:3\n";
+  const auto peer_listen = [&](const std::string& line) -> std::string {
+    const auto result = ParseEntrySettings("f", required + line + store);
+    const auto* settings = std::get_if<EntrySettings>(&result);
+    return settings == nullptr ? "fault" : settings->peer_listen;
+  };
+  CHECK(peer_listen("").empty());
+  CHECK(peer_listen("peer_listen =\n").empty());
+  CHECK(peer_listen("peer_listen = 10.0.0.1:7\n") == "10.0.0.1:7");
+  CHECK(peer_listen("peer_listen = elsewhere\n") == "fault");
+}
+
 }  // namespace
 }  // namespace fireflythread::adapter
