Look at workers without a search for each by its name

LookAtWorkers() walks the workers of the shard at each step, up to 100 times a second, and NextLook() searched the map for each of them again.

--- a/bench/shard_step_main.cc
+++ b/bench/shard_step_main.cc
@@ -182,8 +182,8 @@
     PlanRuns(this->state, this->wall_now, this->now);
   });
   Measure(times.looks, [this] {
-    for (const PlayedWorker& worker : this->workers) {
-      static_cast<void>(NextLook(this->state, worker.id, true, this->now));
+    for (auto& [id, worker] : this->state.workers) {
+      static_cast<void>(NextLook(this->state, worker, true, this->now));
     }
   });
   std::vector<StartCommand> starts;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -391,14 +391,14 @@
   const bool may_extend = now - this->environment.confirmed_at() <
                           this->state.limits.extend_without_store;
   std::vector<HoldCommand> looks;
-  for (const auto& [id, worker] : this->state.workers) {
+  for (auto& [id, worker] : this->state.workers) {
     // Ends that are being stored would be reported once more.
     const bool storing = worker.ended_stored < worker.ended_seen &&
                          now - worker.next_look < milliseconds(1000);
     if (storing) {
       continue;
     }
-    if (auto look = NextLook(this->state, id, may_extend, now)) {
+    if (auto look = NextLook(this->state, worker, may_extend, now)) {
       looks.push_back(std::move(*look));
     }
   }
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -201,17 +201,16 @@
   }
 }
 
-auto NextLook(ShardState& state,
-              const WorkerId& worker_id,
+auto NextLook(const ShardState& state,
+              ShardWorker& worker,
               bool may_extend,
               TimePoint now) -> std::optional<HoldCommand> {
-  ShardWorker& worker = state.workers.at(worker_id);
   if (worker.look_in_flight || worker.gone || now < worker.next_look ||
       worker.view.address.empty() || !NeedsLook(worker)) {
     return std::nullopt;
   }
   HoldCommand look;
-  look.worker = worker_id;
+  look.worker = worker.view.id;
   look.address = worker.view.address;
   look.fence = state.fence;
   look.last_seen = worker.ended_stored;
--- a/src/fireflythread/jobs/shard_workers.h
+++ b/src/fireflythread/jobs/shard_workers.h
@@ -19,10 +19,10 @@
 /// out, and forgets workers that are not registered and run nothing.
 auto StepWorkers(ShardState& state, TimePoint now) -> void;
 
-/// The next look at a worker, if it is due. `may_extend` is false once the
-/// owner must not extend leases any more.
-[[nodiscard]] auto NextLook(ShardState& state,
-                            const WorkerId& worker,
+/// The next look at one of the shard's workers, if it is due. `may_extend` is
+/// false once the owner must not extend leases any more.
+[[nodiscard]] auto NextLook(const ShardState& state,
+                            ShardWorker& worker,
                             bool may_extend,
                             TimePoint now) -> std::optional<HoldCommand>;
 
--- a/test/fireflythread/jobs/worker_looks_test.cc
+++ b/test/fireflythread/jobs/worker_looks_test.cc
@@ -12,7 +12,7 @@
   const WorkerId worker("w0");
   int looks = 0;
   for (milliseconds passed{0}; passed < time; passed += kStep) {
-    if (NextLook(shard.state, worker, true, shard.now)) {
+    if (NextLook(shard.state, shard.Worker("w0"), true, shard.now)) {
       TakeLookRefusal(shard.state, worker, shard.now);
       ++looks;
     }
@@ -29,7 +29,7 @@
   CHECK(CountRefusedLooks(shard, milliseconds(4500)) == 0);
   // The VM stays after all: a look tells whether the worker is there.
   SetVacating(shard.state, {});
-  CHECK(NextLook(shard.state, WorkerId("w0"), true, shard.now).has_value());
+  CHECK(NextLook(shard.state, shard.Worker("w0"), true, shard.now).has_value());
 }
 
 TEST_CASE("A worker with runs is looked at while it is vacated", "[jobs]") {
@@ -60,7 +60,7 @@
   ShardFixture shard(1);
   shard.Advance(shard.state.limits.idle_look);
   REQUIRE(CountRefusedLooks(shard, milliseconds(2000)) == 4);
-  REQUIRE_FALSE(NextLook(shard.state, WorkerId("w0"), true, shard.now));
+  REQUIRE_FALSE(NextLook(shard.state, shard.Worker("w0"), true, shard.now));
   SECTION("in a new life") {
     shard.views[0].born += milliseconds(1);
   }
@@ -68,7 +68,7 @@
     shard.views[0].address = "10.0.1.0:80";
   }
   TakeWorkers(shard.state, shard.views, shard.now);
-  CHECK(NextLook(shard.state, WorkerId("w0"), true, shard.now).has_value());
+  CHECK(NextLook(shard.state, shard.Worker("w0"), true, shard.now).has_value());
 }
 
 TEST_CASE("A look without an answer is soon repeated", "[jobs]") {
@@ -77,7 +77,8 @@
   ShardFixture shard(1);
   shard.Advance(shard.state.limits.idle_look);
   for (int look = 0; look < 10; ++look) {
-    REQUIRE(NextLook(shard.state, WorkerId("w0"), true, shard.now).has_value());
+    REQUIRE(
+        NextLook(shard.state, shard.Worker("w0"), true, shard.now).has_value());
     TakeLookFailure(shard.state, WorkerId("w0"), shard.now);
     shard.Advance(shard.state.limits.look_retry);
   }
