Let callers find jobs in the table of ended jobs

The rows of a job that has ended are to move to a small row in the table "ended". Before any owner does so, callers must get the right answers:

- A submission also depends on the absence of the ended row, here and in the shards where it depends on the absence of the job; such a conflict counts as stored.
A job without other shards takes three entries of a transaction.
- A state is read from the progress, the job and the ended job, in this order.
The move is one transaction, so a job that is missing in the first two is in the third.
Open jobs take one or two reads as before.
- A cancellation of a job in a final state is accepted and not stored.
A cancellation without its job no longer makes the job "cancelled".

--- a/src/fireflythread/entry/job_desk.cc
+++ b/src/fireflythread/entry/job_desk.cc
@@ -11,6 +11,7 @@
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/jobs/shard_job.h"
 
 namespace fireflythread {
 namespace {
@@ -153,6 +154,9 @@
   this->TryRead(lookup);
 }
 
+// The rows of an ended job are moved from the tables of progress and jobs to
+// that of ended jobs in one transaction. Read in this order, a job that is
+// missing in the first two is in the third.
 auto JobDesk::TryRead(const std::shared_ptr<Lookup>& lookup) -> void {
   const ServiceName& shard = lookup->shards[lookup->next];
   RangeRequest range{std::string(kProgressTable), shard.value,
@@ -192,19 +196,49 @@
           this->RetryRead(lookup);
           return;
         }
-        if (page->rows.empty()) {
-          this->NextShard(lookup);
+        bool found = false;
+        bool cancelled = false;
+        for (const Row& row : page->rows) {
+          const auto key = ParseJobTableKey(row.key);
+          found = found || (key && !key->is_cancel);
+          cancelled = cancelled || (key && key->is_cancel);
+        }
+        // A cancellation alone was stored when its job was moved.
+        if (!found) {
+          this->TryReadEnded(lookup);
           return;
         }
-        const bool cancelled = std::any_of(
-            page->rows.begin(), page->rows.end(), [](const Row& row) -> bool {
-              const auto key = ParseJobTableKey(row.key);
-              return key && key->is_cancel;
-            });
         lookup->callback(cancelled ? JobState::kCancelled : JobState::kQueued);
       }));
 }
 
+auto JobDesk::TryReadEnded(const std::shared_ptr<Lookup>& lookup) -> void {
+  const ServiceName& shard = lookup->shards[lookup->next];
+  RangeRequest range{std::string(kEndedTable), shard.value, lookup->job.value,
+                     lookup->job.value + '\x01'};
+  this->store.ReadRange(std::move(range), CallTime(lookup->deadline),
+                        this->alive.Guard([this, lookup](auto&& result) {
+                          const auto* page = std::get_if<RangePage>(&result);
+                          if (page == nullptr) {
+                            this->RetryRead(lookup);
+                            return;
+                          }
+                          if (page->rows.empty()) {
+                            this->NextShard(lookup);
+                            return;
+                          }
+                          const auto ended =
+                              DecodeEndedJob(page->rows.front().value);
+                          if (ended) {
+                            lookup->callback(ended->state);
+                          } else {
+                            this->logger.Error("desk", "unreadable_progress",
+                                               {{"job", lookup->job}});
+                            lookup->callback(DeskOutcome::kUnknown);
+                          }
+                        }));
+}
+
 auto JobDesk::NextShard(const std::shared_ptr<Lookup>& lookup) -> void {
   ++lookup->next;
   if (lookup->next >= lookup->shards.size()) {
@@ -239,6 +273,10 @@
       done(*outcome);
       return;
     }
+    if (IsFinal(std::get<JobState>(result))) {
+      done(DeskOutcome::kStored);
+      return;
+    }
     const auto owner = weak.lock();
     this->StoreCancel(owner->shards[owner->next], job, deadline, done);
   };
--- a/src/fireflythread/entry/job_desk.h
+++ b/src/fireflythread/entry/job_desk.h
@@ -54,13 +54,15 @@
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
-  /// Reads a job's state. `shards` are searched in turn.
+  /// Reads a job's state. `shards` are searched in turn. An open job takes one
+  /// or two reads of the store.
   auto ReadState(std::vector<ServiceName> shards,
                  const JobId& job,
                  TimePoint deadline,
                  StateCallback callback) -> void;
 
-  /// Stores a cancellation.
+  /// Stores a cancellation. One of a job that has ended is accepted and not
+  /// stored, as it has no effect.
   auto Cancel(std::vector<ServiceName> shards,
               const JobId& job,
               TimePoint deadline,
@@ -83,6 +85,7 @@
       -> void;
   auto TryRead(const std::shared_ptr<Lookup>& lookup) -> void;
   auto TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void;
+  auto TryReadEnded(const std::shared_ptr<Lookup>& lookup) -> void;
   auto NextShard(const std::shared_ptr<Lookup>& lookup) -> void;
   auto RetryRead(const std::shared_ptr<Lookup>& lookup) -> void;
   auto StoreCancel(const ServiceName& shard,
--- a/src/fireflythread/jobs/job_codec.cc
+++ b/src/fireflythread/jobs/job_codec.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "fireflythread/jobs/shard_job.h"
+
 namespace fireflythread {
 namespace {
 
@@ -212,6 +214,26 @@
   }
 }
 
+auto EncodeEndedJob(const EndedJob& ended) -> std::string {
+  return Json{{"state", static_cast<int>(ended.state)},
+              {"ended_ms", ToMilliseconds(ended.ended_at)}}
+      .dump();
+}
+
+auto DecodeEndedJob(std::string_view text) -> std::optional<EndedJob> {
+  try {
+    const Json json = Json::parse(text);
+    const auto state = StateFromJson(json);
+    if (!state || !IsFinal(*state)) {
+      return std::nullopt;
+    }
+    return EndedJob{*state,
+                    FromMilliseconds(json.at("ended_ms").get<std::int64_t>())};
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 auto DecodeJobState(std::string_view text) -> std::optional<JobState> {
   try {
     return StateFromJson(Json::parse(text));
--- a/src/fireflythread/jobs/job_codec.h
+++ b/src/fireflythread/jobs/job_codec.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/jobs/ended_job.h"
 #include "fireflythread/jobs/fwd.h"
 #include "fireflythread/jobs/job_progress.h"
 #include "fireflythread/jobs/job_request.h"
@@ -32,6 +33,13 @@
                                      std::size_t task_count)
     -> std::optional<JobProgress>;
 
+/// The value of a row in the table of ended jobs, JSON.
+[[nodiscard]] auto EncodeEndedJob(const EndedJob& ended) -> std::string;
+
+/// No value when the text is unreadable or the state is not final.
+[[nodiscard]] auto DecodeEndedJob(std::string_view text)
+    -> std::optional<EndedJob>;
+
 /// Reads only the state of a progress row.
 [[nodiscard]] auto DecodeJobState(std::string_view text)
     -> std::optional<JobState>;
--- a/src/fireflythread/jobs/job_tables.h
+++ b/src/fireflythread/jobs/job_tables.h
@@ -13,6 +13,10 @@
 /// owner only.
 inline constexpr std::string_view kProgressTable = "progress";
 
+/// Final states of jobs whose other rows are gone: part is the shard, key the
+/// job. Written by the shard's owner only.
+inline constexpr std::string_view kEndedTable = "ended";
+
 /// Jobs that wait, by queue: key is the shard. Written by its owner.
 inline constexpr std::string_view kWaitingTable = "waiting";
 
--- a/src/fireflythread/jobs/submission_queue.cc
+++ b/src/fireflythread/jobs/submission_queue.cc
@@ -24,8 +24,21 @@
 /// A transaction of a slow store takes about this long.
 constexpr std::chrono::milliseconds kLeastCommitTime{300};
 
+/// Conditions on the job's row and the ended job's row of each shard, and one
+/// write.
 auto EntryCount(const Submission& submission) -> std::size_t {
-  return 2 + submission.other_shards.size();
+  return 1 + 2 * (1 + submission.other_shards.size());
+}
+
+/// Requires that a shard has no such job, neither open nor ended. The move of
+/// an ended job's rows is one transaction, so one of both is always there.
+auto AddAbsence(const ServiceName& shard,
+                const JobId& job,
+                Transaction& transaction) -> void {
+  transaction.conditions.push_back(
+      {JobTable(shard), JobKey(job), 0, shard.value});
+  transaction.conditions.push_back(
+      {std::string(kEndedTable), job.value, 0, shard.value});
 }
 
 }  // namespace
@@ -74,14 +87,13 @@
     -> Transaction {
   Transaction transaction;
   for (const Submission& submission : batch) {
-    const std::string table = JobTable(submission.shard);
-    const std::string key = JobKey(submission.job);
-    transaction.conditions.push_back({table, key, 0, submission.shard.value});
+    AddAbsence(submission.shard, submission.job, transaction);
     for (const ServiceName& other : submission.other_shards) {
-      transaction.conditions.push_back({JobTable(other), key, 0, other.value});
+      AddAbsence(other, submission.job, transaction);
     }
-    transaction.writes.push_back(
-        {table, key, submission.value, submission.shard.value});
+    transaction.writes.push_back({JobTable(submission.shard),
+                                  JobKey(submission.job), submission.value,
+                                  submission.shard.value});
   }
   return transaction;
 }
@@ -98,7 +110,10 @@
   // The only job of a transaction must be the one that is there.
   const bool single = batch.size() == 1;
   for (Submission& submission : batch) {
-    if (single || present.contains(JobKey(submission.job))) {
+    // The row of an ended job has the job's id as its key.
+    const bool known = present.contains(JobKey(submission.job)) ||
+                       present.contains(submission.job.value);
+    if (single || known) {
       split.stored.push_back(std::move(submission));
     } else {
       split.again.push_back(std::move(submission));
--- a/src/fireflythread/jobs/submission_queue.h
+++ b/src/fireflythread/jobs/submission_queue.h
@@ -56,7 +56,7 @@
 [[nodiscard]] auto TakeSubmissions(SubmissionQueue& queue)
     -> std::vector<Submission>;
 
-/// Stores each job on the condition that no shard has it yet.
+/// Stores each job on the condition that no shard has it yet or had it lately.
 [[nodiscard]] auto MakeSubmissionTransaction(
     const std::vector<Submission>& batch) -> Transaction;
 
--- /dev/null
+++ b/test/fireflythread/entry/job_desk_test.cc
@@ -0,0 +1,163 @@
+#include "fireflythread/entry/job_desk.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/job_tables.h"
+#include "test/fireflythread/entry/fake_table_store.h"
+
+namespace fireflythread::test {
+namespace {
+
+using Answer = std::variant<JobState, DeskOutcome>;
+
+const ServiceName kShard("desk");
+const ServiceName kOther("office");
+
+struct DeskFixture {
+  FakeTableStore store;
+  Logger logger{{},
+                LogLevel::kError,
+                [](std::string_view) {},
+                [] { return WallTime(); }};
+  JobDesk desk{this->store, this->logger};
+
+  auto PutOpen(const std::string& job) -> void {
+    JobRequest request;
+    request.queue = QueueName("orders");
+    this->store.Put(JobTable(kShard), kShard.value, JobKey(JobId(job)),
+                    EncodeJobRequest(request));
+  }
+
+  auto PutEnded(const ServiceName& shard, const std::string& job) -> void {
+    this->store.Put(kEndedTable, shard.value, job,
+                    EncodeEndedJob({JobState::kCompleted, WallTime()}));
+  }
+
+  static auto Deadline() -> TimePoint {
+    return ReadBootClock() + std::chrono::seconds(5);
+  }
+
+  auto ReadState(const std::string& job) -> Answer {
+    std::optional<Answer> answer;
+    this->desk.ReadState({kShard, kOther}, JobId(job), Deadline(),
+                         [&answer](const Answer& got) { answer = got; });
+    REQUIRE(FakeTableStore::RunUntil([&] { return answer.has_value(); }));
+    return *answer;
+  }
+
+  auto Submit(const std::string& job, const std::vector<ServiceName>& others)
+      -> DeskOutcome {
+    JobRequest request;
+    request.id = JobId(job);
+    request.queue = QueueName("orders");
+    std::optional<DeskOutcome> outcome;
+    this->desk.Submit(kShard, others, request, Deadline(),
+                      [&outcome](DeskOutcome got) { outcome = got; });
+    REQUIRE(FakeTableStore::RunUntil([&] { return outcome.has_value(); }));
+    return *outcome;
+  }
+
+  auto Cancel(const std::string& job) -> DeskOutcome {
+    std::optional<DeskOutcome> outcome;
+    this->desk.Cancel({kShard, kOther}, JobId(job), Deadline(),
+                      [&outcome](DeskOutcome got) { outcome = got; });
+    REQUIRE(FakeTableStore::RunUntil([&] { return outcome.has_value(); }));
+    return *outcome;
+  }
+};
+
+TEST_CASE("A repeat of an ended job's submission is accepted and not stored",
+          "[jobs]") {
+  // Guards against a job that runs a second time because its caller repeats
+  // the submission after the job has ended.
+  DeskFixture fixture;
+  fixture.PutEnded(kShard, "a");
+  fixture.PutEnded(kOther, "b");
+  CHECK(fixture.Submit("a", {}) == DeskOutcome::kStored);
+  CHECK(fixture.Submit("b", {kOther}) == DeskOutcome::kStored);
+  CHECK(fixture.store.CountRows(JobTable(kShard)) == 0);
+  CHECK(fixture.Submit("c", {kOther}) == DeskOutcome::kStored);
+  CHECK(fixture.store.CountRows(JobTable(kShard)) == 1);
+}
+
+TEST_CASE("The state of a job is found where it is", "[jobs]") {
+  // Guards against "no such job" for a job that has ended, in any shard.
+  DeskFixture fixture;
+  fixture.PutEnded(kShard, "a");
+  fixture.PutEnded(kOther, "b");
+  CHECK(fixture.ReadState("a") == Answer(JobState::kCompleted));
+  CHECK(fixture.ReadState("b") == Answer(JobState::kCompleted));
+  CHECK(fixture.ReadState("c") == Answer(DeskOutcome::kNoJob));
+}
+
+TEST_CASE("The state of an open job takes at most two reads", "[jobs]") {
+  DeskFixture fixture;
+  fixture.PutOpen("a");
+  CHECK(fixture.ReadState("a") == Answer(JobState::kQueued));
+  CHECK(fixture.store.reads == 2);
+  fixture.store.Put(kProgressTable, kShard.value, "a",
+                    EncodeJobProgress({JobState::kRunning, {}}));
+  CHECK(fixture.ReadState("a") == Answer(JobState::kRunning));
+  CHECK(fixture.store.reads == 3);
+}
+
+TEST_CASE("A job whose rows are being moved has a state", "[jobs]") {
+  // Guards against "no such job" when the move commits between two reads.
+  for (const std::string& moved_before :
+       {std::string(kProgressTable), JobTable(kShard),
+        std::string(kEndedTable)}) {
+    DeskFixture fixture;
+    fixture.PutOpen("a");
+    bool moved = false;
+    fixture.store.before_read = [&](const RangeRequest& range) {
+      if (moved || range.table != moved_before) {
+        return;
+      }
+      moved = true;
+      Transaction move;
+      move.writes = {
+          {std::string(kEndedTable), "a",
+           EncodeEndedJob({JobState::kFailed, WallTime()}), kShard.value},
+          {JobTable(kShard), JobKey(JobId("a")), std::nullopt, kShard.value}};
+      fixture.store.Commit(move, std::chrono::seconds(1),
+                           [](const TransactionOutcome&) {});
+    };
+    const Answer expected =
+        moved_before == kEndedTable ? JobState::kQueued : JobState::kFailed;
+    CHECK(fixture.ReadState("a") == expected);
+  }
+}
+
+TEST_CASE("A cancellation does not hide how its job ended", "[jobs]") {
+  // Guards against "cancelled" for a completed job whose cancellation was
+  // stored while the job's rows were moved.
+  DeskFixture fixture;
+  fixture.PutEnded(kShard, "a");
+  fixture.store.Put(JobTable(kShard), kShard.value, CancelKey(JobId("a")),
+                    "{}");
+  CHECK(fixture.ReadState("a") == Answer(JobState::kCompleted));
+}
+
+TEST_CASE("A cancellation of an ended job is accepted and not stored",
+          "[jobs]") {
+  DeskFixture fixture;
+  fixture.PutEnded(kShard, "a");
+  fixture.store.Put(kProgressTable, kShard.value, "b",
+                    EncodeJobProgress({JobState::kCompleted, {}}));
+  CHECK(fixture.Cancel("a") == DeskOutcome::kStored);
+  CHECK(fixture.Cancel("b") == DeskOutcome::kStored);
+  CHECK(fixture.store.CountRows(JobTable(kShard)) == 0);
+  fixture.PutOpen("c");
+  CHECK(fixture.Cancel("c") == DeskOutcome::kStored);
+  CHECK(
+      fixture.store.Has(JobTable(kShard), kShard.value, CancelKey(JobId("c"))));
+}
+
+}  // namespace
+}  // namespace fireflythread::test
--- a/test/fireflythread/jobs/submission_queue_test.cc
+++ b/test/fireflythread/jobs/submission_queue_test.cc
@@ -116,6 +116,36 @@
   CHECK_FALSE(split.again[0].alone);
 }
 
+TEST_CASE("A submission depends on the absence of the ended job", "[jobs]") {
+  // Guards against a repeat of a submission that runs a job again after the
+  // job has ended and its row was moved.
+  const Transaction transaction =
+      MakeSubmissionTransaction({MakeSubmission("job0")});
+  int found = 0;
+  for (const Condition& condition : transaction.conditions) {
+    if (condition.table == kEndedTable) {
+      CHECK(condition.key == "job0");
+      CHECK(condition.version == 0);
+      ++found;
+    }
+  }
+  CHECK(found == 2);
+}
+
+TEST_CASE("A repeat of an ended job counts as stored", "[jobs]") {
+  SubmissionQueue queue = MakeQueue(3);
+  Conflict conflict;
+  Row ended;
+  ended.table = kEndedTable;
+  ended.key = "job1";
+  ended.version = 5;
+  conflict.current = {ended};
+  const ConflictSplit split = SplitConflict(TakeSubmissions(queue), conflict);
+  REQUIRE(split.stored.size() == 1);
+  CHECK(split.stored[0].job == JobId("job1"));
+  CHECK(split.again.size() == 2);
+}
+
 TEST_CASE("A conflict that names no job is resolved one by one", "[jobs]") {
   SubmissionQueue queue = MakeQueue(3);
   ConflictSplit split = SplitConflict(TakeSubmissions(queue), Conflict{});
