Move the rows of ended jobs out of a new owner's way

After a change of owner no job of a pool started for 12 to 21 s on a small entry. The rows of jobs that had ended stayed in the tables "jobs.SHARD" and "progress" for ever, and a new owner read all of them: 600 to 750 beside 850 to 1,460 open ones.

When a job has its final state stored and no run left, the owner now replaces its rows by a small one in the table "ended", which a new owner does not read. The move is one transaction under the fence row and the version of the progress row, 19 jobs in it, at most one each 200 ms. It waits while progress is to be stored; under constant load moves take a twentieth of the store's time at most, as otherwise the rows of a whole peak would stay. A move whose answer is lost is repeated: the missing progress row shows that it took effect. A cancellation stored during the move is removed when its job has no row any more.

The owner forgets a moved job after 2 minutes and once the feed has passed the revision of the move: until then a late page of the feed may show the job's row, and the job must not be taken as new.

--- /dev/null
+++ b/src/fireflythread/entry/ended_jobs_task.h
@@ -0,0 +1,56 @@
+#ifndef FIREFLYTHREAD_ENTRY_ENDED_JOBS_TASK_H_
+#define FIREFLYTHREAD_ENTRY_ENDED_JOBS_TASK_H_
+
+#include <functional>
+
+#include "fireflythread/base/time.h"
+#include "fireflythread/entry/alive_token.h"
+#include "fireflythread/jobs/ended_batch.h"
+#include "fireflythread/jobs/ended_pace.h"
+#include "fireflythread/jobs/ended_scan.h"
+#include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/platform/table_store.h"
+#include "fireflythread/telemetry/logger.h"
+
+namespace fireflythread {
+
+/// Moves the rows of a shard's ended jobs to the table of ended jobs, where a
+/// new owner does not read them, and removes old rows there. One transaction is
+/// on its way at a time.
+class EndedJobsTask {
+ public:
+  /// `on_fenced` is called when a newer owner exists.
+  EndedJobsTask(TableStore& store,
+                const Logger& logger,
+                ShardState& state,
+                std::function<void()> on_fenced);
+  EndedJobsTask(const EndedJobsTask&) = delete;
+  auto operator=(const EndedJobsTask&) -> EndedJobsTask& = delete;
+
+  /// Sends what is due. `progress_waits` says that records of running work are
+  /// on their way to the store or wait for it.
+  auto Step(bool progress_waits, TimePoint now, WallTime wall_now) -> void;
+
+ private:
+  auto SendMoves(TimePoint now, WallTime wall_now) -> void;
+  auto TakeMoveOutcome(const EndedBatch& batch,
+                       const TransactionOutcome& outcome,
+                       TimePoint sent_at) -> void;
+  auto SendRemovals(TimePoint now) -> void;
+  auto ReadPage(TimePoint now, WallTime wall_now) -> void;
+  auto NoteAnswer(TimePoint sent_at) -> void;
+
+  TableStore& store;
+  const Logger& logger;
+  ShardState& state;
+  std::function<void()> on_fenced;
+  EndedPace pace;
+  EndedScan scan;
+  bool sending = false;
+  bool reading = false;
+  AliveToken alive;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_ENTRY_ENDED_JOBS_TASK_H_
--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -77,6 +77,7 @@
        {"waiting_jobs", summary.waiting_jobs},
        {"assigned_tasks", summary.assigned_tasks},
        {"unstored_jobs", state.dirty.size()},
+       {"unmoved_jobs", state.unmoved.size()},
        {"workers", summary.workers},
        {"usable", summary.usable},
        {"not_listed", summary.not_listed},
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -8,6 +8,7 @@
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/jobs/ended_jobs.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/shard_jobs.h"
@@ -49,6 +50,10 @@
     : environment(std::move(env)),
       publisher(this->environment.store),
       monitor(this->environment.logger, this->environment.metrics),
+      ended_jobs(this->environment.store,
+                 this->environment.logger,
+                 this->state,
+                 [this] { this->CheckFence(); }),
       wake([this] { this->Step(); }),
       follow_retry(
           [this] { this->loaded ? this->FollowJobs() : this->LoadJobs(); }),
@@ -131,7 +136,7 @@
   }
   this->loaded_progress.clear();
   this->loaded = true;
-  this->job_revision = revision;
+  this->state.feed_revision = revision;
   if (!this->loaded_once) {
     this->loaded_once = true;
     this->environment.logger.Info(
@@ -156,7 +161,7 @@
   }
   const TimePoint now = ReadBootClock();
   if (key->is_cancel) {
-    CancelJob(this->state, key->job, now);
+    TakeCancelRow(this->state, key->job, row.version, now);
     return;
   }
   auto request = DecodeJobRequest(key->job, row.value);
@@ -182,7 +187,7 @@
 
 auto ShardTask::FollowJobs() -> void {
   this->environment.store.Follow(
-      JobTable(this->state.service), this->job_revision, kFollowWait,
+      JobTable(this->state.service), this->state.feed_revision, kFollowWait,
       kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
         const auto* page = std::get_if<FeedPage>(&result);
         if (page == nullptr) {
@@ -194,7 +199,7 @@
           this->follow_retry.Start(milliseconds(0));
           return;
         }
-        this->job_revision = page->revision;
+        this->state.feed_revision = page->revision;
         this->monitor.NoteFeed(ReadBootClock(), page->changed.size());
         for (const Row& row : page->changed) {
           this->TakeJobRow(row, {});
@@ -220,11 +225,20 @@
     this->PlanAndOrder(now);
   }
   this->Flush();
+  this->MoveEndedJobs(now);
   this->monitor.NoteStep(now, ReadBootClock());
   this->monitor.Report(this->state, this->loaded_once, now);
   this->FinishDrain();
 }
 
+auto ShardTask::MoveEndedJobs(TimePoint now) -> void {
+  // While the table is read anew, rows that were read before a move may come.
+  if (this->loaded && !this->draining) {
+    this->ended_jobs.Step(this->flushing || !this->state.dirty.empty(), now,
+                          std::chrono::system_clock::now());
+  }
+}
+
 auto ShardTask::PlanAndOrder(TimePoint now) -> void {
   if (!this->draining) {
     EvictLasting(this->state, now);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -10,6 +10,7 @@
 
 #include "fireflythread/base/io_periodic_timer.h"
 #include "fireflythread/entry/alive_token.h"
+#include "fireflythread/entry/ended_jobs_task.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
 #include "fireflythread/entry/shard_monitor.h"
@@ -79,6 +80,7 @@
   auto FollowJobs() -> void;
   auto Wake() -> void;
   auto Step() -> void;
+  auto MoveEndedJobs(TimePoint now) -> void;
   auto PlanAndOrder(TimePoint now) -> void;
   auto FinishDrain() -> void;
   auto Flush() -> void;
@@ -104,12 +106,12 @@
   ShardState state;
   ShardPublisher publisher;
   ShardMonitor monitor;
+  EndedJobsTask ended_jobs;
   std::unique_ptr<RangeLoader> progress_loader;
   std::unique_ptr<RangeLoader> job_loader;
   std::map<std::string, Row> loaded_progress;
   bool loaded = false;
   bool loaded_once = false;
-  std::uint64_t job_revision = 0;
   bool flushing = false;
   bool draining = false;
   std::function<void()> drained;
--- /dev/null
+++ b/src/fireflythread/jobs/ended_batch.h
@@ -0,0 +1,36 @@
+#ifndef FIREFLYTHREAD_JOBS_ENDED_BATCH_H_
+#define FIREFLYTHREAD_JOBS_ENDED_BATCH_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "fireflythread/base/ids.h"
+#include "fireflythread/jobs/job_progress.h"
+
+namespace fireflythread {
+
+/// A job whose rows are replaced by one in the table of ended jobs.
+struct EndedMove {
+  JobId job;
+  JobState state = JobState::kCompleted;
+  /// Version of the progress row.
+  std::uint64_t version = 0;
+  /// Version of the cancellation's row; 0 when none is known.
+  std::uint64_t cancel_version = 0;
+};
+
+/// The row of a cancellation whose job has no other row in the job table.
+struct StrayCancel {
+  JobId job;
+  std::uint64_t version = 0;
+};
+
+/// What one transaction does about jobs that have ended.
+struct EndedBatch {
+  std::vector<EndedMove> moves;
+  std::vector<StrayCancel> cancels;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_ENDED_BATCH_H_
--- /dev/null
+++ b/src/fireflythread/jobs/ended_jobs.cc
@@ -0,0 +1,269 @@
+#include "fireflythread/jobs/ended_jobs.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/jobs/shard_jobs.h"
+#include "fireflythread/ownership/ownership.h"
+
+namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Entries of a transaction that the store takes, with some room. The fence is
+/// one of them.
+constexpr std::size_t kMostEntries = 96;
+
+/// A move tests and removes the progress row, removes the job's row and writes
+/// the ended job's row; it may remove a cancellation too.
+constexpr std::size_t kEntriesPerMove = 5;
+
+/// A stray cancellation's row is tested and removed if the job has no row.
+constexpr std::size_t kEntriesPerStray = 3;
+
+constexpr std::size_t kMovesPerBatch = (kMostEntries - 1) / kEntriesPerMove;
+
+/// Time between two full batches: 95 jobs a second, five of the 250
+/// transactions that a part commits in a second.
+constexpr milliseconds kFullBatchPause{200};
+
+/// Time between two batches otherwise, so that jobs that end one by one share
+/// a transaction.
+constexpr milliseconds kBatchPause{1000};
+
+/// While progress waits all the time, moves take at most one in so many parts
+/// of the store's time. Without any, the rows of a whole peak would be left to
+/// a new owner.
+constexpr int kBusyShare = 20;
+
+/// A job that was moved is known for this long at least. The feed's revision
+/// alone would do if no page showed rows older than the revision it names.
+constexpr std::chrono::minutes kKeepMoved{2};
+
+auto FenceCondition(const ShardState& state) -> Condition {
+  return {std::string(kFenceTable), std::string(kFenceKey), state.fence,
+          state.service.value};
+}
+
+auto AddMove(const ShardState& state,
+             const EndedMove& move,
+             WallTime wall_now,
+             Transaction& transaction) -> void {
+  const std::string& part = state.service.value;
+  const std::string table = JobTable(state.service);
+  const std::string& id = move.job.value;
+  transaction.conditions.push_back(
+      {std::string(kProgressTable), id, move.version, part});
+  transaction.writes.push_back({std::string(kEndedTable), id,
+                                EncodeEndedJob({move.state, wall_now}), part});
+  transaction.writes.push_back(
+      {std::string(kProgressTable), id, std::nullopt, part});
+  transaction.writes.push_back({table, JobKey(move.job), std::nullopt, part});
+  if (move.cancel_version > 0) {
+    transaction.writes.push_back(
+        {table, CancelKey(move.job), std::nullopt, part});
+  }
+}
+
+auto AddStray(const ShardState& state,
+              const StrayCancel& stray,
+              Transaction& transaction) -> void {
+  const std::string& part = state.service.value;
+  const std::string table = JobTable(state.service);
+  const std::string key = CancelKey(stray.job);
+  transaction.conditions.push_back({table, JobKey(stray.job), 0, part});
+  transaction.conditions.push_back({table, key, stray.version, part});
+  transaction.writes.push_back({table, key, std::nullopt, part});
+}
+
+/// Notes that a job's rows were moved. `removed_cancel` is the version of the
+/// cancellation that went with them, 0 for none.
+auto NoteMoved(ShardState& state,
+               const JobId& id,
+               std::uint64_t removed_cancel,
+               std::uint64_t revision,
+               TimePoint now) -> void {
+  const auto found = state.finished.find(id);
+  if (found == state.finished.end() || state.unmoved.erase(id) == 0) {
+    return;
+  }
+  state.moved.push_back({id, now, revision});
+  if (found->second.cancel_version > removed_cancel) {
+    state.stray_cancels[id] = found->second.cancel_version;
+  }
+}
+
+auto TakeProgressConflict(ShardState& state, const Row& row, TimePoint now)
+    -> void {
+  const JobId id(row.key);
+  const auto found = state.finished.find(id);
+  if (found == state.finished.end()) {
+    return;
+  }
+  if (row.version == 0) {
+    NoteMoved(state, id, 0, 0, now);
+  } else {
+    found->second.version = row.version;
+  }
+}
+
+auto TakeStrayConflict(ShardState& state, const Row& row) -> void {
+  const auto key = ParseJobTableKey(row.key);
+  if (!key) {
+    return;
+  }
+  const auto stray = state.stray_cancels.find(key->job);
+  if (stray == state.stray_cancels.end()) {
+    return;
+  }
+  if (key->is_cancel && row.version > 0) {
+    stray->second = row.version;
+  } else {
+    // The cancellation is gone, or its job exists.
+    state.stray_cancels.erase(stray);
+  }
+}
+
+}  // namespace
+
+auto TakeCancelRow(ShardState& state,
+                   const JobId& id,
+                   std::uint64_t version,
+                   TimePoint now) -> void {
+  const auto job = state.jobs.find(id);
+  if (job != state.jobs.end()) {
+    job->second.cancel_version = version;
+    CancelJob(state, id, now);
+    return;
+  }
+  const auto finished = state.finished.find(id);
+  if (finished != state.finished.end() && state.unmoved.contains(id)) {
+    finished->second.cancel_version = version;
+    return;
+  }
+  state.stray_cancels[id] = version;
+}
+
+auto IsMoveDue(const ShardState& state,
+               const EndedPace& pace,
+               bool progress_waits,
+               TimePoint now) -> bool {
+  if (state.unmoved.empty() && state.stray_cancels.empty()) {
+    return false;
+  }
+  Duration pause = kBatchPause;
+  if (progress_waits) {
+    pause = std::max<Duration>(kBatchPause, kBusyShare * pace.took);
+  } else if (state.unmoved.size() >= kMovesPerBatch) {
+    pause = kFullBatchPause;
+  }
+  return now - pace.sent_at >= pause;
+}
+
+auto IsRemovalDue(const EndedPace& pace, bool progress_waits, TimePoint now)
+    -> bool {
+  return !progress_waits && now - pace.sent_at >= kFullBatchPause;
+}
+
+auto NextEndedBatch(const ShardState& state) -> EndedBatch {
+  EndedBatch batch;
+  std::size_t entries = 1;
+  for (const JobId& id : state.unmoved) {
+    if (entries + kEntriesPerMove > kMostEntries) {
+      break;
+    }
+    const FinishedJob& job = state.finished.at(id);
+    batch.moves.push_back({id, job.state, job.version, job.cancel_version});
+    entries += kEntriesPerMove;
+  }
+  for (const auto& [id, version] : state.stray_cancels) {
+    if (entries + kEntriesPerStray > kMostEntries) {
+      break;
+    }
+    batch.cancels.push_back({id, version});
+    entries += kEntriesPerStray;
+  }
+  return batch;
+}
+
+auto MakeMoveTransaction(const ShardState& state,
+                         const EndedBatch& batch,
+                         WallTime wall_now) -> Transaction {
+  Transaction transaction;
+  transaction.conditions.push_back(FenceCondition(state));
+  for (const EndedMove& move : batch.moves) {
+    AddMove(state, move, wall_now, transaction);
+  }
+  for (const StrayCancel& stray : batch.cancels) {
+    AddStray(state, stray, transaction);
+  }
+  return transaction;
+}
+
+auto TakeMoved(ShardState& state,
+               const EndedBatch& batch,
+               std::uint64_t revision,
+               TimePoint now) -> void {
+  // Moves whose answers were lost took effect before this one.
+  for (auto moved = state.moved.rbegin();
+       moved != state.moved.rend() && moved->revision == 0; ++moved) {
+    moved->revision = revision;
+  }
+  for (const StrayCancel& stray : batch.cancels) {
+    const auto found = state.stray_cancels.find(stray.job);
+    if (found != state.stray_cancels.end() && found->second == stray.version) {
+      state.stray_cancels.erase(found);
+    }
+  }
+  for (const EndedMove& move : batch.moves) {
+    NoteMoved(state, move.job, move.cancel_version, revision, now);
+  }
+}
+
+auto TakeMoveConflict(ShardState& state,
+                      const Conflict& conflict,
+                      TimePoint now) -> void {
+  for (const Row& row : conflict.current) {
+    if (row.table == kFenceTable) {
+      state.fenced_off = state.fenced_off || row.version != state.fence;
+    } else if (row.table == kProgressTable) {
+      TakeProgressConflict(state, row, now);
+    } else {
+      TakeStrayConflict(state, row);
+    }
+  }
+}
+
+auto ForgetMoved(ShardState& state, TimePoint now) -> void {
+  while (!state.moved.empty()) {
+    const MovedJob& oldest = state.moved.front();
+    const bool passed =
+        oldest.revision > 0 && oldest.revision <= state.feed_revision;
+    if (!passed || now - oldest.moved_at < kKeepMoved) {
+      return;
+    }
+    state.finished.erase(oldest.job);
+    state.moved.pop_front();
+  }
+}
+
+auto MakeRemovalTransaction(const ShardState& state,
+                            const std::vector<Row>& rows) -> Transaction {
+  const std::string& part = state.service.value;
+  Transaction transaction;
+  transaction.conditions.push_back(FenceCondition(state));
+  for (const Row& row : rows) {
+    transaction.conditions.push_back(
+        {std::string(kEndedTable), row.key, row.version, part});
+    transaction.writes.push_back(
+        {std::string(kEndedTable), row.key, std::nullopt, part});
+  }
+  return transaction;
+}
+
+}  // namespace fireflythread
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -3,11 +3,18 @@
 
 namespace fireflythread {
 
+struct EndedBatch;
+struct EndedJob;
+struct EndedMove;
+struct EndedPace;
 struct EndedRun;
+struct EndedScan;
+struct FinishedJob;
 struct HoldCommand;
 struct JobProgress;
 struct JobRequest;
 struct JobStep;
+struct MovedJob;
 struct Queue;
 struct RecordBatch;
 struct RunningRun;
@@ -16,6 +23,7 @@
 struct ShardWorker;
 struct StartCommand;
 struct StopCommand;
+struct StrayCancel;
 struct TaskName;
 struct TaskState;
 struct WorkerReport;
--- a/src/fireflythread/jobs/shard_job.h
+++ b/src/fireflythread/jobs/shard_job.h
@@ -17,6 +17,8 @@
   JobProgress progress;
   /// Version of the progress row; 0 while there is none.
   std::uint64_t version = 0;
+  /// Version of the cancellation's row; 0 while none is known.
+  std::uint64_t cancel_version = 0;
   /// The progress is on its way to the store.
   bool storing = false;
   /// Place of each step's first task within an occurrence.
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -88,7 +88,10 @@
       state.dirty.contains(id)) {
     return;
   }
-  state.finished.insert(id);
+  const ShardJob& ended = job->second;
+  state.finished[id] = {ended.progress.state, ended.version,
+                        ended.cancel_version};
+  state.unmoved.insert(id);
   state.jobs.erase(job);
 }
 
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -9,6 +9,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/jobs/finished_job.h"
 #include "fireflythread/jobs/queue.h"
 #include "fireflythread/jobs/shard_job.h"
 #include "fireflythread/jobs/shard_limits.h"
@@ -39,8 +40,17 @@
   std::map<WorkerId, TimePoint> silent_until;
   std::map<QueueName, Queue> queues;
   std::map<JobId, ShardJob> jobs;
-  /// Jobs that have ended and have no run left.
-  std::set<JobId> finished;
+  /// Jobs that have ended and have no run left. They stay known while the feed
+  /// may still deliver their rows: they must not be taken as new.
+  std::map<JobId, FinishedJob> finished;
+  /// Finished jobs whose rows are still to be moved.
+  std::set<JobId> unmoved;
+  /// Finished jobs whose rows were moved, the earliest first.
+  std::deque<MovedJob> moved;
+  /// Cancellations whose jobs have no row any more, with their rows' versions.
+  std::map<JobId, std::uint64_t> stray_cancels;
+  /// Revision up to which the changes of the job table are known.
+  std::uint64_t feed_revision = 0;
   std::map<WorkerId, ShardWorker> workers;
   /// Work of the jobs that were accepted lately.
   std::deque<ArrivedWork> arrivals;
@@ -77,7 +87,7 @@
 auto BeginStop(ShardState& state, const TaskName& name, TimePoint now) -> void;
 
 /// Drops a job that has ended once its final state is stored and none of its
-/// runs is left.
+/// runs is left. From then on its rows may be moved.
 auto ForgetIfFinished(ShardState& state, const JobId& id) -> void;
 
 }  // namespace fireflythread
--- /dev/null
+++ b/test/fireflythread/entry/takeover_reads_test.cc
@@ -0,0 +1,133 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/shard_task.h"
+#include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/ownership/ownership.h"
+#include "test/fireflythread/entry/fake_table_store.h"
+
+namespace fireflythread::test {
+namespace {
+
+const ServiceName kShard("desk");
+
+/// Workers that never answer.
+class SilentWorkers : public WorkerClient {
+ public:
+  auto Start(const StartCommand& /*start*/,
+             Duration /*timeout*/,
+             OrderCallback /*callback*/) -> void override {}
+  auto Stop(const StopCommand& /*stop*/,
+            Duration /*timeout*/,
+            OrderCallback /*callback*/) -> void override {}
+  auto Hold(const HoldCommand& /*hold*/,
+            Duration /*timeout*/,
+            ReportCallback /*callback*/) -> void override {}
+};
+
+/// A shard's rows, and owners that take turns.
+struct OwnerFixture {
+  FakeTableStore store;
+  SilentWorkers workers;
+  int loaded = 0;
+  Logger logger{{},
+                LogLevel::kInfo,
+                [this](std::string_view line) {
+                  this->loaded += line.find("\"loaded\"") != line.npos &&
+                                          line.find("\"revision\"") != line.npos
+                                      ? 1
+                                      : 0;
+                },
+                [] { return WallTime(); }};
+  MetricsRegistry metrics;
+  std::unique_ptr<ShardTask> owner;
+
+  auto PutJob(const std::string& id, std::optional<JobState> state) -> void {
+    JobRequest request;
+    request.queue = QueueName("orders");
+    JobStep step;
+    step.count = 1;
+    request.steps = {step};
+    this->store.Put(JobTable(kShard), kShard.value, JobKey(JobId(id)),
+                    EncodeJobRequest(request));
+    if (state) {
+      this->store.Put(kProgressTable, kShard.value, id,
+                      EncodeJobProgress({*state, {TaskState{}}}));
+    }
+  }
+
+  /// Makes a new owner and waits until it has read the shard.
+  auto TakeOver() -> void {
+    this->owner.reset();
+    const std::uint64_t fence = this->store.Put(kFenceTable, kShard.value,
+                                                std::string(kFenceKey), "{}");
+    ShardTask::Environment environment{this->store,
+                                       this->workers,
+                                       this->logger,
+                                       this->metrics,
+                                       [] { return ReadBootClock(); },
+                                       [](const std::vector<WorkerId>&) {},
+                                       [](const ServiceName&) {}};
+    this->owner = std::make_unique<ShardTask>(std::move(environment), kShard,
+                                              fence, Handover{});
+    const int before = this->loaded;
+    this->owner->Start();
+    REQUIRE(FakeTableStore::RunUntil(
+        [this, before] { return this->loaded > before; }));
+  }
+
+  [[nodiscard]] auto RowsRead() const -> std::size_t {
+    return this->store.RowsRead(kProgressTable) +
+           this->store.RowsRead(JobTable(kShard)) +
+           this->store.RowsRead("ended");
+  }
+};
+
+TEST_CASE("A new owner reads no rows of jobs that have ended", "[jobs]") {
+  // Guards against takeovers that take longer with each job that ever ran in
+  // the pool, while none of its jobs starts.
+  OwnerFixture fixture;
+  for (int number = 0; number < 50; ++number) {
+    fixture.PutJob("ended" + std::to_string(number), JobState::kCompleted);
+  }
+  fixture.PutJob("cancelled", JobState::kCancelled);
+  fixture.store.Put(JobTable(kShard), kShard.value,
+                    CancelKey(JobId("cancelled")), "{}");
+  fixture.PutJob("running", JobState::kRunning);
+  fixture.PutJob("queued", std::nullopt);
+  fixture.TakeOver();
+  REQUIRE(FakeTableStore::RunUntil(
+      [&] { return fixture.store.CountRows("ended") == 51; }));
+
+  const std::size_t before = fixture.RowsRead();
+  fixture.TakeOver();
+  CHECK(fixture.RowsRead() - before == 3);
+}
+
+TEST_CASE("An owner removes a cancellation that came after its job", "[jobs]") {
+  // Guards against cancellations, stored while their jobs' rows are moved,
+  // that each new owner reads.
+  OwnerFixture fixture;
+  fixture.PutJob("ended", JobState::kCompleted);
+  fixture.TakeOver();
+  REQUIRE(FakeTableStore::RunUntil(
+      [&] { return fixture.store.CountRows("ended") == 1; }));
+  fixture.store.Put(JobTable(kShard), kShard.value, CancelKey(JobId("ended")),
+                    "{}");
+  CHECK(FakeTableStore::RunUntil(
+      [&] { return fixture.store.CountRows(JobTable(kShard)) == 0; }));
+  // The next owner finds one that its predecessor left.
+  fixture.owner.reset();
+  fixture.store.Put(JobTable(kShard), kShard.value, CancelKey(JobId("ended")),
+                    "{}");
+  fixture.TakeOver();
+  CHECK(FakeTableStore::RunUntil(
+      [&] { return fixture.store.CountRows(JobTable(kShard)) == 0; }));
+}
+
+}  // namespace
+}  // namespace fireflythread::test
