--- a/src/fireflythread/entry/job_desk.h
+++ b/src/fireflythread/entry/job_desk.h
@@ -54,19 +54,22 @@
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
-  /// Reads a job's state. `shards` are searched in turn.
+  /// Reads a job's state. `shards` are searched in turn. An open job takes one
+  /// or two reads of the store.
   auto ReadState(std::vector<ServiceName> shards,
                  const JobId& job,
                  TimePoint deadline,
                  StateCallback callback) -> void;
 
-  /// Stores a cancellation.
+  /// Stores a cancellation. One of a job that has ended is accepted and not
+  /// stored, as it has no effect.
   auto Cancel(std::vector<ServiceName> shards,
               const JobId& job,
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
-  /// Reads how many jobs of a queue wait. No value when the store gives none.
+  /// Reads how many jobs of a queue wait. No value when the store gives none or
+  /// the shard's owner has not published current counts.
   auto ReadWaiting(const ServiceName& shard,
                    const QueueName& queue,
                    CountCallback callback) -> void;
@@ -83,6 +86,7 @@
       -> void;
   auto TryRead(const std::shared_ptr<Lookup>& lookup) -> void;
   auto TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void;
+  auto TryReadEnded(const std::shared_ptr<Lookup>& lookup) -> void;
   auto NextShard(const std::shared_ptr<Lookup>& lookup) -> void;
   auto RetryRead(const std::shared_ptr<Lookup>& lookup) -> void;
   auto StoreCancel(const ServiceName& shard,
--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -77,6 +77,7 @@
        {"waiting_jobs", summary.waiting_jobs},
        {"assigned_tasks", summary.assigned_tasks},
        {"unstored_jobs", state.dirty.size()},
+       {"unmoved_jobs", state.unmoved.size()},
        {"workers", summary.workers},
        {"usable", summary.usable},
        {"not_listed", summary.not_listed},
@@ -98,8 +99,12 @@
        {"store_ms", ToMilliseconds(this->store_time)},
        {"steps", this->steps},
        {"step_ms", ToMilliseconds(this->step_time)},
+       {"planned_steps", state.plan_cost.steps - this->plan_cost.steps},
+       {"planned_tasks", state.plan_cost.tasks - this->plan_cost.tasks},
+       {"planned_workers", state.plan_cost.workers - this->plan_cost.workers},
        {"longest_step_ms", ToMilliseconds(this->longest_step)},
        {"longest_gap_ms", ToMilliseconds(this->longest_gap)}});
+  this->plan_cost = state.plan_cost;
   this->feed_rows = 0;
   this->starts = 0;
   this->ends = 0;
--- a/src/fireflythread/entry/shard_monitor.h
+++ b/src/fireflythread/entry/shard_monitor.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "fireflythread/base/time.h"
+#include "fireflythread/jobs/plan_cost.h"
 #include "fireflythread/jobs/shard_state.h"
 #include "fireflythread/telemetry/logger.h"
 #include "fireflythread/telemetry/metrics_registry.h"
@@ -24,8 +25,9 @@
   /// A transaction that stored progress was answered after this time.
   auto NoteStored(Duration took) -> void;
   auto NoteLook(bool failed) -> void;
-  /// The feed of the shard's jobs was answered at this time.
+  /// The jobs are known as of this time: the feed was answered or a read began.
   auto NoteFeed(TimePoint answered, std::size_t rows) -> void;
+  [[nodiscard]] auto FeedAt() const -> TimePoint { return this->feed_at; }
 
   /// Writes the line when it is due.
   auto Report(const ShardState& state, bool loaded, TimePoint now) -> void;
@@ -40,13 +42,15 @@
   Duration longest_step{0};
   /// Longest time between the begins of two steps.
   Duration longest_gap{0};
+  /// The cost of planning up to the last report.
+  PlanCost plan_cost;
   int starts = 0;
   int ends = 0;
   int stores = 0;
   Duration store_time{0};
   int looks = 0;
   int failed_looks = 0;
-  /// When the feed of the shard's jobs was answered last.
+  /// As of when the shard's jobs are known.
   TimePoint feed_at;
   std::size_t feed_rows = 0;
 };
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -8,6 +8,7 @@
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/jobs/ended_jobs.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/shard_jobs.h"
@@ -15,6 +16,7 @@
 #include "fireflythread/jobs/shard_plan.h"
 #include "fireflythread/jobs/shard_record.h"
 #include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/jobs/step_pace.h"
 #include "fireflythread/jobs/vacate.h"
 #include "fireflythread/jobs/worker_lease.h"
 #include "fireflythread/ownership/ownership.h"
@@ -24,9 +26,6 @@
 
 using std::chrono::milliseconds;
 
-/// Events within this time are handled together.
-constexpr milliseconds kWakeDelay{5};
-
 /// Period of the checks that no event brings about.
 constexpr milliseconds kTick{100};
 
@@ -49,6 +48,10 @@
     : environment(std::move(env)),
       publisher(this->environment.store),
       monitor(this->environment.logger, this->environment.metrics),
+      ended_jobs(this->environment.store,
+                 this->environment.logger,
+                 this->state,
+                 [this] { this->CheckFence(); }),
       wake([this] { this->Step(); }),
       follow_retry(
           [this] { this->loaded ? this->FollowJobs() : this->LoadJobs(); }),
@@ -104,6 +107,7 @@
       this->environment.store, RangeRequest{std::string(kProgressTable), part},
       [this, part](std::vector<Row> rows, std::uint64_t) {
         this->loaded_progress.clear();
+        this->load_began = ReadBootClock();
         for (Row& row : rows) {
           std::string key = row.key;
           this->loaded_progress.emplace(std::move(key), std::move(row));
@@ -131,7 +135,9 @@
   }
   this->loaded_progress.clear();
   this->loaded = true;
-  this->job_revision = revision;
+  this->state.feed_revision = revision;
+  // The first page is the oldest; what came since is in the feed.
+  this->monitor.NoteFeed(this->load_began, 0);
   if (!this->loaded_once) {
     this->loaded_once = true;
     this->environment.logger.Info(
@@ -156,7 +162,7 @@
   }
   const TimePoint now = ReadBootClock();
   if (key->is_cancel) {
-    CancelJob(this->state, key->job, now);
+    TakeCancelRow(this->state, key->job, row.version, now);
     return;
   }
   auto request = DecodeJobRequest(key->job, row.value);
@@ -182,7 +188,7 @@
 
 auto ShardTask::FollowJobs() -> void {
   this->environment.store.Follow(
-      JobTable(this->state.service), this->job_revision, kFollowWait,
+      JobTable(this->state.service), this->state.feed_revision, kFollowWait,
       kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
         const auto* page = std::get_if<FeedPage>(&result);
         if (page == nullptr) {
@@ -194,7 +200,7 @@
           this->follow_retry.Start(milliseconds(0));
           return;
         }
-        this->job_revision = page->revision;
+        this->state.feed_revision = page->revision;
         this->monitor.NoteFeed(ReadBootClock(), page->changed.size());
         for (const Row& row : page->changed) {
           this->TakeJobRow(row, {});
@@ -207,7 +213,8 @@
 }
 
 auto ShardTask::Wake() -> void {
-  this->wake.Start(kWakeDelay);
+  const Duration idle = ReadBootClock() - this->step_ended;
+  this->wake.Start(DelayOfStep(this->last_step, idle));
 }
 
 auto ShardTask::Step() -> void {
@@ -220,11 +227,22 @@
     this->PlanAndOrder(now);
   }
   this->Flush();
-  this->monitor.NoteStep(now, ReadBootClock());
+  this->MoveEndedJobs(now);
+  this->step_ended = ReadBootClock();
+  this->last_step = this->step_ended - now;
+  this->monitor.NoteStep(now, this->step_ended);
   this->monitor.Report(this->state, this->loaded_once, now);
   this->FinishDrain();
 }
 
+auto ShardTask::MoveEndedJobs(TimePoint now) -> void {
+  // While the table is read anew, rows that were read before a move may come.
+  if (this->loaded && !this->draining) {
+    this->ended_jobs.Step(this->flushing || !this->state.dirty.empty(), now,
+                          std::chrono::system_clock::now());
+  }
+}
+
 auto ShardTask::PlanAndOrder(TimePoint now) -> void {
   if (!this->draining) {
     EvictLasting(this->state, now);
@@ -232,7 +250,7 @@
   }
   this->SendStops();
   this->LookAtWorkers();
-  this->publisher.Publish(this->state);
+  this->publisher.Publish(this->state, this->monitor.FeedAt(), now);
   const std::vector<WorkerId> vacated = VacatedWorkers(this->state);
   if (!vacated.empty()) {
     this->environment.on_vacated(vacated);
@@ -390,14 +408,14 @@
   const bool may_extend = now - this->environment.confirmed_at() <
                           this->state.limits.extend_without_store;
   std::vector<HoldCommand> looks;
-  for (const auto& [id, worker] : this->state.workers) {
+  for (auto& [id, worker] : this->state.workers) {
     // Ends that are being stored would be reported once more.
     const bool storing = worker.ended_stored < worker.ended_seen &&
                          now - worker.next_look < milliseconds(1000);
     if (storing) {
       continue;
     }
-    if (auto look = NextLook(this->state, id, may_extend, now)) {
+    if (auto look = NextLook(this->state, worker, may_extend, now)) {
       looks.push_back(std::move(*look));
     }
   }
@@ -469,6 +487,8 @@
   }
   if (reply.verdict == OrderVerdict::kOtherInstance) {
     TakeWorkerGone(this->state, hold.worker, now);
+  } else if (reply.verdict == OrderVerdict::kNotSent) {
+    TakeLookRefusal(this->state, hold.worker, now);
   } else {
     TakeLookFailure(this->state, hold.worker, now);
   }
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -4,11 +4,18 @@
 namespace fireflythread {
 
 struct Configuration;
+struct EndedBatch;
+struct EndedJob;
+struct EndedMove;
+struct EndedPace;
 struct EndedRun;
+struct EndedScan;
+struct FinishedJob;
 struct HoldCommand;
 struct JobProgress;
 struct JobRequest;
 struct JobStep;
+struct MovedJob;
 struct Queue;
 struct QueueHome;
 struct QueueHomes;
@@ -19,6 +26,7 @@
 struct ShardWorker;
 struct StartCommand;
 struct StopCommand;
+struct StrayCancel;
 struct TaskName;
 struct TaskState;
 struct WorkerReport;
--- a/src/fireflythread/jobs/job_codec.h
+++ b/src/fireflythread/jobs/job_codec.h
@@ -7,16 +7,19 @@
 #include <string_view>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/jobs/ended_job.h"
 #include "fireflythread/jobs/fwd.h"
 #include "fireflythread/jobs/job_progress.h"
 #include "fireflythread/jobs/job_request.h"
 
 namespace fireflythread {
 
-/// The value of a job's row, JSON.
+/// The value of a job's row, JSON. Members of a step that have their default
+/// values are left out.
 [[nodiscard]] auto EncodeJobRequest(const JobRequest& job) -> std::string;
 
-/// No value when the text is not what EncodeJobRequest() writes.
+/// No value when the text is not what EncodeJobRequest() writes. Rows of
+/// earlier programs, with all members of each step, are readable too.
 [[nodiscard]] auto DecodeJobRequest(const JobId& id, std::string_view text)
     -> std::optional<JobRequest>;
 
@@ -30,6 +33,13 @@
                                      std::size_t task_count)
     -> std::optional<JobProgress>;
 
+/// The value of a row in the table of ended jobs, JSON.
+[[nodiscard]] auto EncodeEndedJob(const EndedJob& ended) -> std::string;
+
+/// No value when the text is unreadable or the state is not final.
+[[nodiscard]] auto DecodeEndedJob(std::string_view text)
+    -> std::optional<EndedJob>;
+
 /// Reads only the state of a progress row.
 [[nodiscard]] auto DecodeJobState(std::string_view text)
     -> std::optional<JobState>;
--- a/src/fireflythread/jobs/job_tables.h
+++ b/src/fireflythread/jobs/job_tables.h
@@ -13,8 +13,14 @@
 /// owner only.
 inline constexpr std::string_view kProgressTable = "progress";
 
-/// Jobs that wait, by queue: key is the shard. Written by its owner.
+/// Final states of jobs whose other rows are gone: part is the shard, key the
+/// job. Written by the shard's owner only.
+inline constexpr std::string_view kEndedTable = "ended";
+
+/// Jobs that wait, by queue: part is the shard, with one row. Written by the
+/// shard's owner, removed by each claim; without it, nobody knows.
 inline constexpr std::string_view kWaitingTable = "waiting";
+inline constexpr std::string_view kWaitingKey = "counts";
 
 /// A shard's accepted jobs and cancellations. Each shard has a table of its
 /// own, so that an owner follows only what concerns it. The part is the shard.
--- a/src/fireflythread/jobs/shard_job.h
+++ b/src/fireflythread/jobs/shard_job.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_JOBS_SHARD_JOB_H_
 #define FIREFLYTHREAD_JOBS_SHARD_JOB_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -11,12 +12,26 @@
 
 namespace fireflythread {
 
-/// A job in the memory of its shard's owner.
+/// Counts over the tasks of one step of one occurrence.
+struct StepTally {
+  /// Tasks in RunPhase::kWaiting.
+  int waiting = 0;
+  int done = 0;
+
+  auto operator==(const StepTally&) const -> bool = default;
+};
+
+/// A job in the memory of its shard's owner. Once it is made, SetPhase() and
+/// MarkDone() keep the counts in step with its tasks.
 struct ShardJob {
   JobRequest request;
   JobProgress progress;
   /// Version of the progress row; 0 while there is none.
   std::uint64_t version = 0;
+  /// Version of the cancellation's row; 0 while none is known.
+  std::uint64_t cancel_version = 0;
+  /// The progress is on its way to the store.
+  bool storing = false;
   /// Place of each step's first task within an occurrence.
   std::vector<std::size_t> step_offsets;
   std::size_t tasks_per_occurrence = 0;
@@ -24,6 +39,15 @@
   bool began = false;
   /// Tasks with a run that may exist.
   int assigned = 0;
+  /// For each step of each occurrence, occurrence by occurrence.
+  std::vector<StepTally> tallies;
+  /// Sums of the tallies.
+  int waiting = 0;
+  std::size_t done = 0;
+  /// The first occurrence with a task that is not done.
+  int first_open = 0;
+  /// RemainingChain() from each step on, and zero after the last.
+  std::vector<std::chrono::milliseconds> remaining_chains;
 };
 
 [[nodiscard]] auto MakeShardJob(JobRequest request) -> ShardJob;
@@ -43,6 +67,24 @@
 /// Null when the job has no such task.
 [[nodiscard]] auto FindTask(ShardJob& job, const TaskName& name) -> TaskState*;
 
+/// Counts the tasks anew, after `progress` was replaced.
+auto TallyTasks(ShardJob& job) -> void;
+
+[[nodiscard]] auto TallyOf(const ShardJob& job, int occurrence, int step)
+    -> const StepTally&;
+
+/// Moves a task that exists to another phase.
+auto SetPhase(ShardJob& job, const TaskName& name, RunPhase phase) -> void;
+
+/// Sets a task that exists to done; a second time has no effect.
+auto MarkDone(ShardJob& job, const TaskName& name) -> void;
+
+/// Tasks of one step of one occurrence with a run that may exist.
+[[nodiscard]] auto CountAssigned(const ShardJob& job, int occurrence, int step)
+    -> int;
+
+[[nodiscard]] auto IsJobDone(const ShardJob& job) -> bool;
+
 /// Whether all tasks of one step of one occurrence are done.
 [[nodiscard]] auto IsStepDone(const ShardJob& job, int occurrence, int step)
     -> bool;
--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -10,6 +10,9 @@
 namespace {
 
 auto AddPlannedRuns(const ShardJob& job, RecordBatch& batch) -> void {
+  if (job.assigned == 0) {
+    return;
+  }
   const int occurrences = OccurrenceCount(job.request);
   const auto steps = static_cast<int>(job.request.steps.size());
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
@@ -55,14 +58,17 @@
   while (!state.dirty.empty() && batch.records.size() < max_jobs) {
     const JobId id = *state.dirty.begin();
     state.dirty.erase(state.dirty.begin());
-    const ShardJob& job = state.jobs.at(id);
+    ShardJob& job = state.jobs.at(id);
+    job.storing = true;
     batch.records.push_back({id, job.version, EncodeJobProgress(job.progress)});
     AddPlannedRuns(job, batch);
   }
   // An end counts as stored only when no job of it is left out.
   if (state.dirty.empty()) {
     for (const auto& [id, worker] : state.workers) {
-      batch.ends.emplace(id, worker.ended_seen);
+      if (worker.ended_stored < worker.ended_seen) {
+        batch.ends.emplace(id, worker.ended_seen);
+      }
     }
   }
   return batch;
@@ -77,6 +83,7 @@
     const auto job = state.jobs.find(record.job);
     if (job != state.jobs.end()) {
       job->second.version = version;
+      job->second.storing = false;
     }
   }
   for (const auto& [id, number] : batch.ends) {
@@ -112,7 +119,9 @@
 auto TakeNotStored(ShardState& state, const RecordBatch& batch) -> void {
   state.storing = false;
   for (const JobRecord& record : batch.records) {
-    if (state.jobs.contains(record.job)) {
+    const auto job = state.jobs.find(record.job);
+    if (job != state.jobs.end()) {
+      job->second.storing = false;
       state.dirty.insert(record.job);
     }
   }
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -1,7 +1,6 @@
 #include "fireflythread/jobs/shard_workers.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
 #include <utility>
 
@@ -112,23 +111,55 @@
               const WorkerReport& report,
               TimePoint sent_at,
               TimePoint now) -> void {
-  std::map<TaskName, const RunningRun*> running;
+  std::vector<const RunningRun*> running;
+  running.reserve(report.running.size());
   for (const RunningRun& run : report.running) {
-    running.emplace(run.task, &run);
+    running.push_back(&run);
   }
-  const std::set<TaskName> tasks = worker.tasks;
-  for (const TaskName& name : tasks) {
-    TaskState* task = FindTask(state, name);
-    const auto found = running.find(name);
-    if (found != running.end() && found->second->run == task->run) {
-      TakeRunning(*task, *found->second, now);
-      state.jobs.at(name.job).began = true;
+  std::stable_sort(running.begin(), running.end(),
+                   [](const RunningRun* left, const RunningRun* right) -> bool {
+                     return left->task < right->task;
+                   });
+  auto found = running.begin();
+  for (auto next = worker.tasks.begin(); next != worker.tasks.end();) {
+    // The task may leave the set, so the loop goes on first.
+    const auto name = next++;
+    while (found != running.end() && (*found)->task < *name) {
+      ++found;
+    }
+    ShardJob& job = state.jobs.at(name->job);
+    TaskState& task = *FindTask(job, *name);
+    if (found != running.end() && (*found)->task == *name &&
+        (*found)->run == task.run) {
+      TakeRunning(task, **found, now);
+      job.began = true;
     } else {
-      TakeAbsence(state, name, sent_at, now);
+      TakeAbsence(state, TaskName(*name), sent_at, now);
     }
   }
 }
 
+/// Whether a report of the worker could change anything. Without runs nothing
+/// has to be learned of a worker that gets no starts either.
+auto NeedsLook(const ShardWorker& worker) -> bool {
+  return !worker.tasks.empty() || (worker.listed && !worker.vacating);
+}
+
+/// Pause after a look that found nothing at the worker's address.
+auto RefusedPause(const ShardLimits& limits, const ShardWorker& worker)
+    -> std::chrono::milliseconds {
+  if (!worker.tasks.empty()) {
+    return limits.look_retry;
+  }
+  std::chrono::milliseconds pause = limits.look_retry;
+  for (int refused = 1;
+       refused < worker.refused_looks && pause < limits.longest_look_retry;
+       ++refused) {
+    pause *= 2;
+  }
+  return std::min(pause, limits.longest_look_retry);
+}
+
 }  // namespace
 
 auto TakeWorkers(ShardState& state,
@@ -141,6 +172,11 @@
     ShardWorker& worker = state.workers[view.id];
     const bool reborn =
         worker.view.born.count() != 0 && worker.view.born != view.born;
+    if (reborn || worker.view.address != view.address) {
+      // The refusals were of the former life or address.
+      worker.refused_looks = 0;
+      worker.next_look = std::min(worker.next_look, now);
+    }
     worker.view = view;
     worker.listed = true;
     if (reborn && worker.reported_born != view.born) {
@@ -165,17 +201,16 @@
   }
 }
 
-auto NextLook(ShardState& state,
-              const WorkerId& worker_id,
+auto NextLook(const ShardState& state,
+              ShardWorker& worker,
               bool may_extend,
               TimePoint now) -> std::optional<HoldCommand> {
-  ShardWorker& worker = state.workers.at(worker_id);
   if (worker.look_in_flight || worker.gone || now < worker.next_look ||
-      worker.view.address.empty()) {
+      worker.view.address.empty() || !NeedsLook(worker)) {
     return std::nullopt;
   }
   HoldCommand look;
-  look.worker = worker_id;
+  look.worker = worker.view.id;
   look.address = worker.view.address;
   look.fence = state.fence;
   look.last_seen = worker.ended_stored;
@@ -205,6 +240,7 @@
   ShardWorker& worker = found->second;
   worker.look_in_flight = false;
   worker.failed_looks = 0;
+  worker.refused_looks = 0;
   worker.reported_at = now;
   if (worker.reported_born.count() != 0 &&
       worker.reported_born != report.born) {
@@ -239,6 +275,19 @@
   worker.next_look = now + state.limits.look_retry;
 }
 
+auto TakeLookRefusal(ShardState& state,
+                     const WorkerId& worker_id,
+                     TimePoint now) -> void {
+  TakeLookFailure(state, worker_id, now);
+  const auto found = state.workers.find(worker_id);
+  if (found == state.workers.end()) {
+    return;
+  }
+  ShardWorker& worker = found->second;
+  ++worker.refused_looks;
+  worker.next_look = now + RefusedPause(state.limits, worker);
+}
+
 auto TakeWorkerGone(ShardState& state, const WorkerId& worker_id, TimePoint now)
     -> void {
   const auto found = state.workers.find(worker_id);
--- a/test/fireflythread/relay/relay_candidate_test.cc
+++ b/test/fireflythread/relay/relay_candidate_test.cc
@@ -59,11 +59,15 @@
   CHECK(ListCandidates(state).at(1).address == "10.0.0.2:2");
   CHECK(ListCandidates(state).at(1).incarnation == 2);
   CHECK(Names(ChooseHelpers(ListCandidates(state))) == "ab");
-  TakeShardRow(state, {std::string(kShardTable), "p", 10,
-                       R"({"owner":"a","incarnation":1})"});
+  TakeShardRow(
+      state,
+      {std::string(kShardTable), "p", 10, R"({"owner":"a","incarnation":1})"},
+      TimePoint());
   CHECK(Names(ChooseHelpers(ListCandidates(state))) == "b");
-  TakeShardRow(state, {std::string(kShardTable), "q", 11,
-                       R"({"owner":"b","incarnation":2})"});
+  TakeShardRow(
+      state,
+      {std::string(kShardTable), "q", 11, R"({"owner":"b","incarnation":2})"},
+      TimePoint());
   CHECK(Names(ChooseHelpers(ListCandidates(state))) == "ab");
 }
 
