--- /dev/null
+++ b/src/fireflythread/entry/run_log.cc
@@ -0,0 +1,78 @@
+#include "fireflythread/entry/run_log.h"
+
+#include <string>
+#include <string_view>
+
+#include "fireflythread/jobs/hold_command.h"
+#include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/start_command.h"
+#include "fireflythread/jobs/stop_command.h"
+#include "fireflythread/jobs/task_name.h"
+#include "fireflythread/jobs/worker_report.h"
+
+namespace fireflythread {
+
+RunLog::RunLog(const Logger& log, MetricsRegistry& registry)
+    : logger(log), metrics(registry) {}
+
+auto RunLog::NoteStart(const StartCommand& start, const OrderReply& reply)
+    -> void {
+  const std::string_view verdict = OrderVerdictName(reply.verdict);
+  this->metrics
+      .GetCounter("fireflythread_runs_ordered_total",
+                  "Starts of runs, by the worker's answer",
+                  {{"verdict", std::string(verdict)}})
+      .Add();
+  this->logger.Info("shard", "run_ordered",
+                    {{"job", start.task.job},
+                     {"task", FormatTaskName(start.task)},
+                     {"run", start.run},
+                     {"worker", start.worker},
+                     {"fence", start.fence},
+                     {"verdict", verdict},
+                     {"reason", reply.reason}});
+}
+
+auto RunLog::NoteStop(const StopCommand& stop, const OrderReply& reply)
+    -> void {
+  this->logger.Info("shard", "run_stopped",
+                    {{"job", stop.task.job},
+                     {"task", FormatTaskName(stop.task)},
+                     {"run", stop.run},
+                     {"worker", stop.worker},
+                     {"verdict", OrderVerdictName(reply.verdict)}});
+}
+
+auto RunLog::NoteEnd(const WorkerId& worker, const EndedRun& ended) -> void {
+  const std::string_view how = RunEndName(ended.end);
+  this->metrics
+      .GetCounter("fireflythread_runs_ended_total", "Runs that ended, by how",
+                  {{"end", std::string(how)}})
+      .Add();
+  this->logger.Info("shard", "run_ended",
+                    {{"job", ended.task.job},
+                     {"task", FormatTaskName(ended.task)},
+                     {"run", ended.run},
+                     {"worker", worker},
+                     {"end", how},
+                     {"number", ended.number}});
+}
+
+auto RunLog::NoteNoReport(const HoldCommand& hold, const OrderReply& reply)
+    -> void {
+  this->logger.Info("shard", "worker_look_failed",
+                    {{"worker", hold.worker},
+                     {"address", hold.address},
+                     {"verdict", OrderVerdictName(reply.verdict)},
+                     {"reason", reply.reason}});
+}
+
+auto RunLog::NoteFinished(const JobId& job,
+                          JobState state,
+                          std::uint64_t revision) -> void {
+  this->logger.Info(
+      "shard", "job_finished",
+      {{"job", job}, {"state", JobStateName(state)}, {"revision", revision}});
+}
+
+}  // namespace fireflythread
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -48,6 +48,7 @@
     : environment(std::move(env)),
       publisher(this->environment.store),
       monitor(this->environment.logger, this->environment.metrics),
+      run_log(this->environment.logger, this->environment.metrics),
       ended_jobs(this->environment.store,
                  this->environment.logger,
                  this->state,
@@ -322,11 +323,8 @@
         this->state.dirty.contains(record.job)) {
       continue;
     }
-    this->environment.logger.Info(
-        "shard", "job_finished",
-        {{"job", record.job},
-         {"state", JobStateName(job->second.progress.state)},
-         {"revision", revision}});
+    this->run_log.NoteFinished(record.job, job->second.progress.state,
+                               revision);
   }
 }
 
@@ -354,31 +352,13 @@
       start, kOrderTimeout,
       this->alive.Guard([this, start](const OrderReply& reply) {
         this->monitor.NoteStart();
-        this->LogStart(start, reply);
+        this->run_log.NoteStart(start, reply);
         TakeStartReply(this->state, start, reply, ReadBootClock());
         this->CheckFence();
         this->Wake();
       }));
 }
 
-auto ShardTask::LogStart(const StartCommand& start, const OrderReply& reply)
-    -> void {
-  const std::string_view verdict = OrderVerdictName(reply.verdict);
-  this->environment.metrics
-      .GetCounter("fireflythread_runs_ordered_total",
-                  "Starts of runs, by the worker's answer",
-                  {{"verdict", std::string(verdict)}})
-      .Add();
-  this->environment.logger.Info("shard", "run_ordered",
-                                {{"job", start.task.job},
-                                 {"task", FormatTaskName(start.task)},
-                                 {"run", start.run},
-                                 {"worker", start.worker},
-                                 {"fence", start.fence},
-                                 {"verdict", verdict},
-                                 {"reason", reply.reason}});
-}
-
 auto ShardTask::SendStops() -> void {
   for (const StopCommand& stop : NextStops(this->state, ReadBootClock())) {
     this->SendStop(stop);
@@ -389,13 +369,7 @@
   this->environment.workers.Stop(
       stop, kOrderTimeout,
       this->alive.Guard([this, stop](const OrderReply& reply) {
-        this->environment.logger.Info(
-            "shard", "run_stopped",
-            {{"job", stop.task.job},
-             {"task", FormatTaskName(stop.task)},
-             {"run", stop.run},
-             {"worker", stop.worker},
-             {"verdict", OrderVerdictName(reply.verdict)}});
+        this->run_log.NoteStop(stop, reply);
         TakeStopReply(this->state, stop, reply, ReadBootClock());
         this->CheckFence();
         this->Wake();
@@ -459,29 +433,14 @@
       continue;
     }
     this->monitor.NoteEnd();
-    const std::string_view how = RunEndName(ended.end);
-    this->environment.metrics
-        .GetCounter("fireflythread_runs_ended_total", "Runs that ended, by how",
-                    {{"end", std::string(how)}})
-        .Add();
-    this->environment.logger.Info("shard", "run_ended",
-                                  {{"job", ended.task.job},
-                                   {"task", FormatTaskName(ended.task)},
-                                   {"run", ended.run},
-                                   {"worker", worker_id},
-                                   {"end", how},
-                                   {"number", ended.number}});
+    this->run_log.NoteEnd(worker_id, ended);
   }
 }
 
 auto ShardTask::TakeNoReport(const HoldCommand& hold, const OrderReply& reply)
     -> void {
   const TimePoint now = ReadBootClock();
-  this->environment.logger.Info("shard", "worker_look_failed",
-                                {{"worker", hold.worker},
-                                 {"address", hold.address},
-                                 {"verdict", OrderVerdictName(reply.verdict)},
-                                 {"reason", reply.reason}});
+  this->run_log.NoteNoReport(hold, reply);
   if (reply.verdict == OrderVerdict::kFenced) {
     this->state.fenced_off = true;
   }
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -13,6 +13,7 @@
 #include "fireflythread/entry/ended_jobs_task.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
+#include "fireflythread/entry/run_log.h"
 #include "fireflythread/entry/shard_monitor.h"
 #include "fireflythread/entry/shard_publisher.h"
 #include "fireflythread/jobs/hold_command.h"
@@ -89,7 +90,6 @@
                  TimePoint sent_at) -> void;
   auto TakeConflict(const RecordBatch& batch, const Conflict& conflict) -> void;
   auto SendStart(const StartCommand& start) -> void;
-  auto LogStart(const StartCommand& start, const OrderReply& reply) -> void;
   auto LogFinished(const RecordBatch& batch, std::uint64_t revision) -> void;
   auto SendStops() -> void;
   auto SendStop(const StopCommand& stop) -> void;
@@ -106,6 +106,7 @@
   ShardState state;
   ShardPublisher publisher;
   ShardMonitor monitor;
+  RunLog run_log;
   EndedJobsTask ended_jobs;
   std::unique_ptr<RangeLoader> progress_loader;
   std::unique_ptr<RangeLoader> job_loader;
