--- a/test/fireflythread/relay/order_codec_test.cc
+++ b/test/fireflythread/relay/order_codec_test.cc
@@ -27,6 +27,10 @@
   return milliseconds(*rc::gen::arbitrary<std::int64_t>());
 }
 
+auto Timeout() -> Duration {
+  return Duration(*rc::gen::arbitrary<std::int64_t>());
+}
+
 auto MaybeTime() -> std::optional<milliseconds> {
   return *rc::gen::arbitrary<bool>() ? std::optional(Time()) : std::nullopt;
 }
@@ -82,7 +86,7 @@
   CHECK(rc::check("start", [] {
     const StartCommand sent{WorkerId(Text()), Text(),   Task(), Int(), Text(),
                             Time(),           Number(), Text(), Text()};
-    const WorkerOrder order = Transmit(WorkerOrder{sent, Time()});
+    const WorkerOrder order = Transmit(WorkerOrder{sent, Timeout()});
     const auto& start = std::get<StartCommand>(order.command);
     RC_ASSERT(start.worker == sent.worker);
     RC_ASSERT(start.address == sent.address);
@@ -96,7 +100,7 @@
   }));
   CHECK(rc::check("stop", [] {
     const StopCommand sent{WorkerId(Text()), Text(), Task(), Int(), Number()};
-    const WorkerOrder order = Transmit(WorkerOrder{sent, Time()});
+    const WorkerOrder order = Transmit(WorkerOrder{sent, Timeout()});
     const auto& stop = std::get<StopCommand>(order.command);
     RC_ASSERT(stop.worker == sent.worker);
     RC_ASSERT(stop.address == sent.address);
@@ -107,7 +111,7 @@
   CHECK(rc::check("hold", [] {
     const HoldCommand sent{WorkerId(Text()), Text(),      Number(),
                            Number(),         MaybeTime(), Time()};
-    const WorkerOrder order = Transmit(WorkerOrder{sent, Time()});
+    const WorkerOrder order = Transmit(WorkerOrder{sent, Timeout()});
     const auto& hold = std::get<HoldCommand>(order.command);
     RC_ASSERT(hold.worker == sent.worker);
     RC_ASSERT(hold.address == sent.address);
