--- a/src/fireflythread/relay/relay_candidate.cc
+++ b/src/fireflythread/relay/relay_candidate.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "fireflythread/ownership/ownership_state.h"
+#include "fireflythread/ownership/placement.h"
 
 namespace fireflythread {
 
@@ -26,6 +27,7 @@
     candidate.alive = state.entries_read_at - entry.changed_at < kEntryTimeout;
     candidate.stopping = entry.stopping;
     candidate.owns_shard = owners.contains(id);
+    candidate.weight = CapacityOf(entry.capacity);
     candidates.push_back(std::move(candidate));
   }
   return candidates;
