Read all pages of lists that grow with the fleet

The list of workers, the entries' and shards' rows, the workers to be emptied and the operators' rows were read with one call each, which holds at most 500 rows or 1 MB: beyond that an owner would not know part of its pool, and an entry part of the others. The test of 700 workers failed with one call (500 listed).

--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -10,6 +10,7 @@
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/ownership/ownership.h"
+#include "fireflythread/platform/read_all.h"
 
 namespace fireflythread {
 namespace {
@@ -106,21 +107,20 @@
 }
 
 auto DutyTask::ReadLoads() -> void {
-  this->environment.store.ReadRange({std::string(kLoadTable)}, kStoreTimeout,
-                                    this->alive.Guard([this](auto&& result) {
-                                      const auto* page =
-                                          std::get_if<RangePage>(&result);
-                                      if (page == nullptr) {
-                                        this->load_retry.Start(kStoreRetry);
-                                        return;
-                                      }
-                                      for (const Row& row : page->rows) {
-                                        this->TakeLoad(row);
-                                      }
-                                      this->load_revision = page->revision;
-                                      this->loads_read = true;
-                                      this->FollowLoads();
-                                    }));
+  ReadAll(this->environment.store, {std::string(kLoadTable)}, kStoreTimeout,
+          this->alive.Guard([this](auto&& result) {
+            const auto* page = std::get_if<RangePage>(&result);
+            if (page == nullptr) {
+              this->load_retry.Start(kStoreRetry);
+              return;
+            }
+            for (const Row& row : page->rows) {
+              this->TakeLoad(row);
+            }
+            this->load_revision = page->revision;
+            this->loads_read = true;
+            this->FollowLoads();
+          }));
 }
 
 auto DutyTask::FollowLoads() -> void {
--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -6,6 +6,7 @@
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/platform/read_all.h"
 
 namespace fireflythread {
 
@@ -64,31 +65,30 @@
     return;
   }
   this->reading_entries = true;
-  this->store.ReadRange(
-      {std::string(kEntryTable)}, kStoreTimeout,
-      this->alive.Guard([this](auto&& result) {
-        this->reading_entries = false;
-        if (const auto* page = std::get_if<RangePage>(&result)) {
-          TakeEntryRows(this->state, page->rows, ReadBootClock());
-          this->Claim();
-          this->PlanHandover();
-        }
-      }));
+  ReadAll(this->store, {std::string(kEntryTable)}, kStoreTimeout,
+          this->alive.Guard([this](auto&& result) {
+            this->reading_entries = false;
+            if (const auto* page = std::get_if<RangePage>(&result)) {
+              TakeEntryRows(this->state, page->rows, ReadBootClock());
+              this->Claim();
+              this->PlanHandover();
+            }
+          }));
 }
 
 auto OwnershipTask::ReadShards() -> void {
-  this->store.ReadRange({std::string(kShardTable)}, kStoreTimeout,
-                        this->alive.Guard([this](auto&& result) {
-                          const auto* page = std::get_if<RangePage>(&result);
-                          if (page == nullptr) {
-                            this->retry_shards.Start(kStoreRetry);
-                            return;
-                          }
-                          this->shard_revision = page->revision;
-                          this->state.shards_read = true;
-                          this->TakeShards(page->rows);
-                          this->FollowShards();
-                        }));
+  ReadAll(this->store, {std::string(kShardTable)}, kStoreTimeout,
+          this->alive.Guard([this](auto&& result) {
+            const auto* page = std::get_if<RangePage>(&result);
+            if (page == nullptr) {
+              this->retry_shards.Start(kStoreRetry);
+              return;
+            }
+            this->shard_revision = page->revision;
+            this->state.shards_read = true;
+            this->TakeShards(page->rows);
+            this->FollowShards();
+          }));
 }
 
 auto OwnershipTask::FollowShards() -> void {
--- a/src/fireflythread/entry/vacate_board.cc
+++ b/src/fireflythread/entry/vacate_board.cc
@@ -6,6 +6,7 @@
 
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/ownership/ownership.h"
+#include "fireflythread/platform/read_all.h"
 
 namespace fireflythread {
 namespace {
@@ -50,22 +51,22 @@
 }
 
 auto VacateBoard::Read() -> void {
-  this->store.ReadRange({std::string(kVacateTable)}, kStoreTimeout,
-                        this->alive.Guard([this](auto&& result) {
-                          const auto* page = std::get_if<RangePage>(&result);
-                          if (page == nullptr) {
-                            this->retry.Start(kStoreRetry);
-                            return;
-                          }
-                          this->entries.clear();
-                          for (const Row& row : page->rows) {
-                            this->Take(row);
-                          }
-                          this->revision = page->revision;
-                          this->loaded = true;
-                          this->on_change();
-                          this->Follow();
-                        }));
+  ReadAll(this->store, {std::string(kVacateTable)}, kStoreTimeout,
+          this->alive.Guard([this](auto&& result) {
+            const auto* page = std::get_if<RangePage>(&result);
+            if (page == nullptr) {
+              this->retry.Start(kStoreRetry);
+              return;
+            }
+            this->entries.clear();
+            for (const Row& row : page->rows) {
+              this->Take(row);
+            }
+            this->revision = page->revision;
+            this->loaded = true;
+            this->on_change();
+            this->Follow();
+          }));
 }
 
 auto VacateBoard::Follow() -> void {
