--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -27,6 +27,9 @@
 constexpr milliseconds kListTimeout{1500};
 constexpr milliseconds kOrderTimeout{1500};
 
+/// A transaction of the store holds at most 100 entries.
+constexpr std::size_t kMostWaveWrites = 80;
+
 auto EncodeDone(const std::set<VmId>& done) -> std::string {
   nlohmann::json list = nlohmann::json::array();
   for (const VmId& vm : done) {
@@ -264,7 +267,7 @@
   Transaction transaction;
   std::vector<std::int64_t> numbers;
   for (auto& [number, wave] : this->state.waves) {
-    if (!wave.dirty) {
+    if (!wave.dirty || transaction.writes.size() >= kMostWaveWrites) {
       continue;
     }
     wave.dirty = false;
--- a/src/fireflythread/entry/queue_homes_task.cc
+++ b/src/fireflythread/entry/queue_homes_task.cc
@@ -18,6 +18,9 @@
       again([this] { this->Read(); }) {}
 
 auto QueueHomesTask::SetConfiguration(const Configuration& next) -> void {
+  if (next.version == this->configuration.version) {
+    return;
+  }
   this->configuration = next;
   this->homes.current = false;
   this->delayed = false;
--- a/src/fireflythread/entry/queue_homes_task.h
+++ b/src/fireflythread/entry/queue_homes_task.h
@@ -29,7 +29,8 @@
   QueueHomesTask(const QueueHomesTask&) = delete;
   auto operator=(const QueueHomesTask&) -> QueueHomesTask& = delete;
 
-  /// Takes a configuration that has come into force.
+  /// Takes a configuration that has come into force. The same version again
+  /// changes nothing.
   auto SetConfiguration(const Configuration& configuration) -> void;
 
   /// See FormerHomes() in queue_homes.h.
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -139,6 +139,7 @@
   this->state.feed_revision = revision;
   // The first page is the oldest; what came since is in the feed.
   this->monitor.NoteFeed(this->load_began, 0);
+  this->feed_behind = true;
   if (!this->loaded_once) {
     this->loaded_once = true;
     this->environment.logger.Info(
@@ -188,11 +189,17 @@
 }
 
 auto ShardTask::FollowJobs() -> void {
+  // After an answer that is missing or old, changes may be there already.
+  const milliseconds wait =
+      std::exchange(this->feed_behind, false) ? milliseconds(0) : kFollowWait;
+  const TimePoint sent_at = ReadBootClock();
   this->environment.store.Follow(
-      JobTable(this->state.service), this->state.feed_revision, kFollowWait,
-      kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
+      JobTable(this->state.service), this->state.feed_revision, wait,
+      kFollowWait + kFollowSlack,
+      this->alive.Guard([this, sent_at](auto&& result) {
         const auto* page = std::get_if<FeedPage>(&result);
         if (page == nullptr) {
+          this->feed_behind = true;
           this->follow_retry.Start(kStoreRetry);
           return;
         }
@@ -201,18 +208,26 @@
           this->follow_retry.Start(milliseconds(0));
           return;
         }
-        this->state.feed_revision = page->revision;
-        this->monitor.NoteFeed(ReadBootClock(), page->changed.size());
-        for (const Row& row : page->changed) {
-          this->TakeJobRow(row, {});
-        }
-        if (!page->changed.empty()) {
-          this->Wake();
-        }
+        this->TakeFeed(*page, sent_at);
         this->FollowJobs();
       }));
 }
 
+auto ShardTask::TakeFeed(const FeedPage& page, TimePoint sent_at) -> void {
+  this->state.feed_revision = page.revision;
+  // A page that took long to arrive may be as old as its call.
+  const TimePoint now = ReadBootClock();
+  this->feed_behind = now - sent_at > kFollowWait + kFollowSlack;
+  this->monitor.NoteFeed(this->feed_behind ? sent_at : now,
+                         page.changed.size());
+  for (const Row& row : page.changed) {
+    this->TakeJobRow(row, {});
+  }
+  if (!page.changed.empty()) {
+    this->Wake();
+  }
+}
+
 auto ShardTask::Wake() -> void {
   const Duration idle = ReadBootClock() - this->step_ended;
   this->wake.Start(DelayOfStep(this->last_step, idle));
@@ -245,7 +260,9 @@
 }
 
 auto ShardTask::PlanAndOrder(TimePoint now) -> void {
-  if (!this->draining) {
+  // A job may have been cancelled since the feed was answered last.
+  const bool current = now - this->monitor.FeedAt() <= kFeedSilence;
+  if (!this->draining && current) {
     EvictLasting(this->state, now);
     PlanRuns(this->state, std::chrono::system_clock::now(), now);
   }
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -79,6 +79,7 @@
   auto TakeJobRow(const Row& row, const std::map<std::string, Row>& progress)
       -> void;
   auto FollowJobs() -> void;
+  auto TakeFeed(const FeedPage& page, TimePoint sent_at) -> void;
   auto Wake() -> void;
   auto Step() -> void;
   auto MoveEndedJobs(TimePoint now) -> void;
@@ -115,6 +116,8 @@
   TimePoint load_began;
   bool loaded = false;
   bool loaded_once = false;
+  /// The next call of the feed must not wait for a change.
+  bool feed_behind = false;
   bool flushing = false;
   bool draining = false;
   std::function<void()> drained;
