--- /dev/null
+++ b/src/fireflythread/jobs/end_snapshot.h
@@ -0,0 +1,23 @@
+#ifndef FIREFLYTHREAD_JOBS_END_SNAPSHOT_H_
+#define FIREFLYTHREAD_JOBS_END_SNAPSHOT_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+
+#include "fireflythread/base/ids.h"
+
+namespace fireflythread {
+
+/// Ends of runs that count as stored once all jobs are stored that were out of
+/// date when the snapshot was taken.
+struct EndSnapshot {
+  /// Newest end of each worker that was taken in.
+  std::map<WorkerId, std::uint64_t> ends;
+  /// Jobs that were not stored since.
+  std::set<JobId> unstored;
+};
+
+}  // namespace fireflythread
+
+#endif  // FIREFLYTHREAD_JOBS_END_SNAPSHOT_H_
--- a/src/fireflythread/jobs/record_batch.h
+++ b/src/fireflythread/jobs/record_batch.h
@@ -2,7 +2,6 @@
 #define FIREFLYTHREAD_JOBS_RECORD_BATCH_H_
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -25,13 +24,11 @@
   int run = 0;
 };
 
-/// Progress rows that are stored in one transaction, and what follows from
-/// that.
+/// Progress rows that are stored in one transaction, and the runs that may
+/// begin then.
 struct RecordBatch {
   std::vector<JobRecord> records;
   std::vector<PlannedRun> planned;
-  /// Newest end of each worker whose effect is stored with this batch.
-  std::map<WorkerId, std::uint64_t> ends;
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -50,26 +50,67 @@
   return start;
 }
 
+/// The dirty job whose turn it is.
+auto NextDirty(const ShardState& state) -> JobId {
+  const auto next = state.dirty.upper_bound(state.last_taken);
+  return next == state.dirty.end() ? *state.dirty.begin() : *next;
+}
+
+/// Remembers the ends that were taken in and the jobs that may show their
+/// effects. No batch is on its way, so every such job is dirty.
+auto OpenEndSnapshot(ShardState& state) -> void {
+  if (state.end_snapshot) {
+    return;
+  }
+  EndSnapshot snapshot;
+  for (const auto& [id, worker] : state.workers) {
+    if (worker.ended_stored < worker.ended_seen) {
+      snapshot.ends.emplace(id, worker.ended_seen);
+    }
+  }
+  if (!snapshot.ends.empty()) {
+    snapshot.unstored = state.dirty;
+    state.end_snapshot = std::move(snapshot);
+  }
+}
+
+/// Takes stored jobs off the snapshot; with the last one its ends count as
+/// stored.
+auto AdvanceEndSnapshot(ShardState& state, const RecordBatch& batch) -> void {
+  if (!state.end_snapshot) {
+    return;
+  }
+  EndSnapshot& snapshot = *state.end_snapshot;
+  for (const JobRecord& record : batch.records) {
+    snapshot.unstored.erase(record.job);
+  }
+  if (!snapshot.unstored.empty()) {
+    return;
+  }
+  for (const auto& [id, number] : snapshot.ends) {
+    const auto worker = state.workers.find(id);
+    if (worker != state.workers.end() && number <= worker->second.ended_seen) {
+      worker->second.ended_stored =
+          std::max(worker->second.ended_stored, number);
+    }
+  }
+  state.end_snapshot.reset();
+}
+
 }  // namespace
 
 auto TakeBatch(ShardState& state, std::size_t max_jobs) -> RecordBatch {
+  OpenEndSnapshot(state);
   RecordBatch batch;
   state.storing = true;
   while (!state.dirty.empty() && batch.records.size() < max_jobs) {
-    const JobId id = *state.dirty.begin();
-    state.dirty.erase(state.dirty.begin());
+    const JobId id = NextDirty(state);
     ShardJob& job = state.jobs.at(id);
-    job.storing = true;
     batch.records.push_back({id, job.version, EncodeJobProgress(job.progress)});
     AddPlannedRuns(job, batch);
-  }
-  // An end counts as stored only when no job of it is left out.
-  if (state.dirty.empty()) {
-    for (const auto& [id, worker] : state.workers) {
-      if (worker.ended_stored < worker.ended_seen) {
-        batch.ends.emplace(id, worker.ended_seen);
-      }
-    }
+    job.storing = true;
+    state.dirty.erase(id);
+    state.last_taken = id;
   }
   return batch;
 }
@@ -86,14 +127,7 @@
       job->second.storing = false;
     }
   }
-  for (const auto& [id, number] : batch.ends) {
-    const auto worker = state.workers.find(id);
-    // A worker that restarted meanwhile counts its ends anew.
-    if (worker != state.workers.end() && number <= worker->second.ended_seen) {
-      worker->second.ended_stored =
-          std::max(worker->second.ended_stored, number);
-    }
-  }
+  AdvanceEndSnapshot(state, batch);
   std::vector<StartCommand> starts;
   for (const PlannedRun& planned : batch.planned) {
     TaskState* task = FindTask(state, planned.task);
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/jobs/end_snapshot.h"
 #include "fireflythread/jobs/finished_job.h"
 #include "fireflythread/jobs/plan_cost.h"
 #include "fireflythread/jobs/queue.h"
@@ -57,6 +59,11 @@
   std::deque<ArrivedWork> arrivals;
   /// Jobs whose progress row is out of date.
   std::set<JobId> dirty;
+  /// Job that was taken last for a batch. The next batch goes on after it, so
+  /// that jobs that change all the time do not keep others from the store.
+  JobId last_taken;
+  /// Ends whose effects are being stored.
+  std::optional<EndSnapshot> end_snapshot;
   /// A batch of records is on its way to the store.
   bool storing = false;
   /// Tasks in RunPhase::kStopping.
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -19,12 +19,20 @@
   }
 }
 
+/// The worker's ends may be counted anew from now on.
+auto DropSnapshotEnd(ShardState& state, const WorkerId& worker) -> void {
+  if (state.end_snapshot) {
+    state.end_snapshot->ends.erase(worker);
+  }
+}
+
 /// The worker restarted under its id and knows nothing of before. Runs whose
 /// order got no answer may still begin in the new life and stay unresolved.
 auto TakeRebirth(ShardState& state, ShardWorker& worker, TimePoint now)
     -> void {
   worker.ended_seen = 0;
   worker.ended_stored = 0;
+  DropSnapshotEnd(state, worker.view.id);
   worker.clock.reset();
   worker.latest_deadline = {};
   worker.confirmed = false;
@@ -197,7 +205,12 @@
     }
     const bool forget = worker.tasks.empty() && !worker.look_in_flight &&
                         (worker.gone || !worker.listed);
-    next = forget ? state.workers.erase(next) : std::next(next);
+    if (forget) {
+      DropSnapshotEnd(state, next->first);
+      next = state.workers.erase(next);
+    } else {
+      ++next;
+    }
   }
 }
 
--- /dev/null
+++ b/test/fireflythread/jobs/shard_record_test.cc
@@ -0,0 +1,151 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "test/fireflythread/jobs/shard_fixture.h"
+
+namespace fireflythread::test {
+namespace {
+
+constexpr std::size_t kJobsPerBatch = 45;
+
+/// More jobs than one batch takes.
+constexpr int kBusyJobs = 60;
+
+/// Batches within which each dirty job is stored and its ends are acknowledged.
+constexpr int kBatchesToStoreAll = 6;
+
+auto BusyJob(int number) -> std::string {
+  return "h" + std::to_string(1000 + number);
+}
+
+/// Adds jobs that no worker has room for.
+auto AddBusyJobs(ShardFixture& shard, int count) -> void {
+  for (int number = 0; number < count; ++number) {
+    shard.AddJob(BusyJob(number), ShardFixture::Step(1, 9000));
+  }
+}
+
+/// Every busy job changes.
+auto ChangeBusyJobs(ShardFixture& shard, int count) -> void {
+  for (int number = 0; number < count; ++number) {
+    shard.state.dirty.insert(JobId(BusyJob(number)));
+  }
+}
+
+auto Holds(const RecordBatch& batch, const JobId& id) -> bool {
+  return std::any_of(
+      batch.records.begin(), batch.records.end(),
+      [&id](const JobRecord& record) -> bool { return record.job == id; });
+}
+
+TEST_CASE("Jobs with large ids are stored while others keep changing",
+          "[jobs]") {
+  // Guards against planned runs that hold room and never start because jobs
+  // with smaller ids fill every batch.
+  ShardFixture shard(1);
+  AddBusyJobs(shard, kBusyJobs);
+  shard.AddJob("z", ShardFixture::Step(1, 1000));
+  std::size_t starts = 0;
+  for (int round = 0; round < kBatchesToStoreAll; ++round) {
+    ChangeBusyJobs(shard, kBusyJobs);
+    starts += shard.PlanAndStore().size();
+  }
+  CHECK(starts == 1);
+}
+
+TEST_CASE("Ends are acknowledged while other jobs keep changing", "[jobs]") {
+  // Guards against workers that never forget an end under load, so that their
+  // reports grow.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(2, 1000));
+  const auto starts = shard.StartAll();
+  REQUIRE(starts.size() == 2);
+  AddBusyJobs(shard, kBusyJobs);
+  ChangeBusyJobs(shard, kBusyJobs);
+  shard.Report("w0", {ShardFixture::Running(starts[1])},
+               {ShardFixture::Ended(starts[0], 1, RunEnd::kDone)});
+  for (int round = 0; round < kBatchesToStoreAll; ++round) {
+    ChangeBusyJobs(shard, kBusyJobs);
+    static_cast<void>(shard.PlanAndStore());
+  }
+  CHECK(shard.Worker("w0").ended_stored == 1);
+}
+
+TEST_CASE("An end is not acknowledged before its job is stored", "[jobs]") {
+  // Guards against an end that a worker forgets while the owner dies before
+  // the end is stored: the successor would run the task a second time.
+  ShardFixture shard(1);
+  shard.AddJob("z", ShardFixture::Step(2, 1000));
+  const auto starts = shard.StartAll();
+  REQUIRE(starts.size() == 2);
+  AddBusyJobs(shard, kBusyJobs);
+  ChangeBusyJobs(shard, kBusyJobs);
+  shard.Report("w0", {ShardFixture::Running(starts[1])},
+               {ShardFixture::Ended(starts[0], 1, RunEnd::kDone)});
+  int refused = 0;
+  bool stored = false;
+  for (int round = 0; round < 3 * kBatchesToStoreAll; ++round) {
+    ChangeBusyJobs(shard, kBusyJobs);
+    const RecordBatch batch = TakeBatch(shard.state, kJobsPerBatch);
+    if (Holds(batch, JobId("z")) && refused < 2) {
+      ++refused;
+      TakeNotStored(shard.state, batch);
+    } else {
+      stored = stored || Holds(batch, JobId("z"));
+      static_cast<void>(
+          TakeStored(shard.state, batch, ++shard.version, shard.now));
+    }
+    if (!stored) {
+      CHECK(shard.Worker("w0").ended_stored == 0);
+    }
+  }
+  CHECK(refused == 2);
+  CHECK(stored);
+  CHECK(shard.Worker("w0").ended_stored == 1);
+}
+
+TEST_CASE("An end of a worker's new life is not acknowledged for its former",
+          "[jobs]") {
+  // Guards against the number of an end of the former life that is taken for
+  // one of the new life, whose effect is not stored yet.
+  constexpr int kManyBusyJobs = 150;
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(2, 1000));
+  const auto former = shard.StartAll();
+  REQUIRE(former.size() == 2);
+  AddBusyJobs(shard, kManyBusyJobs);
+  ChangeBusyJobs(shard, kManyBusyJobs);
+  shard.Report("w0", {ShardFixture::Running(former[1])},
+               {ShardFixture::Ended(former[0], 1, RunEnd::kDone)});
+  static_cast<void>(shard.PlanAndStore());
+
+  shard.views[0].born = milliseconds(2);
+  shard.Report("w0");
+  const JobId late(BusyJob(50) + "a");
+  shard.AddJob(late.value, ShardFixture::Step(2, 1000));
+  const auto starts = shard.StartAll();
+  const auto start = std::find_if(
+      starts.begin(), starts.end(),
+      [&late](const StartCommand& each) { return each.task.job == late; });
+  REQUIRE(start != starts.end());
+  shard.Report("w0", {}, {ShardFixture::Ended(*start, 1, RunEnd::kDone)});
+  CHECK(shard.Worker("w0").ended_seen == 1);
+
+  bool stored = false;
+  for (int round = 0; round < 4 * kBatchesToStoreAll; ++round) {
+    ChangeBusyJobs(shard, kManyBusyJobs);
+    const RecordBatch batch = TakeBatch(shard.state, kJobsPerBatch);
+    stored = stored || Holds(batch, late);
+    static_cast<void>(
+        TakeStored(shard.state, batch, ++shard.version, shard.now));
+    if (!stored) {
+      CHECK(shard.Worker("w0").ended_stored == 0);
+    }
+  }
+  CHECK(stored);
+  CHECK(shard.Worker("w0").ended_stored == 1);
+}
+
+}  // namespace
+}  // namespace fireflythread::test
