Bound a batch of progress rows by bytes

A batch held up to 45 rows of any size, while the store takes 1 MB in a call and values are in base64 there: a batch that is too large is refused each time. A batch now ends before its values exceed 400,000 bytes, and holds at least one row.

Before the change the test "A batch holds no more bytes than a transaction takes" printed CHECK( bytes <= kBatchBytes ): 1400231 <= 400000.

--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -1,6 +1,7 @@
 #include "fireflythread/jobs/shard_record.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 #include "fireflythread/jobs/job_codec.h"
@@ -9,6 +10,10 @@
 namespace fireflythread {
 namespace {
 
+/// Bytes of the values in one batch, unless a single one is larger. The store
+/// takes 1 MB in a call, where values are in base64.
+constexpr std::size_t kMaxBatchBytes = 400'000;
+
 auto AddPlannedRuns(const ShardJob& job, RecordBatch& batch) -> void {
   if (job.assigned == 0) {
     return;
@@ -103,10 +108,16 @@
   OpenEndSnapshot(state);
   RecordBatch batch;
   state.storing = true;
+  std::size_t bytes = 0;
   while (!state.dirty.empty() && batch.records.size() < max_jobs) {
     const JobId id = NextDirty(state);
     ShardJob& job = state.jobs.at(id);
-    batch.records.push_back({id, job.version, EncodeJobProgress(job.progress)});
+    std::string value = EncodeJobProgress(job.progress);
+    bytes += value.size();
+    if (bytes > kMaxBatchBytes && !batch.records.empty()) {
+      break;
+    }
+    batch.records.push_back({id, job.version, std::move(value)});
     AddPlannedRuns(job, batch);
     job.storing = true;
     state.dirty.erase(id);
--- a/src/fireflythread/jobs/shard_record.h
+++ b/src/fireflythread/jobs/shard_record.h
@@ -11,9 +11,9 @@
 
 namespace fireflythread {
 
-/// Takes progress rows to store off the dirty jobs, at most `max_jobs`, in
-/// rotation. Empty when nothing is to be stored. No other batch may be on its
-/// way.
+/// Takes progress rows to store off the dirty jobs, at most `max_jobs` and
+/// as many bytes as a transaction takes, in rotation. Empty when nothing is to
+/// be stored. No other batch may be on its way.
 [[nodiscard]] auto TakeBatch(ShardState& state, std::size_t max_jobs)
     -> RecordBatch;
 
--- a/test/fireflythread/jobs/shard_record_test.cc
+++ b/test/fireflythread/jobs/shard_record_test.cc
@@ -147,5 +147,36 @@
   CHECK(shard.Worker("w0").ended_stored == 1);
 }
 
+TEST_CASE("A batch holds no more bytes than a transaction takes", "[jobs]") {
+  // Guards against a transaction that the store refuses for its size each time.
+  constexpr std::size_t kBatchBytes = 400'000;
+  constexpr int kLargeJobs = 7;
+  ShardFixture shard(1);
+  for (int number = 0; number < kLargeJobs; ++number) {
+    const std::string id = "a" + std::to_string(number);
+    shard.AddJob(id, ShardFixture::Step(1, 1000));
+    // Only tasks that had a run keep their checkpoint in the row.
+    shard.Task(id, 0).run = 1;
+    shard.Task(id, 0).checkpoint.assign(number == 3 ? 500'000 : 150'000, 'x');
+    shard.state.dirty.insert(JobId(id));
+  }
+  std::size_t stored = 0;
+  for (int round = 0; round < kLargeJobs; ++round) {
+    const RecordBatch batch = TakeBatch(shard.state, kJobsPerBatch);
+    std::size_t bytes = 0;
+    for (const JobRecord& record : batch.records) {
+      bytes += record.value.size();
+    }
+    if (batch.records.size() > 1) {
+      CHECK(bytes <= kBatchBytes);
+    }
+    stored += batch.records.size();
+    static_cast<void>(
+        TakeStored(shard.state, batch, ++shard.version, shard.now));
+  }
+  CHECK(stored == kLargeJobs);
+  CHECK(shard.state.dirty.empty());
+}
+
 }  // namespace
 }  // namespace fireflythread::test
