--- a/src/fireflythread/relay/io_order_relay.cc
+++ b/src/fireflythread/relay/io_order_relay.cc
@@ -7,6 +7,7 @@
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/relay/io_order_codec.h"
 #include "fireflythread/relay/io_relay_links.h"
+#include "fireflythread/relay/queue_wait.h"
 #include "fireflythread/relay/relay_batching.h"
 #include "fireflythread/settings/endpoint.h"
 
@@ -17,8 +18,8 @@
 /// its most costly work, and an entry may have an eighth of a core.
 constexpr int kOrdersPerTurn = 8;
 
-/// Orders that may wait; further ones go back to their owners unperformed. A
-/// longer queue would hold orders until their time is over.
+/// Orders that may wait; further ones go back to their owners unperformed.
+/// Bounds a burst; at a slow helper kLongestWait ends the wait earlier.
 constexpr std::size_t kLongestQueue = 512;
 
 /// An owner says hello once a second; one that is silent for this long has
@@ -98,10 +99,14 @@
 auto OrderRelay::Enqueue(const Origin& origin,
                          const peer::RelayedOrder& message) -> void {
   auto order = DecodeOrder(message);
-  if (!order || this->stopping || this->queue.size() >= kLongestQueue) {
+  if (!order || this->stopping) {
     this->Refuse(origin);
     return;
   }
+  if (this->queue.size() >= kLongestQueue) {
+    this->RefuseAsBusy(origin);
+    return;
+  }
   this->queue.push_back({origin, *std::move(order), ReadBootClock()});
   if (this->turn == 0) {
     this->turn =
@@ -121,21 +126,22 @@
 
 auto OrderRelay::PerformSome() -> void {
   for (int i = 0; i < kOrdersPerTurn && !this->queue.empty(); ++i) {
-    const QueuedOrder queued = std::move(this->queue.front());
+    QueuedOrder queued = std::move(this->queue.front());
     this->queue.pop_front();
-    this->Perform(queued);
+    this->Perform(std::move(queued));
   }
 }
 
-auto OrderRelay::Perform(const QueuedOrder& queued) -> void {
+auto OrderRelay::Perform(QueuedOrder queued) -> void {
   const Duration waited = ReadBootClock() - queued.arrived_at;
-  if (waited >= queued.order.timeout) {
-    this->Answer(queued.origin, OrderReply{OrderVerdict::kNotSent, std::nullopt,
-                                           "its time passed at the helper"});
+  const auto order = ShortenByWait(std::move(queued.order), waited);
+  if (!order) {
+    // Not kNotSent, from which the owner concludes that the worker is gone.
+    this->RefuseAsBusy(queued.origin);
     return;
   }
   ++this->in_progress;
-  PerformOrder(this->local, queued.order, queued.order.timeout - waited,
+  PerformOrder(this->local, *order, order->timeout,
                this->alive.Guard(
                    [this, origin = queued.origin](const OrderResult& result) {
                      --this->in_progress;
@@ -152,6 +158,13 @@
   }
 }
 
+auto OrderRelay::RefuseAsBusy(const Origin& origin) -> void {
+  if (Owner* owner = this->FindOwner(origin)) {
+    owner->answers.set_busy(true);
+    this->Refuse(origin);
+  }
+}
+
 auto OrderRelay::Answer(const Origin& origin, const OrderResult& result)
     -> void {
   if (Owner* owner = this->FindOwner(origin)) {
--- a/src/fireflythread/relay/io_order_relay.h
+++ b/src/fireflythread/relay/io_order_relay.h
@@ -67,8 +67,9 @@
   auto Admit(const EntryId& owner, const peer::Envelope& envelope) -> bool;
   auto Enqueue(const Origin& origin, const peer::RelayedOrder& message) -> void;
   auto PerformSome() -> void;
-  auto Perform(const QueuedOrder& queued) -> void;
+  auto Perform(QueuedOrder queued) -> void;
   auto Refuse(const Origin& origin) -> void;
+  auto RefuseAsBusy(const Origin& origin) -> void;
   auto Answer(const Origin& origin, const OrderResult& result) -> void;
   auto Gather(const EntryId& owner_id, Owner& owner, peer::RelayedAnswer answer)
       -> void;
--- a/src/fireflythread/relay/io_relayed_worker_client.cc
+++ b/src/fireflythread/relay/io_relayed_worker_client.cc
@@ -171,7 +171,11 @@
     return;
   }
   const EntryId helper(envelope.sender());
-  NoteReplies(this->paths, helper, batch.stopping(), ReadBootClock());
+  const TimePoint now = ReadBootClock();
+  NoteReplies(this->paths, helper, batch.stopping(), now);
+  if (batch.busy() && NoteBusy(this->paths, helper, now)) {
+    this->logger.Info("relay", "relay_path_busy", {{"helper", helper}});
+  }
   for (const peer::RelayedAnswer& answer : batch.answers()) {
     this->TakeAnswer(helper, answer);
   }
--- /dev/null
+++ b/src/fireflythread/relay/queue_wait.cc
@@ -0,0 +1,23 @@
+#include "fireflythread/relay/queue_wait.h"
+
+#include <algorithm>
+#include <variant>
+
+namespace fireflythread {
+
+auto ShortenByWait(WorkerOrder order, Duration waited)
+    -> std::optional<WorkerOrder> {
+  using std::chrono::milliseconds;
+  if (waited >= order.timeout || waited >= kLongestWait) {
+    return std::nullopt;
+  }
+  order.timeout -= waited;
+  if (auto* hold = std::get_if<HoldCommand>(&order.command)) {
+    // Rounded up, so that the worker never waits longer than the call may.
+    hold->wait = std::max(milliseconds(0),
+                          hold->wait - std::chrono::ceil<milliseconds>(waited));
+  }
+  return order;
+}
+
+}  // namespace fireflythread
--- a/src/fireflythread/relay/relay_path.h
+++ b/src/fireflythread/relay/relay_path.h
@@ -26,6 +26,8 @@
   bool welcomed = false;
   TimePoint heard_at;
   TimePoint paused_until;
+  /// Until then its helper is left alone for having handed orders back.
+  TimePoint busy_until;
   TimePoint next_hello;
 };
 
--- a/src/fireflythread/relay/relay_paths.cc
+++ b/src/fireflythread/relay/relay_paths.cc
@@ -79,6 +79,16 @@
   }
 }
 
+auto NoteBusy(RelayPaths& state, const EntryId& helper, TimePoint now) -> bool {
+  RelayPath* path = FindPath(state, helper);
+  if (path == nullptr) {
+    return false;
+  }
+  const bool begins = now >= path->busy_until;
+  path->busy_until = now + kBusyPause;
+  return begins;
+}
+
 auto NoteSendFailure(RelayPaths& state, const EntryId& helper) -> bool {
   RelayPath* path = FindPath(state, helper);
   if (path == nullptr || !path->welcomed) {
@@ -130,7 +140,7 @@
 
 auto IsUsable(const RelayPath& path, TimePoint now) -> bool {
   return path.wanted && path.welcomed && !path.stopping &&
-         now >= path.paused_until;
+         now >= path.paused_until && now >= path.busy_until;
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/relay/relay_paths.h
+++ b/src/fireflythread/relay/relay_paths.h
@@ -31,6 +31,11 @@
 /// Pause of a path that left an order unanswered.
 inline constexpr std::chrono::milliseconds kPathPause{2000};
 
+/// Pause of a path whose helper hands orders back for being busy. Each further
+/// hand-back begins it anew; it is longer than the wait after which a helper
+/// hands orders back, so that its queue is short by the end.
+inline constexpr std::chrono::milliseconds kBusyPause{500};
+
 /// Takes the helpers to use from now on. Paths to others get no more orders.
 auto SetHelpers(RelayPaths& state, const std::vector<RelayCandidate>& helpers)
     -> void;
@@ -52,6 +57,12 @@
                  bool stopping,
                  TimePoint now) -> void;
 
+/// Notes that the helper handed orders back for being busy. The path gets no
+/// orders during the pause, but stays open. True if the pause begins.
+[[nodiscard]] auto NoteBusy(RelayPaths& state,
+                            const EntryId& helper,
+                            TimePoint now) -> bool;
+
 /// Notes that a message to the helper found no connection or a full queue. The
 /// path is used again after the next welcome. True if this closes the path.
 [[nodiscard]] auto NoteSendFailure(RelayPaths& state, const EntryId& helper)
--- a/test/fireflythread/relay/fake_workers.h
+++ b/test/fireflythread/relay/fake_workers.h
@@ -1,7 +1,9 @@
 #ifndef TEST_FIREFLYTHREAD_RELAY_FAKE_WORKERS_H_
 #define TEST_FIREFLYTHREAD_RELAY_FAKE_WORKERS_H_
 
+#include <chrono>
 #include <functional>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -15,6 +17,7 @@
   auto Start(const StartCommand& start, Duration, OrderCallback callback)
       -> void override {
     this->called.push_back(start.worker);
+    std::this_thread::sleep_for(this->start_cost);
     this->open.emplace_back([done = std::move(callback)] {
       done({OrderVerdict::kDone, std::chrono::milliseconds(7), "as told"});
     });
@@ -46,6 +49,8 @@
   /// The worker of each order that this client sent.
   std::vector<WorkerId> called;
   std::vector<std::function<void()>> open;
+  /// How long the call of a start holds up the main loop.
+  std::chrono::milliseconds start_cost{0};
 };
 
 }  // namespace fireflythread::test
--- /dev/null
+++ b/test/fireflythread/relay/queue_wait_test.cc
@@ -0,0 +1,52 @@
+#include "fireflythread/relay/queue_wait.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+auto HoldOf(milliseconds wait, Duration timeout) -> WorkerOrder {
+  HoldCommand hold;
+  hold.wait = wait;
+  return {hold, timeout};
+}
+
+auto WaitAfter(milliseconds wait, Duration waited) -> milliseconds {
+  const auto order = ShortenByWait(HoldOf(wait, milliseconds(1500)), waited);
+  REQUIRE(order.has_value());
+  return std::get<HoldCommand>(order->command).wait;
+}
+
+}  // namespace
+
+// Guards against a look that times out at a sound worker, because the worker
+// waits for an end as long as if the order had not waited before.
+TEST_CASE("a look that waited at a helper waits less at the worker",
+          "[relay]") {
+  CHECK(WaitAfter(milliseconds(1000), milliseconds(0)) == milliseconds(1000));
+  CHECK(WaitAfter(milliseconds(1000), milliseconds(150)) == milliseconds(850));
+  CHECK(WaitAfter(milliseconds(1000), microseconds(100)) == milliseconds(999));
+  CHECK(WaitAfter(milliseconds(100), milliseconds(150)) == milliseconds(0));
+  CHECK(WaitAfter(milliseconds(0), milliseconds(150)) == milliseconds(0));
+  const auto order = ShortenByWait(
+      HoldOf(milliseconds(1000), milliseconds(1500)), milliseconds(150));
+  REQUIRE(order.has_value());
+  CHECK(order->timeout == milliseconds(1350));
+}
+
+// Guards against an order that a helper starts when little of its time is left.
+TEST_CASE("an order is performed after a short wait only", "[relay]") {
+  const WorkerOrder order{StartCommand{}, milliseconds(1500)};
+  CHECK(ShortenByWait(order, milliseconds(199)).has_value());
+  CHECK_FALSE(ShortenByWait(order, milliseconds(200)).has_value());
+  CHECK_FALSE(ShortenByWait(order, milliseconds(800)).has_value());
+  const WorkerOrder hasty{StopCommand{}, milliseconds(50)};
+  CHECK(ShortenByWait(hasty, milliseconds(49)).has_value());
+  CHECK_FALSE(ShortenByWait(hasty, milliseconds(50)).has_value());
+}
+
+}  // namespace fireflythread::test
--- a/test/fireflythread/relay/relay_node_test.cc
+++ b/test/fireflythread/relay/relay_node_test.cc
@@ -240,6 +240,29 @@
   CHECK(owner.workers.called.size() == 2);
 }
 
+// Guards against a worker that is taken for dead because its helper is slow:
+// the second start waits for the first one's call, 250 ms.
+TEST_CASE("an order that waited too long at a helper is performed by the owner",
+          "[relay]") {
+  Entry owner("owner");
+  Entry helper("helper");
+  Link(owner, {&helper});
+  helper.workers.start_cost = milliseconds(250);
+  Replies replies;
+  SendStart(owner, "first", kLongTimeout, replies);
+  SendStart(owner, "second", kLongTimeout, replies);
+  REQUIRE(RunUntil([&] { return !replies["second"].empty(); },
+                   [&] {
+                     owner.workers.AnswerAll();
+                     helper.workers.AnswerAll();
+                   }));
+  CHECK(replies["second"].size() == 1);
+  CHECK(replies["second"][0].verdict == OrderVerdict::kDone);
+  REQUIRE_FALSE(owner.workers.called.empty());
+  CHECK(owner.workers.called.back() == WorkerId("second"));
+  CHECK(owner.Logged("relay_path_busy") == 1);
+}
+
 // Guards against a callback that runs again for a reply after its time.
 TEST_CASE("a late reply is ignored", "[relay]") {
   Entry owner("owner");
--- a/test/fireflythread/relay/relay_paths_test.cc
+++ b/test/fireflythread/relay/relay_paths_test.cc
@@ -87,6 +87,30 @@
   CHECK(IsUsableAt(state, sent + milliseconds(1300)));
 }
 
+// Guards against orders that wait for nothing at a helper that cannot keep up.
+TEST_CASE("a path whose helper is busy is left alone for a while", "[relay]") {
+  RelayPaths state = OpenPath();
+  const TimePoint again = kStart + milliseconds(300);
+  CHECK(NoteBusy(state, kHelper, kStart));
+  CHECK_FALSE(IsUsableAt(state, kStart + milliseconds(499)));
+  CHECK(IsUsableAt(state, kStart + milliseconds(500)));
+  CHECK_FALSE(NoteBusy(state, kHelper, again));
+  CHECK_FALSE(TakeWelcome(state, kHelper, 1, false, again));
+  CHECK_FALSE(IsUsableAt(state, again + milliseconds(499)));
+  CHECK(IsUsableAt(state, again + milliseconds(500)));
+  CHECK(NoteBusy(state, kHelper, again + milliseconds(500)));
+  CHECK_FALSE(NoteBusy(state, EntryId("stranger"), kStart));
+}
+
+// Guards against a busy helper that vanishes and is not noticed for its pause.
+TEST_CASE("a busy path is paused for an unanswered order", "[relay]") {
+  RelayPaths state = OpenPath();
+  const TimePoint sent = kStart + milliseconds(10);
+  CHECK(NoteBusy(state, kHelper, kStart));
+  CHECK(NoteUnanswered(state, kHelper, sent, sent + milliseconds(100)));
+  CHECK_FALSE(IsUsableAt(state, sent + milliseconds(2099)));
+}
+
 // Guards against orders to a helper that is about to end.
 TEST_CASE("a helper that stops gets no more orders in this life") {
   RelayPaths state = OpenPath();
