Wait for new links in the test of silent peer links

The test waited for a state that an entry need not reach: heartbeats replace silent links within 1.5 to 2 s and the freshness limit is 2 s, so an entry may never become not ready.

It now waits until each entry has been connected to again, and then until all confirmations from before the silence have expired, so readiness and an answer after that still prove a quorum over the new links. As strict as before: without new links the first wait fails.

--- a/test/process/peer_link_test.cc
+++ b/test/process/peer_link_test.cc
@@ -26,9 +26,15 @@
   Site site(RelayedSite());
   site.Platform().SetFaults({{"store", "refuse"}});
   // Only a quorum of peers keeps an entry ready for longer than the freshness
-  // limit; a request after it shows that it holds.
+  // limit; a request after it shows that it holds. An entry need not have been
+  // unready meanwhile: the links may be replaced before the limit.
+  constexpr std::chrono::seconds kFreshnessLimit{2};
   site.SilencePeerLinks();
-  REQUIRE(WaitUntil([&site] { return !site.IsReady(0); }));
+  const auto silenced_at = std::chrono::steady_clock::now();
+  REQUIRE(WaitUntil([&site] { return site.HasNewPeerLinks(); }));
+  REQUIRE(WaitUntil([silenced_at] {
+    return std::chrono::steady_clock::now() - silenced_at > 2 * kFreshnessLimit;
+  }));
   for (std::size_t entry = 0; entry < 3; ++entry) {
     CAPTURE(entry);
     REQUIRE(site.WaitReady(entry));
--- a/test/process/site.cc
+++ b/test/process/site.cc
@@ -1,5 +1,6 @@
 #include "test/process/site.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -173,6 +174,12 @@
   }
 }
 
+auto Site::HasNewPeerLinks() const -> bool {
+  return std::all_of(
+      this->relays.begin(), this->relays.end(),
+      [](const auto& relay) -> bool { return relay->HasNewConnection(); });
+}
+
 auto Site::Call(std::size_t entry,
                 const std::string& method,
                 const std::string& service,
--- a/test/process/site.h
+++ b/test/process/site.h
@@ -43,6 +43,9 @@
   /// Silences all open connections between entries; new ones work. Needs
   /// `relay_peers`.
   auto SilencePeerLinks() -> void;
+  /// Returns whether each entry has been connected to again since the last
+  /// silence.
+  [[nodiscard]] auto HasNewPeerLinks() const -> bool;
   /// Starts the entry again after its end.
   auto Restart(std::size_t index) -> void;
   [[nodiscard]] auto IsReady(std::size_t index) const -> bool;
--- a/test/process/tcp_relay.cc
+++ b/test/process/tcp_relay.cc
@@ -78,10 +78,12 @@
 
 auto TcpRelay::Run() -> void {
   while (!this->stopping) {
-    if (this->silence_requested.exchange(false)) {
+    if (this->silence_requested) {
       for (Connection& connection : this->connections) {
         connection.silent = true;
       }
+      this->new_connections = 0;
+      this->silence_requested = false;
     }
     std::vector<pollfd> polled = {{this->listener, POLLIN, 0}};
     std::vector<Connection*> open;
@@ -130,6 +132,7 @@
     return;
   }
   this->connections.push_back(connection);
+  ++this->new_connections;
 }
 
 }  // namespace fireflythread::test
--- a/test/process/tcp_relay.h
+++ b/test/process/tcp_relay.h
@@ -22,6 +22,10 @@
   /// Nothing passes on the connections that are open now, in either direction,
   /// and neither end learns that the other one closed.
   auto SilenceEstablished() -> void { this->silence_requested = true; }
+  /// Returns whether a connection was opened after the last silence.
+  [[nodiscard]] auto HasNewConnection() const -> bool {
+    return !this->silence_requested && this->new_connections > 0;
+  }
 
  private:
   struct Connection {
@@ -39,6 +43,8 @@
   int port = 0;
   std::list<Connection> connections;
   std::atomic<bool> silence_requested = false;
+  /// Connections since the last silence.
+  std::atomic<int> new_connections = 0;
   std::atomic<bool> stopping = false;
   std::thread thread;
 };
