--- a/bench/shard_step_main.cc
+++ b/bench/shard_step_main.cc
@@ -92,11 +92,11 @@
 };
 
 PlayedShard::PlayedShard(int worker_count, int waiting_jobs) {
-  this->state.service = ServiceName("desk");
+  this->state.shard = ShardName("desk");
   this->state.owned_since = this->now;
   Queue queue;
   queue.name = QueueName("orders");
-  queue.service = this->state.service;
+  queue.service = ServiceName(this->state.shard.value);
   queue.stretch = 1.5;
   queue.latency_objective = milliseconds(600);
   this->state.queues.emplace(queue.name, queue);
@@ -117,7 +117,7 @@
   for (int number = 0; number < count; ++number) {
     WorkerView view;
     view.id = WorkerId(fmt::format("front-worker-{}", number));
-    view.service = this->state.service;
+    view.service = ServiceName(this->state.shard.value);
     view.address = fmt::format("10.0.{}.{}:80", number / 250, number % 250);
     view.rack = fmt::format("rack-{}", number % 12);
     view.capacity = {kTasksOfWorker * kTaskMillicores, 64000, 0};
--- a/src/fireflythread/base/ids.h
+++ b/src/fireflythread/base/ids.h
@@ -13,6 +13,7 @@
 using QueueName = Id<struct QueueTag>;
 using RackName = Id<struct RackTag>;
 using ServiceName = Id<struct ServiceTag>;
+using ShardName = Id<struct ShardTag>;
 using TaskId = Id<struct TaskTag>;
 using TeamName = Id<struct TeamTag>;
 using VmId = Id<struct VmTag>;
--- a/src/fireflythread/duties/duties.cc
+++ b/src/fireflythread/duties/duties.cc
@@ -1,7 +1,6 @@
 #include "fireflythread/duties/duties.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "fireflythread/duties/duty_limits.h"
 
@@ -18,154 +17,6 @@
                      });
 }
 
-/// Returns whether a VM of a wave is down for its upkeep, or may be: it has a
-/// duty of this wave, an order of a former owner, or the upkeep state.
-auto MayBeDown(const DutyState& state, const VmId& vm, std::int64_t wave)
-    -> bool {
-  const auto duty = state.duties.find(vm);
-  if (duty != state.duties.end()) {
-    return duty->second.wave == wave;
-  }
-  const auto machine = state.machines.find(vm);
-  return state.former_orders.contains(vm) ||
-         (machine != state.machines.end() &&
-          machine->second.state == MachineState::kUpkeep);
-}
-
-auto CountDown(const DutyState& state, const WaveRequest& wave) -> int {
-  return static_cast<int>(std::count_if(
-      wave.vms.begin(), wave.vms.end(), [&](const VmId& vm) -> bool {
-        return MayBeDown(state, vm, wave.number);
-      }));
-}
-
-/// Counts the VMs of a pool with a duty, either a move or an upkeep.
-auto CountUnavailable(const DutyState& state, const ServiceName& pool) -> int {
-  return static_cast<int>(std::count_if(
-      state.duties.begin(), state.duties.end(),
-      [&pool](const auto& entry) { return entry.second.from == pool; }));
-}
-
-auto CountMachines(const DutyState& state, const ServiceName& pool) -> int {
-  return static_cast<int>(std::count_if(
-      state.machines.begin(), state.machines.end(),
-      [&pool](const auto& entry) { return entry.second.pool == pool; }));
-}
-
-/// Returns the published load of a VM's worker. It is zero for VMs of the spare
-/// pool and for workers whose load is not known.
-auto LoadOf(const DutyState& state, const MachineView& machine) -> WorkerLoad {
-  const auto pool = state.loads.find(machine.pool);
-  if (pool == state.loads.end()) {
-    return {};
-  }
-  const auto worker = pool->second.workers.find(machine.worker);
-  return worker == pool->second.workers.end() ? WorkerLoad{} : worker->second;
-}
-
-auto BeginUpkeep(DutyState& state,
-                 const MachineView& machine,
-                 std::int64_t wave,
-                 TimePoint now) -> void {
-  Duty duty;
-  duty.vm = machine.vm;
-  duty.worker = machine.worker;
-  duty.from = machine.pool;
-  duty.wave = wave;
-  duty.since = now;
-  const bool spare = machine.pool == state.spare_pool;
-  duty.phase = spare || machine.worker.empty() ? DutyPhase::kReady
-                                               : DutyPhase::kDraining;
-  state.duties.emplace(machine.vm, std::move(duty));
-}
-
-/// Returns the upper limit of unavailable VMs of a pool.
-auto MaxUnavailable(const DutyState& state, const ServiceName& pool) -> int {
-  return std::max(1, CountMachines(state, pool) / kUnavailableDivisor);
-}
-
-/// Returns whether a wave must start upkeeps in a pool even during a load peak:
-/// the remaining VMs, of which only a few may be unavailable at a time, need
-/// all of the remaining time, or the period in which upkeeps may be deferred is
-/// over.
-auto IsUrgent(const DutyState& state,
-              const WaveProgress& wave,
-              const ServiceName& pool,
-              TimePoint now) -> bool {
-  const auto left = static_cast<int>(std::count_if(
-      wave.request.vms.begin(), wave.request.vms.end(),
-      [&](const VmId& vm) -> bool {
-        const auto machine = state.machines.find(vm);
-        return !wave.done.contains(vm) && machine != state.machines.end() &&
-               machine->second.pool == pool;
-      }));
-  const int at_once = MaxUnavailable(state, pool);
-  const int rounds = (left + at_once - 1) / at_once;
-  const TimePoint end = wave.declared_at + wave.request.duration;
-  return now + rounds * kUpkeepDuration >= end ||
-         now >= wave.declared_at + wave.request.duration / kDeferralDivisor;
-}
-
-/// Returns whether a pool has fewer available VMs than its work needs now.
-auto HasCapacityShortage(const DutyState& state, const ServiceName& pool)
-    -> bool {
-  const auto need = state.needs.find(pool);
-  return need != state.needs.end() &&
-         need->second.needed >
-             CountMachines(state, pool) - CountUnavailable(state, pool);
-}
-
-/// Returns whether a VM's upkeep may start while its wave is not urgent. VMs of
-/// a pool with a load peak are deferred, except those with long-running tasks:
-/// they are drained one at a time and need the whole duration of the wave.
-auto MayStartBeforeUrgent(const DutyState& state, const MachineView& machine)
-    -> bool {
-  if (!HasCapacityShortage(state, machine.pool)) {
-    return true;
-  }
-  return LoadOf(state, machine).long_running_tasks > 0 &&
-         CountUnavailable(state, machine.pool) == 0;
-}
-
-auto PlanWave(DutyState& state, WaveProgress& wave, TimePoint now) -> void {
-  std::vector<const MachineView*> candidates;
-  for (const VmId& vm : wave.request.vms) {
-    const auto machine = state.machines.find(vm);
-    if (machine != state.machines.end() && !wave.done.contains(vm) &&
-        !state.duties.contains(vm) && !state.former_orders.contains(vm) &&
-        machine->second.state == MachineState::kUp) {
-      candidates.push_back(&machine->second);
-    }
-  }
-  // Idle VMs first: they need no draining and are down only for their upkeep.
-  std::stable_sort(
-      candidates.begin(), candidates.end(),
-      [&state](const MachineView* left, const MachineView* right) -> bool {
-        const auto key = [&state](const MachineView& machine) {
-          const WorkerLoad load = LoadOf(state, machine);
-          return std::make_pair(load.long_running_tasks, load.used_millicores);
-        };
-        return key(*left) < key(*right);
-      });
-  int down = CountDown(state, wave.request);
-  for (const MachineView* machine : candidates) {
-    if (down >= wave.request.cap) {
-      return;
-    }
-    if (!MayStartBeforeUrgent(state, *machine) &&
-        !IsUrgent(state, wave, machine->pool, now)) {
-      continue;
-    }
-    const bool within_pool = machine->pool == state.spare_pool ||
-                             CountUnavailable(state, machine->pool) <
-                                 MaxUnavailable(state, machine->pool);
-    if (within_pool) {
-      BeginUpkeep(state, *machine, wave.request.number, now);
-      ++down;
-    }
-  }
-}
-
 auto CountMissing(DutyState& state, const WaveProgress& wave) -> void {
   for (const VmId& vm : wave.request.vms) {
     if (state.machines.contains(vm)) {
@@ -255,24 +106,6 @@
   }
 }
 
-auto PlanUpkeeps(DutyState& state, TimePoint now) -> void {
-  if (!state.has_machine_list) {
-    return;
-  }
-  for (auto& [number, wave] : state.waves) {
-    if (!wave.completed) {
-      PlanWave(state, wave, now);
-    }
-  }
-  std::erase_if(state.retired_workers, [now](const auto& entry) -> bool {
-    return now >= entry.second;
-  });
-  std::erase_if(state.duties, [now](const auto& entry) -> bool {
-    return entry.second.phase == DutyPhase::kDraining &&
-           now - entry.second.since > kDrainTimeout;
-  });
-}
-
 auto ApplyFormerOrders(DutyState& state, const std::set<VmId>& vms) -> void {
   for (const VmId& vm : vms) {
     state.recorded_until[vm] = state.owned_since + kFormerOrderPause;
--- a/src/fireflythread/duties/duty_state.h
+++ b/src/fireflythread/duties/duty_state.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
@@ -65,6 +66,8 @@
   /// Workers for all jobs, including late ones. Late jobs may use workers that
   /// no other pool needs.
   int needed_with_late_work = 0;
+  /// Workers that each part of the pool needs for itself, by the part's index.
+  std::vector<int> part_needs;
   /// When the pool's need fell below its number of VMs; valid while `low`.
   TimePoint low_since;
   bool low = false;
@@ -75,6 +78,8 @@
   TimePoint owned_since;
   std::map<VmId, MachineView> machines;
   bool has_machine_list = false;
+  /// The load of each shard, and that of each pool, which is the sum of them.
+  std::map<ShardName, PoolLoad> shard_loads;
   std::map<ServiceName, PoolLoad> loads;
   std::map<ServiceName, PoolNeed> needs;
   /// Number of VMs of each pool in the first list that was read, which is the
@@ -82,6 +87,8 @@
   std::map<ServiceName, int> base_sizes;
   ServiceName spare_pool;
   std::set<ServiceName> pools;
+  /// Number of parts of each pool; a pool that is not listed has one.
+  std::map<ServiceName, int> part_counts;
   std::map<std::int64_t, WaveProgress> waves;
   std::map<VmId, Duty> duties;
   /// VMs of waves that are not in the list, with the number of consecutive
--- a/src/fireflythread/duties/pool_load.cc
+++ b/src/fireflythread/duties/pool_load.cc
@@ -11,7 +11,8 @@
   for (const auto& [id, worker] : load.workers) {
     workers[id.value] = {worker.used_millicores, worker.long_running_tasks};
   }
-  return Json{{"fence", load.fence},
+  return Json{{"pool", load.pool.value},
+              {"fence", load.fence},
               {"waiting_millicores", load.waiting_millicores},
               {"late_millicores", load.late_millicores},
               {"arriving_millicores", load.arriving_millicores},
@@ -23,6 +24,7 @@
   try {
     const Json json = Json::parse(text);
     PoolLoad load;
+    load.pool = ServiceName(json.at("pool").get<std::string>());
     load.fence = json.at("fence").get<std::uint64_t>();
     load.waiting_millicores = json.at("waiting_millicores").get<std::int64_t>();
     load.late_millicores = json.at("late_millicores").get<std::int64_t>();
@@ -38,4 +40,20 @@
   }
 }
 
+auto SumLoads(const std::map<ShardName, PoolLoad>& shards,
+              const ServiceName& pool) -> PoolLoad {
+  PoolLoad sum;
+  sum.pool = pool;
+  for (const auto& [name, part] : shards) {
+    if (part.pool != pool) {
+      continue;
+    }
+    sum.waiting_millicores += part.waiting_millicores;
+    sum.late_millicores += part.late_millicores;
+    sum.arriving_millicores += part.arriving_millicores;
+    sum.workers.insert(part.workers.begin(), part.workers.end());
+  }
+  return sum;
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/duties/pool_load.h
+++ b/src/fireflythread/duties/pool_load.h
@@ -20,8 +20,10 @@
   auto operator==(const WorkerLoad&) const -> bool = default;
 };
 
-/// A pool's load, as the owner of its shard publishes it.
+/// The load of a pool, or of a part of one, as the owner of its shard publishes
+/// it.
 struct PoolLoad {
+  ServiceName pool;
   /// Fencing token of the owner that measured the load.
   std::uint64_t fence = 0;
   /// Demand of the tasks that could start now if there were free capacity.
@@ -41,6 +43,10 @@
 [[nodiscard]] auto DecodePoolLoad(std::string_view text)
     -> std::optional<PoolLoad>;
 
+/// Returns the load of a whole pool: the sum of its parts' loads.
+[[nodiscard]] auto SumLoads(const std::map<ShardName, PoolLoad>& shards,
+                            const ServiceName& pool) -> PoolLoad;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_DUTIES_POOL_LOAD_H_
--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -1,9 +1,12 @@
 #include <algorithm>
+#include <cstddef>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "fireflythread/duties/duties.h"
 #include "fireflythread/duties/duty_limits.h"
+#include "fireflythread/jobs/pool_part.h"
 
 namespace fireflythread {
 namespace {
@@ -36,24 +39,76 @@
       std::max(RequiredWorkers(used, worker_millicores), need.needed);
 }
 
-/// Counts the VMs of a pool, including those that move to it and excluding
-/// those that move away.
-auto CountSupply(const DutyState& state, const ServiceName& pool) -> int {
-  return static_cast<int>(std::count_if(
-      state.machines.begin(), state.machines.end(),
-      [&](const auto& entry) -> bool {
-        const auto duty = state.duties.find(entry.first);
-        const bool moves = duty != state.duties.end() && !duty->second.wave;
-        return (moves ? duty->second.target : entry.second.pool) == pool;
-      }));
+/// Computes how many workers each part of a pool needs, without the reserve of
+/// the whole pool.
+auto MeasurePartNeeds(const DutyState& state,
+                      const ServiceName& pool,
+                      std::int64_t worker_millicores,
+                      PoolNeed& need) -> void {
+  const auto count = state.part_counts.find(pool);
+  need.part_needs.clear();
+  if (count == state.part_counts.end()) {
+    return;
+  }
+  for (int index = 0; index < count->second; ++index) {
+    PoolNeed part;
+    const auto load =
+        state.shard_loads.find(ShardOf({pool, index, count->second}));
+    if (load != state.shard_loads.end()) {
+      MeasureNeed(load->second, worker_millicores, part);
+      part.needed -= kReserveWorkers;
+    }
+    need.part_needs.push_back(std::max(part.needed, part.long_running_workers));
+  }
+}
+
+/// A pool's VMs at one step. Counted once for all pools and updated with each
+/// move, as the list of VMs is long.
+struct PoolSupply {
+  /// VMs of the pool, including those that move to it and excluding those that
+  /// move away.
+  int vms = 0;
+  /// VMs in upkeep, or drained for it.
+  int upkeeps = 0;
+  /// VMs of each part, by its index: those with a worker that stays.
+  std::vector<int> parts;
+};
+
+using PoolSupplies = std::map<ServiceName, PoolSupply>;
+
+auto PartCount(const DutyState& state, const ServiceName& pool) -> int {
+  const auto count = state.part_counts.find(pool);
+  return count == state.part_counts.end() ? 1 : count->second;
 }
 
-/// Counts the VMs of a pool that are in upkeep or drained for it.
-auto CountUpkeeps(const DutyState& state, const ServiceName& pool) -> int {
-  return static_cast<int>(std::count_if(
-      state.duties.begin(), state.duties.end(), [&](const auto& entry) -> bool {
-        return entry.second.wave && entry.second.from == pool;
-      }));
+/// Returns the number of VMs of the part that a VM's worker belongs to.
+auto PartSupplyOf(PoolSupply& supply, const MachineView& machine) -> int& {
+  const auto count = static_cast<int>(supply.parts.size());
+  return supply
+      .parts[static_cast<std::size_t>(PartOfWorker(machine.worker, count))];
+}
+
+auto CountSupplies(const DutyState& state) -> PoolSupplies {
+  PoolSupplies supplies;
+  for (const auto& [vm, machine] : state.machines) {
+    PoolSupply& supply = supplies[machine.pool];
+    supply.parts.resize(
+        static_cast<std::size_t>(PartCount(state, machine.pool)));
+    ++supply.vms;
+    if (!state.duties.contains(vm) && !machine.worker.empty()) {
+      ++PartSupplyOf(supply, machine);
+    }
+  }
+  for (const auto& [vm, duty] : state.duties) {
+    const auto machine = state.machines.find(vm);
+    if (duty.wave) {
+      ++supplies[duty.from].upkeeps;
+    } else if (machine != state.machines.end()) {
+      --supplies[machine->second.pool].vms;
+      ++supplies[duty.target].vms;
+    }
+  }
+  return supplies;
 }
 
 auto LargestWorker(const DutyState& state) -> std::int64_t {
@@ -121,6 +176,7 @@
 }
 
 auto BeginMove(DutyState& state,
+               PoolSupplies& supplies,
                const MachineView& machine,
                const ServiceName& target,
                TimePoint now) -> void {
@@ -133,10 +189,46 @@
   duty.phase = machine.pool == state.spare_pool ? DutyPhase::kReady
                                                 : DutyPhase::kDraining;
   state.duties.emplace(machine.vm, std::move(duty));
+  PoolSupply& supply = supplies[machine.pool];
+  --supply.vms;
+  ++supplies[target].vms;
+  if (!machine.worker.empty()) {
+    --PartSupplyOf(supply, machine);
+  }
+}
+
+auto BaseSize(const DutyState& state, const ServiceName& pool) -> int {
+  const auto size = state.base_sizes.find(pool);
+  return size == state.base_sizes.end() ? 0 : size->second;
+}
+
+/// Returns how many VMs a pool keeps while other pools need some.
+auto RetainedVms(const DutyState& state, const ServiceName& pool) -> int {
+  return (BaseSize(state, pool) * kMinRetainedPercent + 99) / 100;
+}
+
+/// Returns whether a part of a pool can spare a VM. The jobs of a part run on
+/// its own workers only, so each part keeps what it needs and its share of what
+/// the pool keeps.
+auto CanPartSpare(const DutyState& state,
+                  PoolSupply& supply,
+                  const MachineView& machine) -> bool {
+  const int count = PartCount(state, machine.pool);
+  const auto need = state.needs.find(machine.pool);
+  if (count == 1 || machine.worker.empty() || need == state.needs.end()) {
+    return true;
+  }
+  const auto index =
+      static_cast<std::size_t>(PartOfWorker(machine.worker, count));
+  const int share = RetainedVms(state, machine.pool) / count;
+  const std::vector<int>& needs = need->second.part_needs;
+  const int needed = index < needs.size() ? needs[index] : 0;
+  return PartSupplyOf(supply, machine) > std::max(share, needed);
 }
 
 /// Starts moves of up to `count` VMs and returns their number.
 auto MoveUpTo(DutyState& state,
+              PoolSupplies& supplies,
               const ServiceName& from,
               const ServiceName& target,
               int count,
@@ -148,42 +240,45 @@
     if (moved >= count) {
       break;
     }
-    BeginMove(state, *candidate.machine, target, now);
+    if (from != state.spare_pool &&
+        !CanPartSpare(state, supplies[from], *candidate.machine)) {
+      continue;
+    }
+    BeginMove(state, supplies, *candidate.machine, target, now);
     ++moved;
   }
   return moved;
 }
 
-auto BaseSize(const DutyState& state, const ServiceName& pool) -> int {
-  const auto size = state.base_sizes.find(pool);
-  return size == state.base_sizes.end() ? 0 : size->second;
-}
-
 /// Returns how many VMs a pool can lend to pools with a shortage. While VMs of
 /// the pool are in upkeep, it keeps one worker more than it has workers with
 /// long-running tasks. Without it, no such task could leave its VM when all of
 /// them must run on different workers.
 auto CountLendable(const DutyState& state,
+                   const PoolSupply& supply,
                    const ServiceName& pool,
                    const PoolNeed& need) -> int {
-  const int upkeeps = CountUpkeeps(state, pool);
+  const int upkeeps = supply.upkeeps;
   const int long_running_workers =
       upkeeps > 0 ? need.long_running_workers + kReserveWorkers : 0;
-  const int base = (BaseSize(state, pool) * kMinRetainedPercent + 99) / 100;
-  const int keep = std::max({need.needed, base, long_running_workers});
-  return CountSupply(state, pool) - upkeeps - keep;
+  const int keep =
+      std::max({need.needed, RetainedVms(state, pool), long_running_workers});
+  return supply.vms - upkeeps - keep;
 }
 
 /// Starts moves of up to `count` VMs from all pools that can lend some, those
 /// with the lowest usage first.
 auto Borrow(DutyState& state,
+            PoolSupplies& supplies,
             const ServiceName& target,
             int count,
             TimePoint now) -> void {
   std::vector<MovableMachine> movable;
   std::map<ServiceName, int> lendable;
   for (const auto& [donor, need] : state.needs) {
-    lendable[donor] = donor == target ? 0 : CountLendable(state, donor, need);
+    lendable[donor] = donor == target
+                          ? 0
+                          : CountLendable(state, supplies[donor], donor, need);
     if (lendable[donor] > 0) {
       const auto some = MovableMachines(state, donor, now);
       movable.insert(movable.end(), some.begin(), some.end());
@@ -192,15 +287,18 @@
   SortByUsage(movable);
   for (const MovableMachine& candidate : movable) {
     int& left = lendable[candidate.machine->pool];
-    if (count > 0 && left > 0) {
-      BeginMove(state, *candidate.machine, target, now);
+    const ServiceName& donor = candidate.machine->pool;
+    if (count > 0 && left > 0 &&
+        CanPartSpare(state, supplies[donor], *candidate.machine)) {
+      BeginMove(state, supplies, *candidate.machine, target, now);
       --left;
       --count;
     }
   }
 }
 
-auto UpdateNeeds(DutyState& state, TimePoint now) -> void {
+auto UpdateNeeds(DutyState& state, PoolSupplies& supplies, TimePoint now)
+    -> void {
   const std::int64_t largest = LargestWorker(state);
   for (const ServiceName& pool : state.pools) {
     const auto load = state.loads.find(pool);
@@ -209,9 +307,10 @@
     }
     PoolNeed& need = state.needs[pool];
     MeasureNeed(load->second, largest, need);
+    MeasurePartNeeds(state, pool, largest, need);
     const int wanted =
         std::max(need.needed_with_late_work, BaseSize(state, pool));
-    const bool low = wanted < CountSupply(state, pool);
+    const bool low = wanted < supplies[pool].vms;
     if (low && !need.low) {
       need.low_since = now;
     }
@@ -225,23 +324,24 @@
   if (!state.has_machine_list || state.spare_pool.empty()) {
     return;
   }
-  UpdateNeeds(state, now);
+  PoolSupplies supplies = CountSupplies(state);
+  UpdateNeeds(state, supplies, now);
   for (const auto& [pool, need] : state.needs) {
-    int lacking = need.needed - CountSupply(state, pool);
+    int lacking = need.needed - supplies[pool].vms;
     if (lacking <= 0) {
       continue;
     }
-    lacking -= MoveUpTo(state, state.spare_pool, pool, lacking, now);
+    lacking -= MoveUpTo(state, supplies, state.spare_pool, pool, lacking, now);
     if (lacking > 0) {
-      Borrow(state, pool, lacking, now);
+      Borrow(state, supplies, pool, lacking, now);
     }
   }
   for (const auto& [pool, need] : state.needs) {
     const int wanted =
         std::max(need.needed_with_late_work, BaseSize(state, pool));
-    const int surplus = CountSupply(state, pool) - wanted;
+    const int surplus = supplies[pool].vms - wanted;
     if (surplus > 0 && need.low && now - need.low_since >= kReleaseAfter) {
-      MoveUpTo(state, pool, state.spare_pool, surplus, now);
+      MoveUpTo(state, supplies, pool, state.spare_pool, surplus, now);
     }
   }
 }
--- a/src/fireflythread/entry/drain_table.cc
+++ b/src/fireflythread/entry/drain_table.cc
@@ -1,9 +1,11 @@
 #include "fireflythread/entry/drain_table.h"
 
+#include <chrono>
 #include <string>
 #include <utility>
 #include <variant>
 
+#include "fireflythread/entry/duty_task.h"
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/ownership/ownership.h"
 #include "fireflythread/platform/read_all.h"
@@ -14,6 +16,10 @@
 constexpr std::string_view kWanted = "wanted";
 constexpr std::string_view kDrained = "vacated";
 
+/// Pause after a page with changes, so that the changes of that time share one
+/// page: during a load peak, workers are added and drained all the time.
+constexpr std::chrono::milliseconds kPagePause{60};
+
 /// Upper limit of the entries in one transaction, below the store's limit.
 constexpr std::size_t kMaxChanges = 90;
 
@@ -24,8 +30,19 @@
       on_change(std::move(changed)),
       retry([this] { this->loaded ? this->Follow() : this->Read(); }) {}
 
-auto DrainTable::Start() -> void {
-  this->Read();
+auto DrainTable::SetNeeded(bool is_needed) -> void {
+  if (is_needed == this->needed) {
+    return;
+  }
+  this->needed = is_needed;
+  if (is_needed) {
+    this->Read();
+    return;
+  }
+  this->followed = AliveToken();
+  this->retry.Cancel();
+  this->entries.clear();
+  this->loaded = false;
 }
 
 auto DrainTable::Wanted() const -> std::set<WorkerId> {
@@ -51,8 +68,8 @@
 }
 
 auto DrainTable::Read() -> void {
-  ReadAll(this->store, {std::string(kDrainTable)}, kStoreTimeout,
-          this->alive.Guard([this](auto&& result) {
+  ReadAll(this->store, {std::string(kDrainTable), std::string(kDutyShard)},
+          kStoreTimeout, this->followed.Guard([this](auto&& result) {
             const auto* page = std::get_if<RangePage>(&result);
             if (page == nullptr) {
               this->retry.Start(kStoreRetryDelay);
@@ -72,7 +89,7 @@
 auto DrainTable::Follow() -> void {
   this->store.Follow(
       std::string(kDrainTable), this->revision, kFollowWait,
-      kFollowWait + kFollowSlack, this->alive.Guard([this](auto&& result) {
+      kFollowWait + kFollowSlack, this->followed.Guard([this](auto&& result) {
         const auto* page = std::get_if<FeedPage>(&result);
         if (page == nullptr || page->history_lost) {
           this->loaded = page == nullptr && this->loaded;
@@ -90,10 +107,11 @@
             this->entries.erase(entry);
           }
         }
-        if (!page->changed.empty() || !page->deleted.empty()) {
+        const bool changed = !page->changed.empty() || !page->deleted.empty();
+        if (changed) {
           this->on_change();
         }
-        this->Follow();
+        this->retry.Start(changed ? kPagePause : std::chrono::milliseconds(0));
       }));
 }
 
@@ -105,10 +123,12 @@
         transaction.writes.size() >= kMaxChanges / 2) {
       continue;
     }
-    transaction.conditions.push_back(
-        {std::string(kDrainTable), worker.value, entry->second.version});
-    transaction.writes.push_back(
-        {std::string(kDrainTable), worker.value, std::string(kDrained)});
+    transaction.conditions.push_back({std::string(kDrainTable), worker.value,
+                                      entry->second.version,
+                                      std::string(kDutyShard)});
+    transaction.writes.push_back({std::string(kDrainTable), worker.value,
+                                  std::string(kDrained),
+                                  std::string(kDutyShard)});
   }
   if (transaction.writes.empty() || this->marking) {
     return;
@@ -122,7 +142,7 @@
 }
 
 auto DrainTable::SetWanted(const std::set<WorkerId>& workers,
-                           const ServiceName& shard,
+                           const ShardName& shard,
                            std::uint64_t fence) -> void {
   if (!this->loaded || this->writing) {
     return;
@@ -131,14 +151,15 @@
   for (const WorkerId& worker : workers) {
     if (!this->entries.contains(worker) &&
         transaction.writes.size() < kMaxChanges) {
-      transaction.writes.push_back(
-          {std::string(kDrainTable), worker.value, std::string(kWanted)});
+      transaction.writes.push_back({std::string(kDrainTable), worker.value,
+                                    std::string(kWanted),
+                                    std::string(kDutyShard)});
     }
   }
   for (const auto& [worker, entry] : this->entries) {
     if (!workers.contains(worker) && transaction.writes.size() < kMaxChanges) {
-      transaction.writes.push_back(
-          {std::string(kDrainTable), worker.value, std::nullopt});
+      transaction.writes.push_back({std::string(kDrainTable), worker.value,
+                                    std::nullopt, std::string(kDutyShard)});
     }
   }
   if (transaction.writes.empty()) {
--- a/src/fireflythread/entry/drain_table.h
+++ b/src/fireflythread/entry/drain_table.h
@@ -15,12 +15,14 @@
 
 namespace fireflythread {
 
-/// Table of workers to drain. The key is a worker. The owner of the duty shard
+/// Table of workers to drain, in the part of the duty shard. The key is a
+/// worker. The owner of the duty shard
 /// adds and removes rows; the owner of the worker's shard marks them as
 /// drained.
 inline constexpr std::string_view kDrainTable = "vacate";
 
-/// Follows and writes the table of workers to drain.
+/// Follows and writes the table of workers to drain, for as long as it is
+/// needed, that is while this entry owns a shard.
 class DrainTable {
  public:
   /// `on_change` is called after the rows were read and after each change.
@@ -28,8 +30,9 @@
   DrainTable(const DrainTable&) = delete;
   auto operator=(const DrainTable&) -> DrainTable& = delete;
 
-  /// Starts to read and follow the table, with retries after failures.
-  auto Start() -> void;
+  /// Sets whether the table is needed. Starts to read and follow it, with
+  /// retries after failures, or stops and forgets it.
+  auto SetNeeded(bool is_needed) -> void;
 
   /// Returns whether the table has been read.
   [[nodiscard]] auto IsLoaded() const -> bool { return this->loaded; }
@@ -46,7 +49,7 @@
   /// fence row of `shard` has version `fence`. Does nothing while the table is
   /// not loaded or a previous call has no answer yet.
   auto SetWanted(const std::set<WorkerId>& workers,
-                 const ServiceName& shard,
+                 const ShardName& shard,
                  std::uint64_t fence) -> void;
 
  private:
@@ -63,10 +66,14 @@
   std::function<void()> on_change;
   std::map<WorkerId, Entry> entries;
   std::uint64_t revision = 0;
+  bool needed = false;
   bool loaded = false;
   bool marking = false;
   bool writing = false;
   OneShotTimer retry;
+  /// Replaced when the table is not needed any more, so that the answer to a
+  /// call in flight has no effect.
+  AliveToken followed;
   AliveToken alive;
 };
 
--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -24,6 +24,10 @@
 constexpr milliseconds kActiveListPeriod{400};
 constexpr milliseconds kIdleListPeriod{1500};
 
+/// Pause after a page of loads, so that the loads of several shards share one
+/// page.
+constexpr milliseconds kLoadPagePause{50};
+
 constexpr milliseconds kListTimeout{1500};
 constexpr milliseconds kOrderTimeout{1500};
 
@@ -58,7 +62,7 @@
     : environment(std::move(env)),
       fence(token),
       wave_loader(environment.store,
-                  {std::string(kWaveTable)},
+                  {std::string(kWaveTable), std::string(kDutyShard)},
                   [this](const std::vector<Row>& rows, std::uint64_t) {
                     for (const Row& row : rows) {
                       this->stored_done[std::atoll(row.key.c_str())] =
@@ -67,7 +71,7 @@
                     this->waves_loaded = true;
                   }),
       order_loader(environment.store,
-                   {std::string(kOrderedTable)},
+                   {std::string(kOrderedTable), std::string(kDutyShard)},
                    [this](const std::vector<Row>& rows, std::uint64_t) {
                      std::set<VmId> vms;
                      for (const Row& row : rows) {
@@ -100,6 +104,10 @@
   }
 }
 
+auto DutyTask::SetPoolParts(const PoolParts& parts) -> void {
+  this->state.part_counts = parts.counts;
+}
+
 auto DutyTask::SetWaves(const std::map<std::int64_t, WaveRequest>& waves)
     -> void {
   this->declared = waves;
@@ -108,11 +116,22 @@
 auto DutyTask::ApplyDrainTable() -> void {
   ApplyDrained(this->state, this->environment.drain_table.Drained(),
                ReadBootClock());
-  this->Step();
+  // The next step plans. Each change of the table only makes orders ready, and
+  // a peak changes it a hundred times a second.
+  if (this->IsReady()) {
+    this->RecordOrders();
+  }
+}
+
+auto DutyTask::IsReady() const -> bool {
+  return this->waves_loaded && this->orders_loaded &&
+         this->state.has_machine_list &&
+         this->environment.drain_table.IsLoaded();
 }
 
 auto DutyTask::ReadLoads() -> void {
-  ReadAll(this->environment.store, {std::string(kLoadTable)}, kStoreTimeout,
+  ReadAll(this->environment.store,
+          {std::string(kLoadTable), std::string(kLoadPart)}, kStoreTimeout,
           this->alive.Guard([this](auto&& result) {
             const auto* page = std::get_if<RangePage>(&result);
             if (page == nullptr) {
@@ -142,7 +161,7 @@
         for (const Row& row : page->changed) {
           this->ApplyLoad(row);
         }
-        this->FollowLoads();
+        this->load_retry.Start(kLoadPagePause);
       }));
 }
 
@@ -153,9 +172,10 @@
                                      {{"shard", row.key}});
     return;
   }
-  PoolLoad& known = this->state.loads[ServiceName(row.key)];
+  PoolLoad& known = this->state.shard_loads[ShardName(row.key)];
   if (load->fence >= known.fence) {
     known = *std::move(load);
+    this->changed_pools.insert(known.pool);
   }
 }
 
@@ -179,19 +199,20 @@
 
 auto DutyTask::Step() -> void {
   this->ReadMachines();
-  if (!this->waves_loaded || !this->orders_loaded ||
-      !this->state.has_machine_list ||
-      !this->environment.drain_table.IsLoaded()) {
+  if (!this->IsReady()) {
     return;
   }
   const TimePoint now = ReadBootClock();
+  for (const ServiceName& pool : std::exchange(this->changed_pools, {})) {
+    this->state.loads[pool] = SumLoads(this->state.shard_loads, pool);
+  }
   for (const auto& [number, wave] : this->declared) {
     ApplyWave(this->state, wave, this->stored_done[number], now);
   }
   PlanUpkeeps(this->state, now);
   PlanMoves(this->state, now);
   this->environment.drain_table.SetWanted(WorkersToDrain(this->state),
-                                          ServiceName(std::string(kDutyShard)),
+                                          ShardName(std::string(kDutyShard)),
                                           this->fence);
   this->RecordOrders();
   this->StoreWaves();
@@ -206,11 +227,12 @@
   Transaction transaction;
   for (const Duty& duty : orders) {
     transaction.writes.push_back({std::string(kOrderedTable), duty.vm.value,
-                                  std::to_string(this->fence)});
+                                  std::to_string(this->fence),
+                                  std::string(kDutyShard)});
   }
   for (const VmId& vm : RemoveExpiredRecords(this->state, now)) {
-    transaction.writes.push_back(
-        {std::string(kOrderedTable), vm.value, std::nullopt});
+    transaction.writes.push_back({std::string(kOrderedTable), vm.value,
+                                  std::nullopt, std::string(kDutyShard)});
   }
   if (transaction.writes.empty()) {
     return;
@@ -239,7 +261,7 @@
     this->SendOrder(duty);
   }
   if (std::holds_alternative<Conflict>(outcome)) {
-    this->environment.on_fenced(ServiceName(std::string(kDutyShard)));
+    this->environment.on_fenced(ShardName(std::string(kDutyShard)));
   }
 }
 
@@ -258,7 +280,7 @@
              {"verdict", static_cast<int>(verdict)}});
         ApplyOrderReply(this->state, duty.vm, verdict, ReadBootClock());
         if (verdict == DutyVerdict::kFenced) {
-          this->environment.on_fenced(ServiceName(std::string(kDutyShard)));
+          this->environment.on_fenced(ShardName(std::string(kDutyShard)));
         }
       }));
 }
@@ -276,8 +298,8 @@
     wave.dirty = false;
     numbers.push_back(number);
     transaction.writes.push_back({std::string(kWaveTable),
-                                  std::to_string(number),
-                                  EncodeDone(wave.done)});
+                                  std::to_string(number), EncodeDone(wave.done),
+                                  std::string(kDutyShard)});
     transaction.writes.push_back(
         this->environment.records.WaveStatus(number, wave.completed));
   }
@@ -299,7 +321,7 @@
           this->state.waves.at(number).dirty = true;
         }
         if (std::holds_alternative<Conflict>(outcome)) {
-          this->environment.on_fenced(ServiceName(std::string(kDutyShard)));
+          this->environment.on_fenced(ShardName(std::string(kDutyShard)));
         }
       }));
 }
--- a/src/fireflythread/entry/duty_task.h
+++ b/src/fireflythread/entry/duty_task.h
@@ -15,6 +15,7 @@
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
 #include "fireflythread/jobs/configuration.h"
+#include "fireflythread/jobs/pool_parts.h"
 #include "fireflythread/platform/machine_client.h"
 #include "fireflythread/platform/platform_records.h"
 #include "fireflythread/platform/table_store.h"
@@ -30,12 +31,17 @@
 /// row.
 inline constexpr std::string_view kLoadTable = "load";
 
-/// Table of the waves' progress. The key is a wave's number; the value lists
-/// the VMs that are done.
+/// Part of the store with the rows of kLoadTable. They change often, and a part
+/// carries out its transactions one after another, so they have one of their
+/// own.
+inline constexpr std::string_view kLoadPart = "load";
+
+/// Table of the waves' progress, in the part of the duty shard. The key is a
+/// wave's number; the value lists the VMs that are done.
 inline constexpr std::string_view kWaveTable = "wave_done";
 
-/// Table of recent orders. The key is a VM for which an order may have been
-/// sent.
+/// Table of recent orders, in the part of the duty shard. The key is a VM for
+/// which an order may have been sent.
 inline constexpr std::string_view kOrderedTable = "ordered";
 
 /// Moves VMs between pools and carries out maintenance waves, for as long as
@@ -50,7 +56,7 @@
     const Logger& logger;
     /// Called with the shard when a newer owner exists. Must not destroy the
     /// task before it returns.
-    std::function<void(const ServiceName&)> on_fenced;
+    std::function<void(const ShardName&)> on_fenced;
   };
 
   /// `fence` is the fencing token of the duty shard.
@@ -62,6 +68,8 @@
   auto Start() -> void;
   /// Sets the pools from the configuration's services.
   auto SetConfiguration(const Configuration& configuration) -> void;
+  /// Sets the number of parts of each pool.
+  auto SetPoolParts(const PoolParts& parts) -> void;
   /// Sets the declared waves.
   auto SetWaves(const std::map<std::int64_t, WaveRequest>& waves) -> void;
   /// Applies the changed rows of the drain table.
@@ -75,6 +83,8 @@
   auto FollowLoads() -> void;
   auto ApplyLoad(const Row& row) -> void;
   auto ReadMachines() -> void;
+  /// Returns whether everything is loaded that a plan depends on.
+  auto IsReady() const -> bool;
   auto Step() -> void;
   auto RecordOrders() -> void;
   auto ApplyRecordOutcome(const std::vector<Duty>& orders,
@@ -94,6 +104,8 @@
   bool recording = false;
   bool reading_machines = false;
   bool storing_waves = false;
+  /// Pools with a shard whose load has changed since the last step.
+  std::set<ServiceName> changed_pools;
   std::uint64_t load_revision = 0;
   bool loads_read = false;
   TimePoint listed_at;
--- a/src/fireflythread/entry/ended_jobs_task.cc
+++ b/src/fireflythread/entry/ended_jobs_task.cc
@@ -74,7 +74,7 @@
     ApplyMoveConflict(this->state, *conflict, sent_at);
   }
   this->logger.Warning("shard", "ended_jobs_not_moved",
-                       {{"shard", this->state.service},
+                       {{"shard", this->state.shard},
                         {"jobs", batch.moves.size()},
                         {"fenced", this->state.fenced_off}});
   if (this->state.fenced_off) {
@@ -95,7 +95,7 @@
 }
 
 auto EndedJobsTask::ReadPage(TimePoint now, WallTime wall_now) -> void {
-  RangeRequest range{std::string(kEndedTable), this->state.service.value,
+  RangeRequest range{std::string(kEndedTable), this->state.shard.value,
                      this->scan.from};
   this->reading = true;
   this->store.ReadRange(std::move(range), kStoreTimeout,
--- a/src/fireflythread/entry/job_request_handler.cc
+++ b/src/fireflythread/entry/job_request_handler.cc
@@ -47,7 +47,7 @@
 }  // namespace
 
 struct JobRequestHandler::Lookup {
-  std::vector<ServiceName> shards;
+  std::vector<ShardName> shards;
   std::size_t next = 0;
   JobId job;
   TimePoint deadline;
@@ -57,8 +57,8 @@
 JobRequestHandler::JobRequestHandler(TableStore& table_store, const Logger& log)
     : store(table_store), logger(log) {}
 
-auto JobRequestHandler::Submit(const ServiceName& shard,
-                               const std::vector<ServiceName>& other_shards,
+auto JobRequestHandler::Submit(const ShardName& shard,
+                               const std::vector<ShardName>& other_shards,
                                const JobRequest& job,
                                TimePoint deadline,
                                OutcomeCallback callback) -> void {
@@ -74,7 +74,7 @@
   this->SendSubmissions(shard);
 }
 
-auto JobRequestHandler::SendSubmissions(const ServiceName& shard) -> void {
+auto JobRequestHandler::SendSubmissions(const ShardName& shard) -> void {
   SubmissionQueue& queue = this->submissions[shard];
   for (const Submission& expired : TakeExpired(queue, ReadBootClock())) {
     this->AnswerSubmission(expired, expired.uncertain
@@ -98,7 +98,7 @@
 }
 
 auto JobRequestHandler::ApplySubmissionOutcome(
-    const ServiceName& shard,
+    const ShardName& shard,
     std::vector<Submission> batch,
     const TransactionOutcome& outcome) -> void {
   SubmissionQueue& queue = this->submissions[shard];
@@ -144,7 +144,7 @@
   submitter.mapped()(outcome);
 }
 
-auto JobRequestHandler::ReadState(std::vector<ServiceName> shards,
+auto JobRequestHandler::ReadState(std::vector<ShardName> shards,
                                   const JobId& job,
                                   TimePoint deadline,
                                   StateCallback callback) -> void {
@@ -160,7 +160,7 @@
 // table of ended jobs in one transaction. When the tables are read in this
 // order, a job that is missing from the first two is in the third.
 auto JobRequestHandler::TryRead(const std::shared_ptr<Lookup>& lookup) -> void {
-  const ServiceName& shard = lookup->shards[lookup->next];
+  const ShardName& shard = lookup->shards[lookup->next];
   RangeRequest range{std::string(kProgressTable), shard.value,
                      lookup->job.value, lookup->job.value + '\x01'};
   this->store.ReadRange(std::move(range), CallTimeout(lookup->deadline),
@@ -188,7 +188,7 @@
 
 auto JobRequestHandler::TryReadJob(const std::shared_ptr<Lookup>& lookup)
     -> void {
-  const ServiceName& shard = lookup->shards[lookup->next];
+  const ShardName& shard = lookup->shards[lookup->next];
   RangeRequest range{JobTable(shard), shard.value, lookup->job.value + "/",
                      lookup->job.value + "0"};
   this->store.ReadRange(
@@ -217,7 +217,7 @@
 
 auto JobRequestHandler::TryReadEnded(const std::shared_ptr<Lookup>& lookup)
     -> void {
-  const ServiceName& shard = lookup->shards[lookup->next];
+  const ShardName& shard = lookup->shards[lookup->next];
   RangeRequest range{std::string(kEndedTable), shard.value, lookup->job.value,
                      lookup->job.value + '\x01'};
   this->store.ReadRange(std::move(range), CallTimeout(lookup->deadline),
@@ -263,7 +263,7 @@
            this->alive.Guard([this, lookup]() { this->TryRead(lookup); }));
 }
 
-auto JobRequestHandler::Cancel(std::vector<ServiceName> shards,
+auto JobRequestHandler::Cancel(std::vector<ShardName> shards,
                                const JobId& job,
                                TimePoint deadline,
                                OutcomeCallback callback) -> void {
@@ -291,7 +291,7 @@
   this->TryRead(lookup);
 }
 
-auto JobRequestHandler::StoreCancel(const ServiceName& shard,
+auto JobRequestHandler::StoreCancel(const ShardName& shard,
                                     const JobId& job,
                                     TimePoint deadline,
                                     OutcomeCallback callback) -> void {
@@ -318,29 +318,48 @@
           }));
 }
 
-auto JobRequestHandler::ReadWaiting(const ServiceName& shard,
+/// The waiting jobs of a queue, added up shard by shard.
+struct JobRequestHandler::WaitingSum {
+  std::vector<ShardName> shards;
+  std::size_t next = 0;
+  QueueName queue;
+  int jobs = 0;
+  CountCallback callback;
+};
+
+auto JobRequestHandler::ReadWaiting(const std::vector<ShardName>& shards,
                                     const QueueName& queue,
                                     CountCallback callback) -> void {
+  if (shards.empty()) {
+    callback(std::nullopt);
+    return;
+  }
+  this->ReadNextWaiting(std::make_shared<WaitingSum>(
+      WaitingSum{shards, 0, queue, 0, std::move(callback)}));
+}
+
+auto JobRequestHandler::ReadNextWaiting(const std::shared_ptr<WaitingSum>& sum)
+    -> void {
+  const ShardName& shard = sum->shards[sum->next];
   this->store.ReadRange(
       {std::string(kWaitingTable), shard.value}, kStoreTimeout,
-      this->alive.Guard([queue, done = std::move(callback)](auto&& result) {
+      this->alive.Guard([this, sum](auto&& result) {
         const auto* page = std::get_if<RangePage>(&result);
-        if (page == nullptr) {
-          done(std::nullopt);
-          return;
-        }
         // The row is missing while the shard's owner does not know the counts.
-        if (page->rows.empty()) {
-          done(std::nullopt);
+        const auto counts = page == nullptr || page->rows.empty()
+                                ? nlohmann::json()
+                                : nlohmann::json::parse(
+                                      page->rows.front().value, nullptr, false);
+        if (!counts.is_object()) {
+          sum->callback(std::nullopt);
           return;
         }
-        const auto counts =
-            nlohmann::json::parse(page->rows.front().value, nullptr, false);
-        if (!counts.is_object()) {
-          done(std::nullopt);
+        sum->jobs += counts.value(sum->queue.value, 0);
+        if (++sum->next == sum->shards.size()) {
+          sum->callback(sum->jobs);
           return;
         }
-        done(counts.value(queue.value, 0));
+        this->ReadNextWaiting(sum);
       }));
 }
 
--- a/src/fireflythread/entry/job_request_handler.h
+++ b/src/fireflythread/entry/job_request_handler.h
@@ -50,37 +50,39 @@
 
   /// Stores a job. A job that is already stored in this shard or in one of
   /// `other_shards` is accepted again, but not stored a second time.
-  auto Submit(const ServiceName& shard,
-              const std::vector<ServiceName>& other_shards,
+  auto Submit(const ShardName& shard,
+              const std::vector<ShardName>& other_shards,
               const JobRequest& job,
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
   /// Reads a job's state, searching `shards` in their order. A job that has not
   /// ended takes one or two reads of the store in its shard.
-  auto ReadState(std::vector<ServiceName> shards,
+  auto ReadState(std::vector<ShardName> shards,
                  const JobId& job,
                  TimePoint deadline,
                  StateCallback callback) -> void;
 
   /// Stores the cancellation of a job. For a job that has ended, it is accepted
   /// but not stored, as it would have no effect.
-  auto Cancel(std::vector<ServiceName> shards,
+  auto Cancel(std::vector<ShardName> shards,
               const JobId& job,
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
-  /// Reads the number of waiting jobs of a queue. There is no value if the read
-  /// fails or the shard's owner has not published current counts.
-  auto ReadWaiting(const ServiceName& shard,
+  /// Reads the number of waiting jobs of a queue in all of these shards. There
+  /// is no value if a read fails or the owner of a shard has not published
+  /// current counts, nor without any shard.
+  auto ReadWaiting(const std::vector<ShardName>& shards,
                    const QueueName& queue,
                    CountCallback callback) -> void;
 
  private:
   struct Lookup;
+  struct WaitingSum;
 
-  auto SendSubmissions(const ServiceName& shard) -> void;
-  auto ApplySubmissionOutcome(const ServiceName& shard,
+  auto SendSubmissions(const ShardName& shard) -> void;
+  auto ApplySubmissionOutcome(const ShardName& shard,
                               std::vector<Submission> batch,
                               const TransactionOutcome& outcome) -> void;
   auto RetrySubmission(Submission submission) -> void;
@@ -91,14 +93,15 @@
   auto TryReadEnded(const std::shared_ptr<Lookup>& lookup) -> void;
   auto TryNextShard(const std::shared_ptr<Lookup>& lookup) -> void;
   auto RetryRead(const std::shared_ptr<Lookup>& lookup) -> void;
-  auto StoreCancel(const ServiceName& shard,
+  auto ReadNextWaiting(const std::shared_ptr<WaitingSum>& sum) -> void;
+  auto StoreCancel(const ShardName& shard,
                    const JobId& job,
                    TimePoint deadline,
                    OutcomeCallback callback) -> void;
 
   TableStore& store;
   const Logger& logger;
-  std::map<ServiceName, SubmissionQueue> submissions;
+  std::map<ShardName, SubmissionQueue> submissions;
   /// Callbacks of the submissions without an answer, by submission number.
   std::map<std::uint64_t, OutcomeCallback> submitters;
   std::uint64_t last_submission = 0;
--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -1,5 +1,6 @@
 #include "fireflythread/entry/ownership_task.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -32,7 +33,7 @@
   this->ReadShards();
 }
 
-auto OwnershipTask::SetWanted(std::set<ServiceName> shards) -> void {
+auto OwnershipTask::SetWanted(std::set<ShardName> shards) -> void {
   this->state.wanted = std::move(shards);
   this->Claim();
 }
@@ -56,7 +57,10 @@
         if (std::holds_alternative<Committed>(outcome)) {
           this->confirmed_at = sent_at;
         }
-        this->ReadEntries();
+        if (++this->renewals % kSlowReadRenewals == 0 ||
+            ReadsEachRenewal(this->state, ReadBootClock())) {
+          this->ReadEntries();
+        }
       }));
 }
 
@@ -109,14 +113,29 @@
 auto OwnershipTask::ApplyShardRows(const std::vector<Row>& rows) -> void {
   for (const Row& row : rows) {
     ApplyShardRow(this->state, row, ReadBootClock());
-    this->UpdateOwned(ServiceName(row.key));
+    this->UpdateOwned(ShardName(row.key));
   }
   this->Claim();
+  // The claimant of a released shard may have read the entries' rows a while
+  // ago.
+  const bool released =
+      std::any_of(rows.begin(), rows.end(), [this](const Row& row) -> bool {
+        const auto shard = this->state.shards.find(ShardName(row.key));
+        return shard != this->state.shards.end() && shard->second.owner.empty();
+      });
+  if (released &&
+      ReadBootClock() - this->state.entries_read_at > kEntryRenewal) {
+    this->ReadEntries();
+  }
 }
 
 auto OwnershipTask::Claim() -> void {
+  // By old rows, every entry would seem to have ended.
+  if (ReadBootClock() - this->state.entries_read_at >= kEntryTimeout) {
+    return;
+  }
   for (ShardClaim& claim : NextClaims(this->state, ReadBootClock())) {
-    const ServiceName shard = claim.shard;
+    const ShardName shard = claim.shard;
     if (!this->claiming.insert(shard).second) {
       continue;
     }
@@ -130,7 +149,7 @@
   }
 }
 
-auto OwnershipTask::UpdateOwned(const ServiceName& shard) -> void {
+auto OwnershipTask::UpdateOwned(const ShardName& shard) -> void {
   const bool owns =
       OwnsShard(this->state, shard) && !this->releases.contains(shard);
   if (owns && this->owned.insert(shard).second) {
@@ -150,7 +169,7 @@
   }
 }
 
-auto OwnershipTask::ApplyClaimOutcome(const ServiceName& shard,
+auto OwnershipTask::ApplyClaimOutcome(const ShardName& shard,
                                       const TransactionOutcome& outcome)
     -> void {
   if (const auto* committed = std::get_if<Committed>(&outcome)) {
@@ -175,12 +194,12 @@
   }
   this->handover_plan = NextHandover(this->state, ReadBootClock());
   if (this->handover_plan) {
-    const ServiceName shard = this->handover_plan->shard;
+    const ShardName shard = this->handover_plan->shard;
     this->events.hand_over(shard);
   }
 }
 
-auto OwnershipTask::Release(const ServiceName& shard,
+auto OwnershipTask::Release(const ShardName& shard,
                             std::uint64_t token,
                             UnresponsiveWorkerMap unresponsive_workers)
     -> void {
@@ -197,8 +216,8 @@
   }
 }
 
-auto OwnershipTask::SendRelease(const ServiceName& shard,
-                                PendingRelease& release) -> void {
+auto OwnershipTask::SendRelease(const ShardName& shard, PendingRelease& release)
+    -> void {
   release.sent = true;
   this->store.Commit(
       MakeRelease(shard, release.token, release.unresponsive_workers),
@@ -208,7 +227,7 @@
       }));
 }
 
-auto OwnershipTask::ApplyReleaseOutcome(const ServiceName& shard,
+auto OwnershipTask::ApplyReleaseOutcome(const ShardName& shard,
                                         const TransactionOutcome& outcome)
     -> void {
   const auto* committed = std::get_if<Committed>(&outcome);
@@ -231,7 +250,7 @@
   this->UpdateOwned(shard);
 }
 
-auto OwnershipTask::LogHandover(const ServiceName& shard) -> void {
+auto OwnershipTask::LogHandover(const ShardName& shard) -> void {
   if (!this->handover_plan || this->handover_plan->shard != shard) {
     return;
   }
--- a/src/fireflythread/entry/ownership_task.h
+++ b/src/fireflythread/entry/ownership_task.h
@@ -30,13 +30,13 @@
   struct Events {
     /// Called when this entry has become the owner of a shard, with the fencing
     /// token.
-    std::function<void(const ServiceName&, std::uint64_t, const Handover&)>
+    std::function<void(const ShardName&, std::uint64_t, const Handover&)>
         gained;
     /// Called when this entry is no longer the owner of a shard.
-    std::function<void(const ServiceName&)> lost;
+    std::function<void(const ShardName&)> lost;
     /// Called when another entry should own the shard, so that the shard is
     /// released soon.
-    std::function<void(const ServiceName&)> hand_over;
+    std::function<void(const ShardName&)> hand_over;
   };
 
   OwnershipTask(TableStore& store,
@@ -57,7 +57,7 @@
   }
 
   /// Sets the shards that must have an owner.
-  auto SetWanted(std::set<ServiceName> shards) -> void;
+  auto SetWanted(std::set<ShardName> shards) -> void;
 
   /// Announces that this entry leaves. It claims no shards from then on.
   auto Leave() -> void;
@@ -66,7 +66,7 @@
   /// until the store has committed or refused the release.
   /// `unresponsive_workers` are the unresponsive workers, with the time until
   /// their leases have certainly expired.
-  auto Release(const ServiceName& shard,
+  auto Release(const ShardName& shard,
                std::uint64_t token,
                UnresponsiveWorkerMap unresponsive_workers) -> void;
 
@@ -94,28 +94,30 @@
   auto ApplyShardRows(const std::vector<Row>& rows) -> void;
   /// Compares the owner of a shard with the last reported one, and reports a
   /// gain or loss.
-  auto UpdateOwned(const ServiceName& shard) -> void;
+  auto UpdateOwned(const ShardName& shard) -> void;
   auto Claim() -> void;
-  auto ApplyClaimOutcome(const ServiceName& shard,
+  auto ApplyClaimOutcome(const ShardName& shard,
                          const TransactionOutcome& outcome) -> void;
   auto PlanHandover() -> void;
   auto SendReleases() -> void;
-  auto SendRelease(const ServiceName& shard, PendingRelease& release) -> void;
-  auto ApplyReleaseOutcome(const ServiceName& shard,
+  auto SendRelease(const ShardName& shard, PendingRelease& release) -> void;
+  auto ApplyReleaseOutcome(const ShardName& shard,
                            const TransactionOutcome& outcome) -> void;
   /// Logs a planned handover whose shard was released, and ends it.
-  auto LogHandover(const ServiceName& shard) -> void;
+  auto LogHandover(const ShardName& shard) -> void;
 
   TableStore& store;
   const Logger& logger;
   Events events;
   OwnershipState state;
-  std::set<ServiceName> claiming;
+  /// Renewals so far, answered or not.
+  int renewals = 0;
+  std::set<ShardName> claiming;
   /// The predecessor's handover that came with the last claim of each shard.
-  std::map<ServiceName, Handover> handovers;
-  std::set<ServiceName> owned;
+  std::map<ShardName, Handover> handovers;
+  std::set<ShardName> owned;
   /// Released shards whose rows may still name this entry as the owner.
-  std::map<ServiceName, PendingRelease> releases;
+  std::map<ShardName, PendingRelease> releases;
   /// The handover in progress.
   std::optional<HandoverPlan> handover_plan;
   std::uint64_t shard_revision = 0;
--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -66,11 +66,11 @@
   this->metrics
       .GetGauge("fireflythread_shard_oldest_report_seconds",
                 "Time since the oldest report of a worker with runs",
-                {{"shard", state.service.value}})
+                {{"shard", state.shard.value}})
       .Set(std::chrono::duration<double>(summary.oldest_report).count());
   this->logger.Info(
       "shard", "shard_status",
-      {{"shard", state.service},
+      {{"shard", state.shard},
        {"fence", state.fence},
        {"loaded", loaded},
        {"open_jobs", summary.open_jobs},
--- a/src/fireflythread/entry/shard_publisher.cc
+++ b/src/fireflythread/entry/shard_publisher.cc
@@ -34,7 +34,8 @@
 
 }  // namespace
 
-ShardPublisher::ShardPublisher(TableStore& table_store) : store(table_store) {}
+ShardPublisher::ShardPublisher(TableStore& table_store, ServiceName pool_name)
+    : store(table_store), pool(std::move(pool_name)) {}
 
 auto ShardPublisher::Publish(ShardState& state,
                              TimePoint feed_at,
@@ -65,14 +66,14 @@
   Transaction transaction;
   transaction.conditions.push_back({std::string(kFenceTable),
                                     std::string(kFenceKey), state.fence,
-                                    state.service.value});
+                                    state.shard.value});
   std::optional<std::string> value;
   if (counts) {
     value = EncodeCounts(*counts);
   }
   transaction.writes.push_back({std::string(kWaitingTable),
                                 std::string(kWaitingKey), std::move(value),
-                                state.service.value});
+                                state.shard.value});
   this->storing_waiting = true;
   this->store.Commit(
       std::move(transaction), kStoreTimeout,
@@ -94,12 +95,14 @@
   }
   this->load_at = now;
   PoolLoad measured = MeasureLoad(state, std::chrono::system_clock::now(), now);
+  measured.pool = this->pool;
   if (measured == this->load) {
     return;
   }
   Transaction transaction;
-  transaction.writes.push_back(
-      {std::string(kLoadTable), state.service.value, EncodePoolLoad(measured)});
+  transaction.writes.push_back({std::string(kLoadTable), state.shard.value,
+                                EncodePoolLoad(measured),
+                                std::string(kLoadPart)});
   this->storing_load = true;
   this->store.Commit(
       std::move(transaction), kStoreTimeout,
--- a/src/fireflythread/entry/shard_publisher.h
+++ b/src/fireflythread/entry/shard_publisher.h
@@ -20,7 +20,8 @@
 /// are no longer current are removed.
 class ShardPublisher {
  public:
-  explicit ShardPublisher(TableStore& store);
+  /// `pool` is the pool that the shard is a part of.
+  ShardPublisher(TableStore& store, ServiceName pool);
   ShardPublisher(const ShardPublisher&) = delete;
   auto operator=(const ShardPublisher&) -> ShardPublisher& = delete;
 
@@ -40,6 +41,7 @@
   auto PublishLoad(ShardState& state, TimePoint now) -> void;
 
   TableStore& store;
+  ServiceName pool;
   /// The counts in the stored row. There is no row at first, as the claim of
   /// the shard removes it.
   std::optional<Counts> waiting;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -42,11 +42,12 @@
 }  // namespace
 
 ShardTask::ShardTask(Environment env,
-                     ServiceName shard,
+                     PoolPart pool_part,
                      std::uint64_t fence,
                      const Handover& handover)
     : environment(std::move(env)),
-      publisher(this->environment.store),
+      part(std::move(pool_part)),
+      publisher(this->environment.store, this->part.pool),
       monitor(this->environment.logger, this->environment.metrics),
       run_log(this->environment.logger, this->environment.metrics),
       ended_jobs(this->environment.store,
@@ -57,7 +58,7 @@
       follow_retry(
           [this] { this->loaded ? this->FollowJobs() : this->LoadJobs(); }),
       tick(kTick, [this] { this->Wake(); }) {
-  this->state.service = std::move(shard);
+  this->state.shard = ShardOf(this->part);
   this->state.fence = fence;
   this->state.owned_since = ReadBootClock();
   this->state.former_owner_stopped = handover.former_owner_stopped;
@@ -80,12 +81,13 @@
   this->Wake();
 }
 
-auto ShardTask::SetWorkers(const std::vector<WorkerView>& workers) -> void {
+auto ShardTask::SetWorkers(const WorkerDirectory::Workers& workers) -> void {
   std::vector<WorkerView> mine;
-  std::copy_if(workers.begin(), workers.end(), std::back_inserter(mine),
-               [this](const WorkerView& worker) -> bool {
-                 return worker.service == this->state.service;
-               });
+  for (const auto& [id, worker] : workers) {
+    if (worker.view.service == this->part.pool && HasWorker(this->part, id)) {
+      mine.push_back(worker.view);
+    }
+  }
   ApplyWorkers(this->state, mine, ReadBootClock());
   fireflythread::SetDraining(this->state, this->draining_workers);
   this->Wake();
@@ -93,6 +95,7 @@
 
 auto ShardTask::SetDraining(const std::set<WorkerId>& workers) -> void {
   this->draining_workers = workers;
+  this->draining_known = true;
   fireflythread::SetDraining(this->state, workers);
   this->Wake();
 }
@@ -104,10 +107,11 @@
 }
 
 auto ShardTask::LoadJobs() -> void {
-  const std::string part = this->state.service.value;
+  const std::string store_part = this->state.shard.value;
   this->progress_loader = std::make_unique<RangeLoader>(
-      this->environment.store, RangeRequest{std::string(kProgressTable), part},
-      [this, part](std::vector<Row> rows, std::uint64_t) {
+      this->environment.store,
+      RangeRequest{std::string(kProgressTable), store_part},
+      [this, store_part](std::vector<Row> rows, std::uint64_t) {
         this->loaded_progress.clear();
         this->load_began = ReadBootClock();
         for (Row& row : rows) {
@@ -116,7 +120,7 @@
         }
         this->job_loader = std::make_unique<RangeLoader>(
             this->environment.store,
-            RangeRequest{JobTable(this->state.service), part},
+            RangeRequest{JobTable(this->state.shard), store_part},
             [this](std::vector<Row> jobs, std::uint64_t revision) {
               this->ApplyLoadedJobs(std::move(jobs), revision);
             });
@@ -145,7 +149,7 @@
     this->loaded_once = true;
     this->environment.logger.Info(
         "shard", "loaded",
-        {{"shard", this->state.service},
+        {{"shard", this->state.shard},
          {"fence", this->state.fence},
          {"open_jobs", this->state.jobs.size()},
          {"finished_jobs", this->state.finished.size()},
@@ -197,7 +201,7 @@
       std::exchange(this->feed_behind, false) ? milliseconds(0) : kFollowWait;
   const TimePoint sent_at = ReadBootClock();
   this->environment.store.Follow(
-      JobTable(this->state.service), this->state.feed_revision, wait,
+      JobTable(this->state.shard), this->state.feed_revision, wait,
       kFollowWait + kFollowSlack,
       this->alive.Guard([this, sent_at](auto&& result) {
         const auto* page = std::get_if<FeedPage>(&result);
@@ -267,7 +271,7 @@
   // Jobs may have been cancelled since the last answer of the feed, so nothing
   // is started on outdated information.
   const bool current = now - this->monitor.FeedAt() <= kFeedTimeout;
-  if (!this->draining && current) {
+  if (!this->draining && current && this->draining_known) {
     EvictLongRunning(this->state, now);
     PlanRuns(this->state, std::chrono::system_clock::now(), now);
   }
@@ -292,16 +296,17 @@
     return;
   }
   const RecordBatch batch = TakeBatch(this->state, kJobsPerTransaction);
-  const std::string& part = this->state.service.value;
+  const std::string& store_part = this->state.shard.value;
   Transaction transaction;
   transaction.conditions.push_back({std::string(kFenceTable),
                                     std::string(kFenceKey), this->state.fence,
-                                    part});
+                                    store_part});
   for (const JobRecord& record : batch.records) {
-    transaction.conditions.push_back(
-        {std::string(kProgressTable), record.job.value, record.version, part});
-    transaction.writes.push_back(
-        {std::string(kProgressTable), record.job.value, record.value, part});
+    transaction.conditions.push_back({std::string(kProgressTable),
+                                      record.job.value, record.version,
+                                      store_part});
+    transaction.writes.push_back({std::string(kProgressTable), record.job.value,
+                                  record.value, store_part});
   }
   this->flushing = true;
   const TimePoint sent_at = ReadBootClock();
@@ -334,7 +339,7 @@
   }
   this->environment.logger.Warning(
       "shard", "progress_not_stored",
-      {{"shard", this->state.service}, {"jobs", batch.records.size()}});
+      {{"shard", this->state.shard}, {"jobs", batch.records.size()}});
 }
 
 auto ShardTask::LogFinished(const RecordBatch& batch, std::uint64_t revision)
@@ -363,7 +368,7 @@
     }
   }
   this->environment.logger.Warning("shard", "progress_conflict",
-                                   {{"shard", this->state.service},
+                                   {{"shard", this->state.shard},
                                     {"jobs", batch.records.size()},
                                     {"fenced", this->state.fenced_off}});
   this->CheckFence();
@@ -480,7 +485,7 @@
 
 auto ShardTask::CheckFence() -> void {
   if (this->state.fenced_off) {
-    this->environment.on_fenced(this->state.service);
+    this->environment.on_fenced(this->state.shard);
   }
 }
 
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -16,8 +16,10 @@
 #include "fireflythread/entry/run_log.h"
 #include "fireflythread/entry/shard_monitor.h"
 #include "fireflythread/entry/shard_publisher.h"
+#include "fireflythread/entry/worker_directory.h"
 #include "fireflythread/jobs/order_verdict.h"
 #include "fireflythread/jobs/poll_command.h"
+#include "fireflythread/jobs/pool_part.h"
 #include "fireflythread/jobs/record_batch.h"
 #include "fireflythread/jobs/shard_state.h"
 #include "fireflythread/jobs/start_command.h"
@@ -46,13 +48,13 @@
     std::function<void(const std::vector<WorkerId>&)> on_drained;
     /// Called with the shard when a newer owner exists. Must not destroy the
     /// task before it returns.
-    std::function<void(const ServiceName&)> on_fenced;
+    std::function<void(const ShardName&)> on_fenced;
   };
 
-  /// `fence` is the fencing token of the shard, and `handover` is what is known
-  /// of the former owner.
+  /// `part` is the part of a pool whose jobs to run, `fence` is the fencing
+  /// token of its shard, and `handover` is what is known of the former owner.
   ShardTask(Environment environment,
-            ServiceName shard,
+            PoolPart part,
             std::uint64_t fence,
             const Handover& handover);
   ShardTask(const ShardTask&) = delete;
@@ -62,11 +64,13 @@
   auto Start() -> void;
   /// Sets the queues of the configuration.
   auto SetQueues(std::map<QueueName, Queue> queues) -> void;
-  /// Applies the list of workers. It may contain workers of other services,
-  /// which are ignored.
-  auto SetWorkers(const std::vector<WorkerView>& workers) -> void;
+  /// Applies the list of workers. It may contain workers of other shards, which
+  /// are ignored.
+  auto SetWorkers(const WorkerDirectory::Workers& workers) -> void;
 
-  /// Sets the workers to drain. The set may contain workers of other services.
+  /// Sets the workers to drain. The set may contain workers of other shards.
+  /// Nothing is started before the first call, as a former owner may have
+  /// reported a worker as drained.
   auto SetDraining(const std::set<WorkerId>& workers) -> void;
 
   /// Starts no more tasks, stores all changed progress and then calls `done`.
@@ -116,6 +120,7 @@
   auto CheckFence() -> void;
 
   Environment environment;
+  PoolPart part;
   ShardState state;
   ShardPublisher publisher;
   ShardMonitor monitor;
@@ -134,6 +139,7 @@
   bool draining = false;
   std::function<void()> drain_callback;
   std::set<WorkerId> draining_workers;
+  bool draining_known = false;
   /// When the last step ended, and how long it took.
   TimePoint step_ended;
   Duration last_step{0};
--- a/src/fireflythread/jobs/ended_jobs.cc
+++ b/src/fireflythread/jobs/ended_jobs.cc
@@ -48,15 +48,15 @@
 
 auto FenceCondition(const ShardState& state) -> Condition {
   return {std::string(kFenceTable), std::string(kFenceKey), state.fence,
-          state.service.value};
+          state.shard.value};
 }
 
 auto AddMove(const ShardState& state,
              const EndedMove& move,
              WallTime wall_now,
              Transaction& transaction) -> void {
-  const std::string& part = state.service.value;
-  const std::string table = JobTable(state.service);
+  const std::string& part = state.shard.value;
+  const std::string table = JobTable(state.shard);
   const std::string& id = move.job.value;
   transaction.conditions.push_back(
       {std::string(kProgressTable), id, move.version, part});
@@ -74,8 +74,8 @@
 auto AddOrphanedCancel(const ShardState& state,
                        const OrphanedCancel& orphan,
                        Transaction& transaction) -> void {
-  const std::string& part = state.service.value;
-  const std::string table = JobTable(state.service);
+  const std::string& part = state.shard.value;
+  const std::string table = JobTable(state.shard);
   const std::string key = CancelKey(orphan.job);
   transaction.conditions.push_back({table, JobKey(orphan.job), 0, part});
   transaction.conditions.push_back({table, key, orphan.version, part});
@@ -258,7 +258,7 @@
 
 auto MakeRemovalTransaction(const ShardState& state,
                             const std::vector<Row>& rows) -> Transaction {
-  const std::string& part = state.service.value;
+  const std::string& part = state.shard.value;
   Transaction transaction;
   transaction.conditions.push_back(FenceCondition(state));
   for (const Row& row : rows) {
--- a/src/fireflythread/jobs/job_tables.cc
+++ b/src/fireflythread/jobs/job_tables.cc
@@ -8,7 +8,7 @@
 
 }  // namespace
 
-auto JobTable(const ServiceName& shard) -> std::string {
+auto JobTable(const ShardName& shard) -> std::string {
   return "jobs." + shard.value;
 }
 
--- a/src/fireflythread/jobs/job_tables.h
+++ b/src/fireflythread/jobs/job_tables.h
@@ -26,7 +26,7 @@
 /// Returns the name of the table of a shard's accepted jobs and cancellations.
 /// Each shard has its own table, so that an owner follows only the changes of
 /// its shard. The part is the shard.
-[[nodiscard]] auto JobTable(const ServiceName& shard) -> std::string;
+[[nodiscard]] auto JobTable(const ShardName& shard) -> std::string;
 
 [[nodiscard]] auto JobKey(const JobId& job) -> std::string;
 [[nodiscard]] auto CancelKey(const JobId& job) -> std::string;
--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -20,7 +20,7 @@
   /// Maximum time that a worker needs to stop a run.
   std::chrono::milliseconds stop_time{400};
   /// Maximum time that a poll waits for a completion.
-  std::chrono::milliseconds poll_wait{1000};
+  std::chrono::milliseconds poll_wait{2000};
   /// Time between polls of a worker without runs.
   std::chrono::milliseconds idle_poll{4000};
   /// Reports that are older than this are not relied on.
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -28,11 +28,11 @@
   std::chrono::milliseconds duration{0};
 };
 
-/// The state that the owner of a shard keeps: the jobs of one service and the
-/// workers that run them. Free functions in this folder change it; none of them
-/// does input or output.
+/// The state that the owner of a shard keeps: the jobs of one part of a pool
+/// and the workers that run them. Free functions in this folder change it; none
+/// of them does input or output.
 struct ShardState {
-  ServiceName service;
+  ShardName shard;
   /// Fencing token of this ownership.
   std::uint64_t fence = 0;
   TimePoint owned_since;
--- a/src/fireflythread/jobs/submission_queue.cc
+++ b/src/fireflythread/jobs/submission_queue.cc
@@ -33,7 +33,7 @@
 
 /// Requires that a shard has no such job, neither open nor ended. An ended
 /// job's rows are moved in one transaction, so one of the two always exists.
-auto AddAbsence(const ServiceName& shard,
+auto AddAbsence(const ShardName& shard,
                 const JobId& job,
                 Transaction& transaction) -> void {
   transaction.conditions.push_back(
@@ -89,7 +89,7 @@
   Transaction transaction;
   for (const Submission& submission : batch) {
     AddAbsence(submission.shard, submission.job, transaction);
-    for (const ServiceName& other : submission.other_shards) {
+    for (const ShardName& other : submission.other_shards) {
       AddAbsence(other, submission.job, transaction);
     }
     transaction.writes.push_back({JobTable(submission.shard),
--- a/src/fireflythread/jobs/submission_queue.h
+++ b/src/fireflythread/jobs/submission_queue.h
@@ -16,9 +16,9 @@
 struct Submission {
   /// Identifies the caller's request in this process.
   std::uint64_t number = 0;
-  ServiceName shard;
+  ShardName shard;
   /// Other shards that may have accepted the same job before.
-  std::vector<ServiceName> other_shards;
+  std::vector<ShardName> other_shards;
   JobId job;
   /// Value of the job's row.
   std::string value;
--- a/src/fireflythread/ownership/handover_plan.cc
+++ b/src/fireflythread/ownership/handover_plan.cc
@@ -22,7 +22,7 @@
 
 /// Returns whether this entry has owned the shard for at least kMinStableTime.
 auto IsOwnedLongEnough(const OwnershipState& state,
-                       const ServiceName& shard,
+                       const ShardName& shard,
                        TimePoint now) -> bool {
   return OwnsShard(state, shard) &&
          now - state.shards.at(shard).changed_at >= kMinStableTime;
@@ -55,7 +55,7 @@
     return std::nullopt;
   }
   const EntryLoad own = placement.loads.at(state.self);
-  for (const ServiceName& shard : state.wanted) {
+  for (const ShardName& shard : state.wanted) {
     if (!IsOwnedLongEnough(state, shard, now)) {
       continue;
     }
--- a/src/fireflythread/ownership/handover_plan.h
+++ b/src/fireflythread/ownership/handover_plan.h
@@ -12,7 +12,7 @@
 /// A shard that this entry should hand over to another entry, with the loads on
 /// which the decision is based.
 struct HandoverPlan {
-  ServiceName shard;
+  ShardName shard;
   /// The entry that ChooseEntry() selects once the shard is released.
   EntryId preferred;
   EntryLoad own_load;
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -34,7 +34,7 @@
                                                  : std::string();
 }
 
-auto MakeClaim(const OwnershipState& state, const ServiceName& shard)
+auto MakeClaim(const OwnershipState& state, const ShardName& shard)
     -> ShardClaim {
   Transaction transaction;
   const auto known = state.shards.find(shard);
@@ -131,7 +131,7 @@
   if (!json.is_object()) {
     return;
   }
-  ShardOwner& shard = state.shards[ServiceName(row.key)];
+  ShardOwner& shard = state.shards[ShardName(row.key)];
   if (row.version < shard.version) {
     return;
   }
@@ -158,6 +158,20 @@
   return transaction;
 }
 
+auto ReadsEachRenewal(const OwnershipState& state, TimePoint now) -> bool {
+  if (!state.entries_read || !state.shards_read ||
+      state.entries.size() <= kFirstClaimants) {
+    return true;
+  }
+  const Placement placement = MakePlacement(state, now);
+  const auto own = placement.loads.find(state.self);
+  if (!placement.orphans.empty() || own == placement.loads.end() ||
+      own->second.shards > 0) {
+    return true;
+  }
+  return CountPreferred(placement.loads, state.self) < kFirstClaimants;
+}
+
 auto NextClaims(const OwnershipState& state, TimePoint now)
     -> std::vector<ShardClaim> {
   std::vector<ShardClaim> claims;
@@ -168,7 +182,7 @@
     return claims;
   }
   Placement placement = MakePlacement(state, now);
-  for (const ServiceName& name : placement.orphans) {
+  for (const ShardName& name : placement.orphans) {
     const auto choice = ChooseEntry(placement.loads, name);
     if (!choice) {
       break;
@@ -182,7 +196,7 @@
 }
 
 auto MakeRelease(
-    const ServiceName& shard,
+    const ShardName& shard,
     std::uint64_t token,
     const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers)
     -> Transaction {
@@ -200,7 +214,7 @@
   return transaction;
 }
 
-auto OwnsShard(const OwnershipState& state, const ServiceName& shard) -> bool {
+auto OwnsShard(const OwnershipState& state, const ShardName& shard) -> bool {
   const auto known = state.shards.find(shard);
   return known != state.shards.end() && known->second.owner == state.self &&
          known->second.incarnation == state.incarnation;
--- a/src/fireflythread/ownership/ownership.h
+++ b/src/fireflythread/ownership/ownership.h
@@ -22,7 +22,7 @@
 /// An attempt to become the owner of a shard. The store revision at which the
 /// transaction commits is the owner's fencing token.
 struct ShardClaim {
-  ServiceName shard;
+  ShardName shard;
   Transaction transaction;
   /// Valid only if the transaction commits.
   Handover handover;
@@ -41,6 +41,13 @@
 /// Returns the transaction that renews this entry's own row.
 [[nodiscard]] auto MakeRenewal(const OwnershipState& state) -> Transaction;
 
+/// Returns whether this entry reads the rows of all entries at each renewal: it
+/// owns a shard, a shard has no owner, or it would be among the first to claim
+/// one. The others read them every kSlowReadRenewals renewals, so that the cost
+/// of an entry does not grow with the number of entries.
+[[nodiscard]] auto ReadsEachRenewal(const OwnershipState& state, TimePoint now)
+    -> bool;
+
 /// Returns claims for the shards that this entry should try to own now. Returns
 /// none while this entry is stopping, or before it has read its own current row
 /// and the shard table.
@@ -51,7 +58,7 @@
 /// `token`. It tells the next owner which workers are unresponsive and how long
 /// their leases may still be valid.
 [[nodiscard]] auto MakeRelease(
-    const ServiceName& shard,
+    const ShardName& shard,
     std::uint64_t token,
     const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers)
     -> Transaction;
@@ -59,7 +66,7 @@
 /// Returns whether the shard's row names this incarnation of this entry as the
 /// owner.
 [[nodiscard]] auto OwnsShard(const OwnershipState& state,
-                             const ServiceName& shard) -> bool;
+                             const ShardName& shard) -> bool;
 
 }  // namespace fireflythread
 
--- a/src/fireflythread/ownership/ownership_state.h
+++ b/src/fireflythread/ownership/ownership_state.h
@@ -2,6 +2,7 @@
 #define FIREFLYTHREAD_OWNERSHIP_OWNERSHIP_STATE_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -54,9 +55,9 @@
   /// Capacity of this entry.
   EntryCapacity capacity;
   std::map<EntryId, EntryView> entries;
-  std::map<ServiceName, ShardOwner> shards;
+  std::map<ShardName, ShardOwner> shards;
   /// Shards that must have an owner.
-  std::set<ServiceName> wanted;
+  std::set<ShardName> wanted;
   /// Time at which the entries were last read.
   TimePoint entries_read_at;
   bool entries_read = false;
@@ -66,6 +67,14 @@
 /// An entry whose row is unchanged for this long is considered to have ended.
 inline constexpr std::chrono::milliseconds kEntryTimeout{3000};
 
+/// An entry that is not among the first to claim a shard reads the entries'
+/// rows once in this many renewals.
+inline constexpr int kSlowReadRenewals = 4;
+
+/// Number of entries that are expected to claim the next shards without an
+/// owner, and so read the entries' rows at each renewal.
+inline constexpr std::size_t kFirstClaimants = 12;
+
 /// Period at which an entry renews its row.
 inline constexpr std::chrono::milliseconds kEntryRenewal{1000};
 
--- a/src/fireflythread/ownership/placement.cc
+++ b/src/fireflythread/ownership/placement.cc
@@ -22,7 +22,7 @@
          now - owner->second.changed_at >= kEntryTimeout;
 }
 
-auto PairHash(const EntryId& entry, const ServiceName& shard) -> std::size_t {
+auto PairHash(const EntryId& entry, const ShardName& shard) -> std::size_t {
   return std::hash<std::string>{}(entry.value + "/" + shard.value);
 }
 
@@ -65,7 +65,7 @@
       placement.loads[id].capacity = CapacityOf(entry.capacity);
     }
   }
-  for (const ServiceName& name : state.wanted) {
+  for (const ShardName& name : state.wanted) {
     const auto shard = state.shards.find(name);
     if (shard == state.shards.end() || IsOrphan(state, shard->second, now)) {
       placement.orphans.push_back(name);
@@ -80,7 +80,7 @@
 }
 
 auto ChooseEntry(const std::map<EntryId, EntryLoad>& loads,
-                 const ServiceName& shard) -> std::optional<EntryId> {
+                 const ShardName& shard) -> std::optional<EntryId> {
   const auto choice = std::min_element(
       loads.begin(), loads.end(),
       [&shard](const auto& left, const auto& right) -> bool {
@@ -95,4 +95,13 @@
   return choice->first;
 }
 
+auto CountPreferred(const std::map<EntryId, EntryLoad>& loads,
+                    const EntryId& self) -> std::size_t {
+  const EntryLoad& own = loads.at(self);
+  return static_cast<std::size_t>(std::count_if(
+      loads.begin(), loads.end(), [&own](const auto& other) -> bool {
+        return CompareLoads(other.second, own) < 0;
+      }));
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/ownership/placement.h
+++ b/src/fireflythread/ownership/placement.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_OWNERSHIP_PLACEMENT_H_
 #define FIREFLYTHREAD_OWNERSHIP_PLACEMENT_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <vector>
@@ -14,7 +15,7 @@
 /// The live entries with their loads, and the shards without an acting owner.
 struct Placement {
   std::map<EntryId, EntryLoad> loads;
-  std::vector<ServiceName> orphans;
+  std::vector<ShardName> orphans;
 };
 
 /// Returns whether the entry's row was renewed within kEntryTimeout and the
@@ -41,7 +42,7 @@
 /// receiving one more shard. All entries make the same choice from the same
 /// rows. Returns no value if there are no entries.
 [[nodiscard]] auto ChooseEntry(const std::map<EntryId, EntryLoad>& loads,
-                               const ServiceName& shard)
+                               const ShardName& shard)
     -> std::optional<EntryId>;
 
 /// Millicores that correspond to a link capacity of 1 Mbit/s. The smallest
@@ -49,6 +50,11 @@
 /// equally.
 inline constexpr int kMillicoresPerMbps = 12;
 
+/// Returns the number of entries that would get any shard before `self`. Those
+/// with the same load are not among them: the shard decides between them.
+[[nodiscard]] auto CountPreferred(const std::map<EntryId, EntryLoad>& loads,
+                                  const EntryId& self) -> std::size_t;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_OWNERSHIP_PLACEMENT_H_
--- a/src/fireflythread/platform/platform_records.h
+++ b/src/fireflythread/platform/platform_records.h
@@ -4,13 +4,12 @@
 #include <cstdint>
 #include <functional>
 #include <variant>
-#include <vector>
 
 #include "fireflythread/base/time.h"
-#include "fireflythread/jobs/worker_view.h"
 #include "fireflythread/platform/operator_news.h"
 #include "fireflythread/platform/platform_error.h"
 #include "fireflythread/platform/transaction.h"
+#include "fireflythread/platform/worker_news.h"
 
 namespace fireflythread {
 
@@ -23,11 +22,17 @@
 
   virtual ~PlatformRecords() = default;
 
-  /// Reads the workers' entries; unreadable ones are left out.
-  virtual auto ListWorkers(Duration timeout,
-                           Callback<std::vector<WorkerView>> callback)
+  /// Reads the workers' entries; unusable ones are among the removed ones.
+  virtual auto ListWorkers(Duration timeout, Callback<WorkerNews> callback)
       -> void = 0;
 
+  /// Reads what changed of the workers' entries after a revision; waits up to
+  /// `wait`.
+  virtual auto FollowWorkers(std::uint64_t after,
+                             Duration wait,
+                             Duration timeout,
+                             Callback<WorkerNews> callback) -> void = 0;
+
   /// Reads all that operators wrote.
   virtual auto ReadOperator(Duration timeout, Callback<OperatorNews> callback)
       -> void = 0;
--- a/src/fireflythread/relay/io_relay_node.cc
+++ b/src/fireflythread/relay/io_relay_node.cc
@@ -4,12 +4,13 @@
 
 namespace fireflythread {
 
-RelayNode::RelayNode(EntryId self,
+RelayNode::RelayNode(EntryId own_id,
                      std::uint64_t incarnation,
                      WorkerClient& local,
                      const Logger& logger,
                      MetricsRegistry& metrics)
-    : links(std::move(self), incarnation),
+    : self(std::move(own_id)),
+      links(this->self, incarnation),
       relay(this->links, local),
       client(this->links, local, logger, metrics) {}
 
@@ -32,7 +33,7 @@
 
 auto RelayNode::SetEntries(const std::vector<RelayCandidate>& entries,
                            bool owns_pool) -> void {
-  this->client.UseRelayPeers(owns_pool ? ChooseRelayPeers(entries)
+  this->client.UseRelayPeers(owns_pool ? ChooseRelayPeers(this->self, entries)
                                        : std::vector<RelayCandidate>{});
 }
 
--- a/src/fireflythread/relay/io_relay_node.h
+++ b/src/fireflythread/relay/io_relay_node.h
@@ -51,6 +51,7 @@
   [[nodiscard]] auto IsIdle() const -> bool { return this->relay.IsIdle(); }
 
  private:
+  EntryId self;
   RelayLinks links;
   OrderRelay relay;
   RelayedWorkerClient client;
--- a/src/fireflythread/relay/relay_candidate.cc
+++ b/src/fireflythread/relay/relay_candidate.cc
@@ -4,11 +4,34 @@
 #include <iterator>
 #include <set>
 
+#include "fireflythread/base/stable_hash.h"
 #include "fireflythread/ownership/ownership_state.h"
 #include "fireflythread/ownership/placement.h"
 
 namespace fireflythread {
 
+namespace {
+
+/// Keeps the candidates with the highest hashes of their pairs with `self`.
+auto LimitTo(std::size_t limit,
+             const EntryId& self,
+             std::vector<RelayCandidate>& candidates) -> void {
+  if (candidates.size() <= limit) {
+    return;
+  }
+  const std::uint64_t own_hash = StableHash(self.value);
+  const auto score = [own_hash](const RelayCandidate& candidate) {
+    return MixBits(own_hash ^ StableHash(candidate.entry.value));
+  };
+  std::sort(candidates.begin(), candidates.end(),
+            [&score](const RelayCandidate& left, const RelayCandidate& right) {
+              return score(left) > score(right);
+            });
+  candidates.resize(limit);
+}
+
+}  // namespace
+
 auto ListCandidates(const OwnershipState& state)
     -> std::vector<RelayCandidate> {
   std::set<EntryId> owners;
@@ -33,7 +56,8 @@
   return candidates;
 }
 
-auto ChooseRelayPeers(const std::vector<RelayCandidate>& candidates)
+auto ChooseRelayPeers(const EntryId& self,
+                      const std::vector<RelayCandidate>& candidates)
     -> std::vector<RelayCandidate> {
   std::vector<RelayCandidate> idle;
   std::vector<RelayCandidate> owning;
@@ -42,7 +66,9 @@
       (candidate.owns_shard ? owning : idle).push_back(candidate);
     }
   }
-  return idle.empty() ? owning : idle;
+  std::vector<RelayCandidate>& chosen = idle.empty() ? owning : idle;
+  LimitTo(kMaxRelayPeers, self, chosen);
+  return chosen;
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/relay/relay_candidate.h
+++ b/src/fireflythread/relay/relay_candidate.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_RELAY_RELAY_CANDIDATE_H_
 #define FIREFLYTHREAD_RELAY_RELAY_CANDIDATE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -29,10 +30,16 @@
 [[nodiscard]] auto ListCandidates(const OwnershipState& state)
     -> std::vector<RelayCandidate>;
 
-/// Returns the candidates that an owner uses as relay peers: those that are
-/// alive, accept orders and own no shard, or, if there are none, those that own
-/// one.
+/// Upper limit of an owner's relay peers. Without it, the links and their
+/// heartbeats would grow with the owners times the entries.
+inline constexpr std::size_t kMaxRelayPeers = 32;
+
+/// Returns the candidates that the owner `self` uses as relay peers: those that
+/// are alive, accept orders and own no shard, or, if there are none, those that
+/// own one. Of more than kMaxRelayPeers, each owner uses others, by rendezvous
+/// hashing: when a relay peer leaves, the rest stay.
 [[nodiscard]] auto ChooseRelayPeers(
+    const EntryId& self,
     const std::vector<RelayCandidate>& candidates)
     -> std::vector<RelayCandidate>;
 
--- a/src/fireflythread/relay/relay_peer.h
+++ b/src/fireflythread/relay/relay_peer.h
@@ -18,7 +18,7 @@
   std::uint64_t incarnation = 0;
   std::string address;
   double weight = 1;
-  /// HashName() of the relay peer's id.
+  /// StableHash() of the relay peer's id.
   std::uint64_t hash = 0;
   /// False if the relay peer is no longer selected. It then stays in the table
   /// until it has no pending orders.
--- a/src/fireflythread/relay/relay_peer_choice.h
+++ b/src/fireflythread/relay/relay_peer_choice.h
@@ -1,18 +1,12 @@
 #ifndef FIREFLYTHREAD_RELAY_RELAY_PEER_CHOICE_H_
 #define FIREFLYTHREAD_RELAY_RELAY_PEER_CHOICE_H_
 
-#include <cstdint>
-#include <string_view>
-
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 #include "fireflythread/relay/fwd.h"
 
 namespace fireflythread {
 
-/// Returns a hash of `name` that is the same in every process.
-[[nodiscard]] auto HashName(std::string_view name) -> std::uint64_t;
-
 /// Returns the usable relay peer for the orders to `worker`, by weighted
 /// rendezvous hashing: workers are distributed in proportion to the weights of
 /// the relay peers, and if one becomes unusable, only its own workers are
--- a/src/fireflythread/relay/relay_peers.cc
+++ b/src/fireflythread/relay/relay_peers.cc
@@ -1,7 +1,7 @@
 #include "fireflythread/relay/relay_peers.h"
 
+#include "fireflythread/base/stable_hash.h"
 #include "fireflythread/relay/pending_orders.h"
-#include "fireflythread/relay/relay_peer_choice.h"
 
 namespace fireflythread {
 namespace {
@@ -18,7 +18,7 @@
     relay_peer.entry = entry.entry;
     relay_peer.incarnation = entry.incarnation;
     relay_peer.address = entry.address;
-    relay_peer.hash = HashName(entry.entry.value);
+    relay_peer.hash = StableHash(entry.entry.value);
   }
   relay_peer.weight = entry.weight;
   relay_peer.selected = true;
--- a/test/fireflythread/entry/ended_jobs_task_test.cc
+++ b/test/fireflythread/entry/ended_jobs_task_test.cc
@@ -20,12 +20,12 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-const ServiceName kShard("desk");
+const ShardName kShard("desk");
 
 /// Has the owner of a shard with ended jobs, on virtual time.
 struct EndedFixture {
   EndedFixture() {
-    this->state.service = kShard;
+    this->state.shard = kShard;
     this->state.fence = this->store.Put(kFenceTable, kShard.value,
                                         std::string(kFenceKey), "{}");
   }
--- a/test/fireflythread/entry/job_request_handler_test.cc
+++ b/test/fireflythread/entry/job_request_handler_test.cc
@@ -16,8 +16,8 @@
 
 using Answer = std::variant<JobState, JobRequestOutcome>;
 
-const ServiceName kShard("desk");
-const ServiceName kOther("office");
+const ShardName kShard("desk");
+const ShardName kOther("office");
 
 struct JobRequestFixture {
   FakeTableStore store;
@@ -34,7 +34,7 @@
                     EncodeJobRequest(request));
   }
 
-  auto PutEnded(const ServiceName& shard, const std::string& job) -> void {
+  auto PutEnded(const ShardName& shard, const std::string& job) -> void {
     this->store.Put(kEndedTable, shard.value, job,
                     EncodeEndedJob({JobState::kCompleted, WallTime()}));
   }
@@ -51,7 +51,7 @@
     return *answer;
   }
 
-  auto Submit(const std::string& job, const std::vector<ServiceName>& others)
+  auto Submit(const std::string& job, const std::vector<ShardName>& others)
       -> JobRequestOutcome {
     JobRequest request;
     request.id = JobId(job);
--- a/test/fireflythread/entry/ownership_task_test.cc
+++ b/test/fireflythread/entry/ownership_task_test.cc
@@ -15,7 +15,7 @@
 namespace fireflythread::test {
 namespace {
 
-const ServiceName kPool("p");
+const ShardName kPool("p");
 
 /// An entry that owns and releases shards, but runs no jobs.
 struct OwningEntry {
@@ -33,19 +33,19 @@
              EntryId(id),
              incarnation,
              capacity,
-             {[this](const ServiceName& shard,
+             {[this](const ShardName& shard,
                      std::uint64_t fence,
                      const Handover&) {
                 this->fences[shard] = fence;
                 ++this->gains;
               },
-              [this](const ServiceName& shard) { this->fences.erase(shard); },
-              [this](const ServiceName& shard) { this->Release(shard); }}) {
+              [this](const ShardName& shard) { this->fences.erase(shard); },
+              [this](const ShardName& shard) { this->Release(shard); }}) {
     this->task.Start();
     this->task.SetWanted({kPool});
   }
 
-  auto Release(const ServiceName& shard) -> void {
+  auto Release(const ShardName& shard) -> void {
     const std::uint64_t fence = this->fences.at(shard);
     this->fences.erase(shard);
     this->task.Release(shard, fence, {});
@@ -65,7 +65,7 @@
   }
 
   std::vector<std::string> lines;
-  std::map<ServiceName, std::uint64_t> fences;
+  std::map<ShardName, std::uint64_t> fences;
   int gains = 0;
   Logger logger;
   OwnershipTask task;
--- a/test/fireflythread/entry/shard_publisher_test.cc
+++ b/test/fireflythread/entry/shard_publisher_test.cc
@@ -17,7 +17,7 @@
 /// The owner of a shard that has just been loaded, on virtual time.
 class PublishingOwner {
  public:
-  PublishingOwner() : shard(0), publisher(this->store) {
+  PublishingOwner() : shard(0), publisher(this->store, ServiceName("desk")) {
     this->shard.state.fence = this->store.Put(
         std::string(kFenceTable), this->Part(), std::string(kFenceKey), "{}");
     this->feed_at = this->shard.now;
@@ -67,7 +67,7 @@
   static constexpr milliseconds kTick{100};
 
   [[nodiscard]] auto Part() const -> std::string {
-    return this->shard.state.service.value;
+    return this->shard.state.shard.value;
   }
 
   ShardFixture shard;
--- a/test/fireflythread/entry/takeover_reads_test.cc
+++ b/test/fireflythread/entry/takeover_reads_test.cc
@@ -13,7 +13,8 @@
 namespace fireflythread::test {
 namespace {
 
-const ServiceName kShard("desk");
+const PoolPart kPart{ServiceName("desk"), 0, 1};
+const ShardName kShard = ShardOf(kPart);
 
 /// Workers that never answer.
 class UnresponsiveWorkers : public WorkerClient {
@@ -71,8 +72,8 @@
                                        this->metrics,
                                        [] { return ReadBootClock(); },
                                        [](const std::vector<WorkerId>&) {},
-                                       [](const ServiceName&) {}};
-    this->owner = std::make_unique<ShardTask>(std::move(environment), kShard,
+                                       [](const ShardName&) {}};
+    this->owner = std::make_unique<ShardTask>(std::move(environment), kPart,
                                               fence, Handover{});
     const int before = this->loaded;
     this->owner->Start();
--- a/test/fireflythread/entry/waiting_counts_test.cc
+++ b/test/fireflythread/entry/waiting_counts_test.cc
@@ -12,7 +12,7 @@
 namespace fireflythread::test {
 namespace {
 
-const ServiceName kPool("p");
+const ShardName kPool("p");
 
 auto MakeDiscardingLogger() -> Logger {
   return Logger(
@@ -32,7 +32,7 @@
   JobRequestHandler handler(store, logger);
   std::optional<int> answer;
   int answers = 0;
-  handler.ReadWaiting(kPool, QueueName("orders"),
+  handler.ReadWaiting({kPool}, QueueName("orders"),
                       [&](std::optional<int> count) {
                         answer = count;
                         ++answers;
@@ -50,6 +50,28 @@
   CHECK(ReadWaiting(store) == 0);
 }
 
+TEST_CASE("The waiting jobs of a pool are those of all its parts", "[entry]") {
+  // Guards against a number that leaves out the jobs of other parts.
+  MemoryTableStore store;
+  const std::vector<ShardName> shards{ShardName("p.2.0"), ShardName("p.2.1")};
+  const std::string table(kWaitingTable);
+  const std::string key(kWaitingKey);
+  store.Put(table, shards[0].value, key, R"({"orders":7})");
+  const Logger logger = MakeDiscardingLogger();
+  JobRequestHandler handler(store, logger);
+  std::optional<int> answer;
+  const auto read = [&] {
+    handler.ReadWaiting(shards, QueueName("orders"),
+                        [&](std::optional<int> count) { answer = count; });
+    store.RunCallbacks();
+  };
+  read();
+  CHECK_FALSE(answer.has_value());
+  store.Put(table, shards[1].value, key, R"({"orders":4})");
+  read();
+  CHECK(answer == 11);
+}
+
 TEST_CASE("No number is returned without current counts", "[entry]") {
   // Guards against the answer 0 for a queue whose jobs the owner is still
   // loading.
--- a/test/fireflythread/jobs/ended_jobs_test.cc
+++ b/test/fireflythread/jobs/ended_jobs_test.cc
@@ -149,7 +149,7 @@
   REQUIRE(rest.cancels.size() == 1);
   CHECK(rest.cancels[0].version == 480);
   // Nothing remains to be done once the row is removed.
-  Row gone{JobTable(shard.state.service), CancelKey(id), 0, "", "desk"};
+  Row gone{JobTable(shard.state.shard), CancelKey(id), 0, "", "desk"};
   ApplyMoveConflict(shard.state, Conflict{{gone}}, shard.now);
   CHECK(NextEndedBatch(shard.state).cancels.empty());
 }
--- a/test/fireflythread/jobs/shard_fixture.cc
+++ b/test/fireflythread/jobs/shard_fixture.cc
@@ -10,12 +10,12 @@
 }  // namespace
 
 ShardFixture::ShardFixture(int worker_count) {
-  this->state.service = ServiceName("desk");
+  this->state.shard = ShardName("desk");
   this->state.fence = 7;
   this->state.owned_since = this->now;
   Queue queue;
   queue.name = QueueName("orders");
-  queue.service = this->state.service;
+  queue.service = ServiceName(this->state.shard.value);
   queue.max_attempts = 2;
   queue.stretch = 1.5;
   queue.latency_objective = milliseconds(600);
@@ -23,7 +23,7 @@
   for (int number = 0; number < worker_count; ++number) {
     WorkerView view;
     view.id = WorkerId("w" + std::to_string(number));
-    view.service = this->state.service;
+    view.service = ServiceName(this->state.shard.value);
     view.address = "10.0.0." + std::to_string(number) + ":80";
     view.rack = "r" + std::to_string(number);
     view.labels = {"a", view.rack};
--- a/test/fireflythread/jobs/submission_queue_test.cc
+++ b/test/fireflythread/jobs/submission_queue_test.cc
@@ -18,8 +18,8 @@
 
 auto MakeSubmission(const std::string& job) -> Submission {
   Submission submission;
-  submission.shard = ServiceName("desk");
-  submission.other_shards = {ServiceName("office")};
+  submission.shard = ShardName("desk");
+  submission.other_shards = {ShardName("office")};
   submission.job = JobId(job);
   submission.value = "{}";
   submission.deadline = kNow + milliseconds(3000);
--- a/test/fireflythread/ownership/entry_cluster.cc
+++ b/test/fireflythread/ownership/entry_cluster.cc
@@ -5,7 +5,7 @@
 
 namespace fireflythread::test {
 
-EntryCluster::EntryCluster(std::set<ServiceName> shards)
+EntryCluster::EntryCluster(std::set<ShardName> shards)
     : wanted(std::move(shards)) {}
 
 auto EntryCluster::Start(const std::string& entry, EntryCapacity capacity)
@@ -41,7 +41,7 @@
 
 auto EntryCluster::OwnerOf(const std::string& shard) const -> std::string {
   for (const auto& [id, view] : this->views) {
-    if (OwnsShard(view, ServiceName(shard))) {
+    if (OwnsShard(view, ShardName(shard))) {
       return id;
     }
   }
--- a/test/fireflythread/ownership/entry_cluster.h
+++ b/test/fireflythread/ownership/entry_cluster.h
@@ -19,7 +19,7 @@
 /// over.
 class EntryCluster {
  public:
-  explicit EntryCluster(std::set<ServiceName> shards);
+  explicit EntryCluster(std::set<ShardName> shards);
 
   /// Starts a new process of the entry.
   auto Start(const std::string& entry, EntryCapacity capacity) -> void;
@@ -50,7 +50,7 @@
   auto Claim() -> void;
   auto HandOver() -> void;
 
-  std::set<ServiceName> wanted;
+  std::set<ShardName> wanted;
   std::map<std::string, OwnershipState> views;
   std::map<RowKey, Row> rows;
   std::uint64_t revision = 0;
--- a/test/fireflythread/ownership/handover_plan_test.cc
+++ b/test/fireflythread/ownership/handover_plan_test.cc
@@ -14,10 +14,10 @@
 constexpr EntryCapacity kLarge{500, 200};
 constexpr EntryCapacity kSmall{120, 10};
 
-auto Shards(int count) -> std::set<ServiceName> {
-  std::set<ServiceName> shards;
+auto Shards(int count) -> std::set<ShardName> {
+  std::set<ShardName> shards;
   for (int index = 0; index < count; ++index) {
-    shards.insert(ServiceName("p" + std::to_string(index)));
+    shards.insert(ShardName("p" + std::to_string(index)));
   }
   return shards;
 }
@@ -94,7 +94,7 @@
     state.entries_read_at = now - kMaxRowAge;
   }));
   CHECK_FALSE(PlanAfter([](State& state, TimePoint) {
-    state.wanted.insert(ServiceName("orphan"));
+    state.wanted.insert(ShardName("orphan"));
   }));
   CHECK_FALSE(
       PlanAfter([](State& state, TimePoint) { state.stopping = true; }));
@@ -162,7 +162,7 @@
   const std::size_t moved = cluster.handovers.size();
   cluster.Tick(60);
   CHECK(cluster.handovers.size() == moved);
-  for (const ServiceName& shard : Shards(shards)) {
+  for (const ShardName& shard : Shards(shards)) {
     CHECK_FALSE(cluster.OwnerOf(shard.value).empty());
   }
 }
--- a/test/fireflythread/ownership/ownership_test.cc
+++ b/test/fireflythread/ownership/ownership_test.cc
@@ -45,7 +45,7 @@
   state.self = EntryId(self);
   state.incarnation = 1;
   for (const char* shard : {"p", "q", "r", "s"}) {
-    state.wanted.insert(ServiceName(shard));
+    state.wanted.insert(ShardName(shard));
   }
   state.shards_read = true;
   ApplyEntryRows(state,
@@ -71,7 +71,7 @@
 
 /// Returns the number of claims that each entry makes from the same rows.
 auto ClaimsOfAll(const std::vector<Row>& entries,
-                 const std::set<ServiceName>& shards,
+                 const std::set<ShardName>& shards,
                  TimePoint now) -> std::map<std::string, std::size_t> {
   std::map<std::string, std::size_t> claims;
   for (const Row& row : entries) {
@@ -95,8 +95,8 @@
       {EntryRowWithCapacity("large", 500, 200, 1),
        EntryRowWithCapacity("older", 0, 0, 2), EntryRow("oldest", 1, 3),
        EntryRowWithCapacity("small", 120, 10, 4)},
-      {ServiceName("@duties"), ServiceName("p"), ServiceName("q"),
-       ServiceName("r"), ServiceName("s")},
+      {ShardName("@duties"), ShardName("p"), ShardName("q"), ShardName("r"),
+       ShardName("s")},
       now);
   CHECK(claims == std::map<std::string, std::size_t>{
                       {"large", 4}, {"older", 0}, {"oldest", 0}, {"small", 1}});
@@ -110,7 +110,7 @@
   const auto claims =
       ClaimsOfAll({EntryRowWithCapacity("a", 500, 10, 1),
                    EntryRowWithCapacity("b", 400, 200, 2)},
-                  {ServiceName("p"), ServiceName("q"), ServiceName("r")}, now);
+                  {ShardName("p"), ShardName("q"), ShardName("r")}, now);
   CHECK(claims == std::map<std::string, std::size_t>{{"a", 0}, {"b", 3}});
 }
 
@@ -127,13 +127,13 @@
                  now);
   std::uint64_t version = 10;
   for (const char* shard : {"@duties", "p", "q", "r"}) {
-    state.wanted.insert(ServiceName(shard));
+    state.wanted.insert(ShardName(shard));
     ApplyShardRow(state, ShardRow(shard, "large", 1, ++version), now);
   }
-  state.wanted.insert(ServiceName("s"));
+  state.wanted.insert(ShardName("s"));
   const auto claims = NextClaims(state, now);
   REQUIRE(claims.size() == 1);
-  CHECK(claims[0].shard == ServiceName("s"));
+  CHECK(claims[0].shard == ShardName("s"));
 }
 
 TEST_CASE(
@@ -142,7 +142,7 @@
   // Guards against a takeover from an owner that still renews its row.
   const TimePoint now{std::chrono::hours(1)};
   OwnershipState state = MakeState("a", now);
-  state.wanted = {ServiceName("p")};
+  state.wanted = {ShardName("p")};
   ApplyShardRow(state, ShardRow("p", "b", 1, 20), now);
   CHECK(NextClaims(state, now + kEntryTimeout / 2).empty());
 
@@ -164,7 +164,7 @@
           "[ownership]") {
   const TimePoint now{std::chrono::hours(1)};
   OwnershipState state = MakeState("a", now);
-  state.wanted = {ServiceName("p")};
+  state.wanted = {ShardName("p")};
   ApplyShardRow(state, ShardRow("p", "a", 9, 20), now);
   ApplyEntryRows(state, {EntryRow("a", 1, 30)}, now);
   REQUIRE(NextClaims(state, now).size() == 1);
@@ -176,7 +176,7 @@
   // entry: the claiming entry has only read the row of the previous process.
   const TimePoint now{std::chrono::hours(1)};
   OwnershipState state = MakeState("a", now);
-  state.wanted = {ServiceName("p")};
+  state.wanted = {ShardName("p")};
   ApplyEntryRows(state, {EntryRow("a", 1, 30), EntryRow("b", 1, 31)}, now);
   ApplyShardRow(state, ShardRow("p", "b", 2, 40), now);
   CHECK(NextClaims(state, now).empty());
@@ -187,7 +187,7 @@
 TEST_CASE("A claim tells whether the former owner has stopped", "[ownership]") {
   const TimePoint now{std::chrono::hours(1)};
   OwnershipState state = MakeState("a", now);
-  state.wanted = {ServiceName("p")};
+  state.wanted = {ShardName("p")};
   ApplyShardRow(state, ShardRow("p", "b", 1, 20), now);
   ApplyEntryRows(state, {EntryRow("a", 1, 30), EntryRow("b", 1, 2)},
                  now + kEntryTimeout);
@@ -207,7 +207,7 @@
 TEST_CASE("A released shard can be claimed at once", "[ownership]") {
   const TimePoint now{std::chrono::hours(1)};
   OwnershipState state = MakeState("a", now);
-  state.wanted = {ServiceName("p")};
+  state.wanted = {ShardName("p")};
   ApplyEntryRows(state, {EntryRow("a", 1, 30)}, now);
   ApplyShardRow(state, ShardRow("p", "b", 1, 20), now);
   ApplyShardRow(state, ShardRow("p", "", 0, 25), now);
@@ -220,14 +220,14 @@
 TEST_CASE("A release tells the next owner about unresponsive workers",
           "[ownership]") {
   const Transaction release =
-      MakeRelease(ServiceName("p"), 20, {{WorkerId("w"), milliseconds(1500)}});
+      MakeRelease(ShardName("p"), 20, {{WorkerId("w"), milliseconds(1500)}});
   REQUIRE(release.writes.size() == 1);
   OwnershipState state;
   ApplyShardRow(
       state,
       {std::string(kShardTable), "p", 21, release.writes[0].value.value()},
       TimePoint(std::chrono::hours(1)));
-  const ShardOwner& shard = state.shards.at(ServiceName("p"));
+  const ShardOwner& shard = state.shards.at(ShardName("p"));
   CHECK(shard.owner.empty());
   CHECK(shard.unresponsive_workers.at(WorkerId("w")) == milliseconds(1500));
 }
@@ -239,5 +239,48 @@
   CHECK(NextClaims(state, now).empty());
 }
 
+/// Has one large entry for each of the first claimants, which own a shard each,
+/// and one small entry, which is `self`.
+auto MakeLargeSite(TimePoint now) -> OwnershipState {
+  OwnershipState state = MakeState("small", now);
+  std::vector<Row> rows;
+  for (std::size_t number = 0; number < kFirstClaimants; ++number) {
+    const std::string name = "large" + std::to_string(number);
+    OwnershipState large;
+    large.self = EntryId(name);
+    large.incarnation = 1;
+    large.capacity = {500, 200};
+    rows.push_back({std::string(kEntryTable), name, 30 + number,
+                    *MakeRenewal(large).writes.front().value});
+    state.wanted.insert(ShardName("p" + name));
+    ApplyShardRow(state, ShardRow(("p" + name).c_str(), name.c_str(), 1, 20),
+                  now);
+  }
+  rows.push_back(EntryRow("small", 1, 60));
+  ApplyEntryRows(state, rows, now);
+  state.shards_read = true;
+  return state;
+}
+
+TEST_CASE("An entry that others precede reads their rows rarely",
+          "[ownership]") {
+  // Guards against a cost of each entry that grows with the number of entries:
+  // 147 entries that read 147 rows each second.
+  const TimePoint now{std::chrono::hours(1)};
+  OwnershipState state = MakeLargeSite(now);
+  CHECK_FALSE(ReadsEachRenewal(state, now));
+  // It reads them each time while a shard has no owner, and once it owns one.
+  OwnershipState orphaned = state;
+  orphaned.wanted.insert(ShardName("q"));
+  CHECK(ReadsEachRenewal(orphaned, now));
+  OwnershipState owning = state;
+  ApplyShardRow(owning, ShardRow("plarge0", "small", 1, 70), now);
+  CHECK(ReadsEachRenewal(owning, now));
+  // So does one of the entries that would claim the next shard.
+  OwnershipState large = state;
+  large.self = EntryId("large3");
+  CHECK(ReadsEachRenewal(large, now));
+}
+
 }  // namespace
 }  // namespace fireflythread::test
--- a/test/fireflythread/relay/relay_candidate_test.cc
+++ b/test/fireflythread/relay/relay_candidate_test.cc
@@ -1,7 +1,10 @@
 #include "fireflythread/relay/relay_candidate.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <iterator>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,17 +62,17 @@
   CHECK(Names(ListCandidates(state)) == "abcd");
   CHECK(ListCandidates(state).at(1).address == "10.0.0.2:2");
   CHECK(ListCandidates(state).at(1).incarnation == 2);
-  CHECK(Names(ChooseRelayPeers(ListCandidates(state))) == "ab");
+  CHECK(Names(ChooseRelayPeers(state.self, ListCandidates(state))) == "ab");
   ApplyShardRow(
       state,
       {std::string(kShardTable), "p", 10, R"({"owner":"a","incarnation":1})"},
       TimePoint());
-  CHECK(Names(ChooseRelayPeers(ListCandidates(state))) == "b");
+  CHECK(Names(ChooseRelayPeers(state.self, ListCandidates(state))) == "b");
   ApplyShardRow(
       state,
       {std::string(kShardTable), "q", 11, R"({"owner":"b","incarnation":2})"},
       TimePoint());
-  CHECK(Names(ChooseRelayPeers(ListCandidates(state))) == "ab");
+  CHECK(Names(ChooseRelayPeers(state.self, ListCandidates(state))) == "ab");
 }
 
 // Guards against dropping all relay peers while the store is unavailable.
@@ -80,7 +83,42 @@
       state,
       {RowOf("a", "10.0.0.1:2", false, 1), RowOf("b", "10.0.0.2:2", false, 20)},
       later);
-  CHECK(Names(ChooseRelayPeers(ListCandidates(state))) == "b");
+  CHECK(Names(ChooseRelayPeers(state.self, ListCandidates(state))) == "b");
+}
+
+// Guards against links and heartbeats that grow with the owners times the
+// entries: 15 owners with 132 relay peers each.
+TEST_CASE("An owner has a bounded number of relay peers") {
+  constexpr int kEntries = 132;
+  std::vector<RelayCandidate> candidates;
+  for (int number = 0; number < kEntries; ++number) {
+    RelayCandidate candidate;
+    candidate.entry = EntryId("entry-" + std::to_string(number));
+    candidate.address = "10.0.0.1:2";
+    candidate.alive = true;
+    candidates.push_back(candidate);
+  }
+  const auto names = [&candidates](const char* owner) {
+    std::set<std::string> chosen;
+    for (const RelayCandidate& candidate :
+         ChooseRelayPeers(EntryId(owner), candidates)) {
+      chosen.insert(candidate.entry.value);
+    }
+    return chosen;
+  };
+  const std::set<std::string> before = names("a");
+  CHECK(before.size() == kMaxRelayPeers);
+  // Owners use different ones, so that the work is spread over all entries.
+  CHECK(names("b") != before);
+  // When one leaves, the others stay.
+  std::erase_if(candidates, [&before](const RelayCandidate& candidate) {
+    return candidate.entry.value == *before.begin();
+  });
+  std::set<std::string> kept;
+  const std::set<std::string> after = names("a");
+  std::set_intersection(before.begin(), before.end(), after.begin(),
+                        after.end(), std::inserter(kept, kept.end()));
+  CHECK(kept.size() == kMaxRelayPeers - 1);
 }
 
 }  // namespace fireflythread::test
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -20,8 +20,9 @@
     R"("born":77,"seq":4})";
 
 TEST_CASE("A worker's entry is decoded", "[platform]") {
-  const auto worker = DecodeWorkerEntry("i-1", kWorkerEntry);
-  REQUIRE(worker.has_value());
+  const auto entry = DecodeWorkerEntry("i-1", kWorkerEntry);
+  const auto* worker = std::get_if<WorkerView>(&entry);
+  REQUIRE(worker != nullptr);
   CHECK(worker->rack == "r1-3");
   CHECK(worker->capacity.millicores == 16000);
   CHECK(worker->started_at.count() == 77);
@@ -36,10 +37,111 @@
         R"({"service":7,"address":"x","state":"ready","capacity":{}})",
         R"({"service":"desk","address":"x","state":"other","capacity":{}})",
         R"({"service":"desk","address":"x","state":"ready","capacity":3})"}) {
-    CHECK_FALSE(DecodeWorkerEntry("i-1", text).has_value());
+    CHECK(std::holds_alternative<WorkerEntryFault>(
+        DecodeWorkerEntry("i-1", text)));
   }
 }
 
+/// Returns kWorkerEntry with one value replaced.
+auto EntryWith(const std::string& old_text, const std::string& new_text)
+    -> std::string {
+  std::string entry = kWorkerEntry;
+  entry.replace(entry.find(old_text), old_text.size(), new_text);
+  return entry;
+}
+
+/// Returns the field that keeps an entry from being used, or "none".
+auto FaultOf(const std::string& entry) -> std::string {
+  const auto result = DecodeWorkerEntry("i-1", entry);
+  const auto* fault = std::get_if<WorkerEntryFault>(&result);
+  return fault == nullptr ? "none" : fault->field;
+}
+
+TEST_CASE("A worker's entry with an impossible capacity is left out",
+          "[platform]") {
+  // Guards against an entry of another writer that every placement prefers, and
+  // against conversions that are undefined or differ between processors.
+  for (const char* cpu : {"1e300", "-1e300", "18446744073709551616",
+                          "18446744073709551615", "-5", "9223372036854775807",
+                          "10000001", "0.5", "\"16000\"", "null", "[16000]"}) {
+    INFO(cpu);
+    CHECK(FaultOf(EntryWith("16000", cpu)) == "capacity");
+  }
+  CHECK(FaultOf(EntryWith("\"cpu\":16000,", "")) == "capacity");
+  CHECK(FaultOf(EntryWith("32768", "1e18")) == "capacity");
+  CHECK(FaultOf(EntryWith("\"gpu\":0", "\"gpu\":-1")) == "capacity");
+  CHECK(FaultOf(EntryWith("16000", "16000.0")) == "none");
+}
+
+TEST_CASE("A worker's entry with an impossible time is left out",
+          "[platform]") {
+  for (const char* born : {"9e18", "1e300", "-1", "true", "77.5"}) {
+    INFO(born);
+    CHECK(FaultOf(EntryWith("77", born)) == "born");
+  }
+  CHECK(FaultOf(EntryWith("\"seq\":4", "\"remaining_ms\":1e17")) ==
+        "remaining_ms");
+}
+
+TEST_CASE("A worker's entry with an impossible address is left out",
+          "[platform]") {
+  // Guards against calls to an address that nothing can listen at.
+  for (const char* address :
+       {"10.1.0.9:99999", "10.1.0.9:-1", "10.1.0.9:0", "10.1.0.9", ":80",
+        "10.1.0.9:80\\n", "10.1.0.9\\n:80", "10.1.0.9:80x", "desk:80", ""}) {
+    INFO(address);
+    CHECK(FaultOf(EntryWith("10.1.0.9:80", address)) == "address");
+  }
+}
+
+TEST_CASE("A deeply nested worker's entry is left out", "[platform]") {
+  // Guards against a stack that overflows, be it in the parser or in the
+  // destructor of what it returns. The store's rows are 64 KiB at most.
+  constexpr std::size_t kLevels = 2'000'000;
+  const std::string open(kLevels, '[');
+  const std::string close(kLevels, ']');
+  CHECK(FaultOf(open).empty());
+  CHECK(FaultOf(open + close).empty());
+  CHECK(FaultOf(EntryWith("16000", open + close)) == "capacity");
+  CHECK(FaultOf(EntryWith("[\"a\",\"r1-3\"]", open + close)) == "labels");
+}
+
+TEST_CASE("Numbers out of range in a submission are rejected", "[platform]") {
+  // Guards against sums that overflow and against a job that no worker could
+  // ever run.
+  for (const char* step :
+       {R"({"count":1e300,"cpu":1})", R"({"count":1.5,"cpu":1})",
+        R"({"count":1,"cpu":1e300})", R"({"count":1,"cpu":-1})",
+        R"({"count":1,"mem_mb":18446744073709551615})",
+        R"({"count":1,"estimate_ms":9e18})", R"({"count":1,"gpu":"x"})"}) {
+    INFO(step);
+    CHECK_FALSE(
+        DecodeJobBody(std::string(R"({"steps":[)") + step + "]}").has_value());
+  }
+  CHECK_FALSE(DecodeJobBody(R"({"steps":[{"count":1}],"interval_ms":9e18})")
+                  .has_value());
+  CHECK_FALSE(
+      DecodeJobBody(R"({"steps":[{"count":1},{"count":1,"after":[1e300]}]})")
+          .has_value());
+}
+
+TEST_CASE("Numbers out of range in a report are left out", "[platform]") {
+  // Guards against a run number or a completion that no worker can have sent.
+  const Json body =
+      Json::parse(R"({"clock_ms":5,"born":9,"running":)"
+                  R"([["5c0e7a21d94b36f8.0.1.17",1e300,"",41],)"
+                  R"(["5c0e7a21d94b36f8.0.1.18",-1,"",41],)"
+                  R"(["5c0e7a21d94b36f8.0.1.19",1,"",1e18]],)"
+                  R"("ended":[[-1,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+                  R"([1e300,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+                  R"([5,"5c0e7a21d94b36f8.0.1.9",1e10,"done",""]]})");
+  const auto result = DecodeReport(JsonReply{200, body});
+  const auto* report = std::get_if<WorkerReport>(&result);
+  REQUIRE(report != nullptr);
+  CHECK(report->running.empty());
+  CHECK(report->ended.empty());
+}
+
 TEST_CASE("The body of a job submission is decoded and checked", "[platform]") {
   const auto job = DecodeJobBody(
       R"({"spec":"s","steps":[{"count":4,"cpu":500,"mem_mb":256},)"
