--- a/test/fireflythread/jobs/pool_parts_test.cc
+++ b/test/fireflythread/jobs/pool_parts_test.cc
@@ -22,7 +22,7 @@
   // in different shards or send orders of two owners to one worker.
   CHECK(PartOfJob(kPool, 10, JobId("5c0e7a21d94b36f8")).index == 7);
   CHECK(PartOfJob(kPool, 10, JobId("0000000000000000")).index == 8);
-  CHECK(HasWorker({kPool, 4, 10}, WorkerId("i-7f3a91c2")));
+  CHECK(PartOfWorker(WorkerId("i-7f3a91c2"), 10) == 2);
 }
 
 TEST_CASE("Each worker belongs to exactly one part", "[jobs]") {
--- a/test/fireflythread/ownership/ownership_test.cc
+++ b/test/fireflythread/ownership/ownership_test.cc
@@ -243,22 +243,15 @@
 /// and one small entry, which is `self`.
 auto MakeLargeSite(TimePoint now) -> OwnershipState {
   OwnershipState state = MakeState("small", now);
-  std::vector<Row> rows;
+  state.wanted.clear();
+  std::vector<Row> rows{EntryRow("small", 1, 60)};
   for (std::size_t number = 0; number < kFirstClaimants; ++number) {
     const std::string name = "large" + std::to_string(number);
-    OwnershipState large;
-    large.self = EntryId(name);
-    large.incarnation = 1;
-    large.capacity = {500, 200};
-    rows.push_back({std::string(kEntryTable), name, 30 + number,
-                    *MakeRenewal(large).writes.front().value});
+    rows.push_back(EntryRowWithCapacity(name, 500, 200, 30 + number));
     state.wanted.insert(ShardName("p" + name));
-    ApplyShardRow(state, ShardRow(("p" + name).c_str(), name.c_str(), 1, 20),
-                  now);
+    ApplyShardRow(state, ShardRow("p" + name, name, 1, 20), now);
   }
-  rows.push_back(EntryRow("small", 1, 60));
   ApplyEntryRows(state, rows, now);
-  state.shards_read = true;
   return state;
 }
 
