--- a/test/process/peer_link_test.cc
+++ b/test/process/peer_link_test.cc
@@ -11,6 +11,9 @@
 
 using Json = nlohmann::json;
 
+/// Time after which a confirmation of the quorum is no longer fresh.
+constexpr std::chrono::seconds kFreshnessLimit{2};
+
 auto RelayedSite() -> Site::Options {
   Site::Options options;
   options.relay_peers = true;
@@ -28,7 +31,6 @@
   // Only a quorum of peers keeps an entry ready for longer than the freshness
   // limit; a request after it shows that it holds. An entry need not have been
   // unready meanwhile: the links may be replaced before the limit.
-  constexpr std::chrono::seconds kFreshnessLimit{2};
   site.SilencePeerLinks();
   const auto silenced_at = std::chrono::steady_clock::now();
   REQUIRE(WaitUntil([&site] { return site.HasNewPeerLinks(); }));
