Store a shard's progress at most each 30 ms

An owner under load stored progress as soon as the last transaction was answered, 40 to 56 times a second, and every entry asked for the owners of shards each second.

Change: 30 ms between two transactions with progress, so that the changes of that time share one, and a wait of 2 s for the owners of shards.

--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -97,7 +97,7 @@
 
 auto OwnershipTask::FollowShards() -> void {
   this->store.Follow(std::string(kShardTable), this->shard_revision,
-                     kFollowWait, kFollowWait + kFollowSlack,
+                     kShardFollowWait, kShardFollowWait + kFollowSlack,
                      this->alive.Guard([this](auto&& result) {
                        const auto* page = std::get_if<FeedPage>(&result);
                        if (page == nullptr || page->history_lost) {
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -32,8 +32,9 @@
 /// Timeout of a start or stop.
 constexpr milliseconds kOrderTimeout{1000};
 
-/// Added to the wait of a long poll of a worker to get its timeout.
-constexpr milliseconds kPollSlack{800};
+/// Minimum time between two transactions that store progress, so that the
+/// changes of that time share one, and the completions one poll.
+constexpr milliseconds kFlushPeriod{30};
 
 /// Upper limit of the jobs whose progress is stored in one transaction. A
 /// transaction holds at most 100 entries; each job takes two and the fence one.
@@ -55,6 +56,7 @@
                  this->state,
                  [this] { this->CheckFence(); }),
       wake([this] { this->Step(); }),
+      flush_timer([this] { this->Wake(); }),
       follow_retry(
           [this] { this->loaded ? this->FollowJobs() : this->LoadJobs(); }),
       tick(kTick, [this] { this->Wake(); }) {
@@ -295,6 +297,13 @@
   if (this->flushing || this->state.dirty.empty()) {
     return;
   }
+  const TimePoint now = ReadBootClock();
+  if (!this->draining && now - this->flushed_at < kFlushPeriod) {
+    this->flush_timer.Start(std::chrono::ceil<milliseconds>(
+        kFlushPeriod - (now - this->flushed_at)));
+    return;
+  }
+  this->flushed_at = now;
   const RecordBatch batch = TakeBatch(this->state, kJobsPerTransaction);
   const std::string& store_part = this->state.shard.value;
   Transaction transaction;
@@ -403,86 +412,6 @@
       }));
 }
 
-auto ShardTask::PollWorkers() -> void {
-  const TimePoint now = ReadBootClock();
-  // Leases are extended only while the entry's row is renewed, because a
-  // successor computes their end from that row.
-  const bool may_extend = now - this->environment.confirmed_at() <
-                          this->state.limits.extend_without_store;
-  std::vector<PollCommand> polls;
-  for (auto& [id, worker] : this->state.workers) {
-    // The worker would report again the completions that are being stored, so
-    // the poll is delayed by up to 1000 ms.
-    const bool storing =
-        worker.last_stored_completion < worker.last_applied_completion &&
-        now - worker.next_poll < milliseconds(1000);
-    if (storing) {
-      continue;
-    }
-    if (auto poll = NextPoll(this->state, worker, may_extend, now)) {
-      polls.push_back(std::move(*poll));
-    }
-  }
-  for (const PollCommand& poll : polls) {
-    this->SendPoll(poll);
-  }
-}
-
-auto ShardTask::SendPoll(const PollCommand& poll) -> void {
-  const TimePoint sent_at = ReadBootClock();
-  this->environment.workers.Poll(
-      poll, poll.wait + kPollSlack,
-      this->alive.Guard([this, poll, sent_at](auto&& result) {
-        const auto* report = std::get_if<WorkerReport>(&result);
-        this->monitor.RecordPoll(report == nullptr);
-        if (report != nullptr) {
-          this->ApplyWorkerReport(poll, *report, sent_at);
-        } else {
-          this->ApplyMissingReport(poll, std::get<OrderReply>(result));
-        }
-        this->CheckFence();
-        this->Wake();
-      }));
-}
-
-auto ShardTask::ApplyWorkerReport(const PollCommand& poll,
-                                  const WorkerReport& report,
-                                  TimePoint sent_at) -> void {
-  this->LogCompletions(poll.worker, report);
-  ApplyReport(this->state, poll.worker, report, sent_at, ReadBootClock());
-}
-
-auto ShardTask::LogCompletions(const WorkerId& worker_id,
-                               const WorkerReport& report) -> void {
-  const auto worker = this->state.workers.find(worker_id);
-  if (worker == this->state.workers.end()) {
-    return;
-  }
-  for (const RunCompletion& ended : report.ended) {
-    if (ended.number <= worker->second.last_applied_completion) {
-      continue;
-    }
-    this->monitor.RecordCompletion();
-    this->run_log.RecordCompletion(worker_id, ended);
-  }
-}
-
-auto ShardTask::ApplyMissingReport(const PollCommand& poll,
-                                   const OrderReply& reply) -> void {
-  const TimePoint now = ReadBootClock();
-  this->run_log.RecordFailedPoll(poll, reply);
-  if (reply.verdict == OrderVerdict::kFenced) {
-    this->state.fenced_off = true;
-  }
-  if (reply.verdict == OrderVerdict::kOtherInstance) {
-    ApplyWorkerGone(this->state, poll.worker, now);
-  } else if (reply.verdict == OrderVerdict::kNotSent) {
-    ApplyPollRefusal(this->state, poll.worker, now);
-  } else {
-    ApplyPollFailure(this->state, poll.worker, now);
-  }
-}
-
 auto ShardTask::CheckFence() -> void {
   if (this->state.fenced_off) {
     this->environment.on_fenced(this->state.shard);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -143,7 +143,10 @@
   /// When the last step ended, and how long it took.
   TimePoint step_ended;
   Duration last_step{0};
+  /// When the last transaction with progress was sent.
+  TimePoint flushed_at;
   OneShotTimer wake;
+  OneShotTimer flush_timer;
   OneShotTimer follow_retry;
   PeriodicTimer tick;
   AliveToken alive;
--- a/src/fireflythread/entry/store_timeouts.h
+++ b/src/fireflythread/entry/store_timeouts.h
@@ -13,6 +13,11 @@
 /// configuration must be in force.
 inline constexpr std::chrono::milliseconds kFollowWait{1000};
 
+/// Long-poll wait of the call that follows the owners of shards, which every
+/// entry makes. Only a release is learned by it alone: on an unresponsive
+/// connection the shard is claimed that much later.
+inline constexpr std::chrono::milliseconds kShardFollowWait{2000};
+
 /// Added to the wait of a call that follows a table to get its timeout.
 inline constexpr std::chrono::milliseconds kFollowSlack{400};
 
