--- a/src/fireflythread/jobs/pool_part.h
+++ b/src/fireflythread/jobs/pool_part.h
@@ -26,7 +26,7 @@
                              int count,
                              const JobId& job) -> PoolPart;
 
-/// Returns the index of the part that a worker belongs to, for its whole life:
+/// Returns the index of the part that a worker belongs to. It never changes:
 /// a worker refuses the lower fencing token of another part's owner.
 [[nodiscard]] auto PartOfWorker(const WorkerId& worker, int count) -> int;
 
