Withhold orders that a paused process would send late

A stored run was started whenever the store's answer was read; a recorded move or upkeep was ordered whenever the record was answered, although the next owner of the duties may order the VM after 3.3 s and the worker may have runs again; a relay peer performed orders that had waited in its socket while it was frozen, as times in messages are relative and began at the reading.

Ruled out: leases of runs (a worker's clock ends them) and the polls that extend them (already bound to the entry's own renewal).

Change: a start is withheld 1.5 s after the transaction that stored its run was sent, and the task waits for another run. An order for a VM is recorded again 1.5 s after its record was sent, which fails at a former owner; with the order's own time that is over before the next owner may act. The new numbers of a message are checked for their range.

--- a/src/fireflythread/duties/duties.cc
+++ b/src/fireflythread/duties/duties.cc
@@ -129,7 +129,10 @@
 auto ApplyRecordResult(DutyState& state,
                        const std::vector<Duty>& orders,
                        bool stored,
+                       TimePoint sent_at,
                        TimePoint now) -> std::vector<Duty> {
+  // After a pause of this process, another entry may own the duties.
+  const bool valid = stored && now - sent_at < kRecordValidity;
   std::vector<Duty> sent;
   for (const Duty& order : orders) {
     // A transaction without an answer may have stored the record as well.
@@ -139,7 +142,7 @@
         duty->second.phase != DutyPhase::kRecording) {
       continue;
     }
-    if (stored) {
+    if (valid) {
       duty->second.phase = DutyPhase::kOrdered;
       sent.push_back(duty->second);
     } else {
--- a/src/fireflythread/duties/duties.h
+++ b/src/fireflythread/duties/duties.h
@@ -61,12 +61,14 @@
 [[nodiscard]] auto NextOrders(DutyState& state, TimePoint now)
     -> std::vector<Duty>;
 
-/// Applies whether the orders of `NextOrders` were recorded, and returns those
-/// to send. Orders that were not recorded are tried again after
+/// Applies whether the orders of `NextOrders` were recorded by a transaction
+/// that was sent at `sent_at`, and returns those to send. Orders that were not
+/// recorded, or more than kRecordValidity ago, are recorded again after
 /// kDutyRetryDelay.
 [[nodiscard]] auto ApplyRecordResult(DutyState& state,
                                      const std::vector<Duty>& orders,
                                      bool stored,
+                                     TimePoint sent_at,
                                      TimePoint now) -> std::vector<Duty>;
 
 /// Removes the records that are no longer needed from the state and returns
--- a/src/fireflythread/duties/duty_limits.h
+++ b/src/fireflythread/duties/duty_limits.h
@@ -45,6 +45,12 @@
 /// for this long, so that two owners do not send orders for the same VM.
 inline constexpr std::chrono::milliseconds kFormerOrderPause{3300};
 
+/// A recorded order may be sent for this long after the transaction with its
+/// record was sent. With the timeout of the order, which is as long, it is over
+/// before kFormerOrderPause, so that no order of a paused process arrives when
+/// the next owner may order the same VM.
+inline constexpr std::chrono::milliseconds kRecordValidity{1500};
+
 /// Upper limit of the orders recorded in one transaction, and also of the
 /// records removed in it. A transaction may hold 100 entries.
 inline constexpr std::size_t kMaxRecordsPerTransaction = 45;
--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -243,21 +243,25 @@
   this->recording = true;
   this->environment.store.Commit(
       std::move(transaction), kStoreTimeout,
-      this->alive.Guard([this, orders](const TransactionOutcome& outcome) {
-        this->recording = false;
-        this->ApplyRecordOutcome(orders, outcome);
-      }));
+      this->alive.Guard(
+          [this, orders, sent_at = now](const TransactionOutcome& outcome) {
+            this->recording = false;
+            this->ApplyRecordOutcome(orders, outcome, sent_at);
+          }));
 }
 
 auto DutyTask::ApplyRecordOutcome(const std::vector<Duty>& orders,
-                                  const TransactionOutcome& outcome) -> void {
+                                  const TransactionOutcome& outcome,
+                                  TimePoint sent_at) -> void {
   const bool stored = std::holds_alternative<Committed>(outcome);
-  if (!stored) {
-    this->environment.logger.Warning("duties", "orders_not_recorded",
-                                     {{"orders", orders.size()}});
+  const std::vector<Duty> confirmed = ApplyRecordResult(
+      this->state, orders, stored, sent_at, ReadBootClock());
+  if (confirmed.size() < orders.size()) {
+    this->environment.logger.Warning(
+        "duties", "orders_not_recorded",
+        {{"orders", orders.size() - confirmed.size()}, {"stored", stored}});
   }
-  for (const Duty& duty :
-       ApplyRecordResult(this->state, orders, stored, ReadBootClock())) {
+  for (const Duty& duty : confirmed) {
     this->SendOrder(duty);
   }
   if (std::holds_alternative<Conflict>(outcome)) {
--- a/src/fireflythread/entry/duty_task.h
+++ b/src/fireflythread/entry/duty_task.h
@@ -88,7 +88,8 @@
   auto Step() -> void;
   auto RecordOrders() -> void;
   auto ApplyRecordOutcome(const std::vector<Duty>& orders,
-                          const TransactionOutcome& outcome) -> void;
+                          const TransactionOutcome& outcome,
+                          TimePoint sent_at) -> void;
   auto SendOrder(const Duty& duty) -> void;
   auto StoreWaves() -> void;
 
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -36,6 +36,11 @@
 /// changes of that time share one, and the completions one poll.
 constexpr milliseconds kFlushPeriod{30};
 
+/// A start may be sent for this long after the transaction that stored its run
+/// was sent. Only a paused process gets the answer later.
+constexpr milliseconds kStartValidity{1500};
+static_assert(kStartValidity > kStoreTimeout);
+
 /// Upper limit of the jobs whose progress is stored in one transaction. A
 /// transaction holds at most 100 entries; each job takes two and the fence one.
 constexpr std::size_t kJobsPerTransaction = 45;
@@ -335,9 +340,10 @@
   this->monitor.RecordStoreTime(ReadBootClock() - sent_at);
   if (const auto* committed = std::get_if<Committed>(&outcome)) {
     this->LogFinished(batch, committed->revision);
-    for (const StartCommand& start : ApplyStored(
-             this->state, batch, committed->revision, ReadBootClock())) {
-      this->SendStart(start);
+    const std::vector<StartCommand> starts =
+        ApplyStored(this->state, batch, committed->revision, ReadBootClock());
+    for (const StartCommand& start : starts) {
+      this->SendStart(start, sent_at);
     }
     return;
   }
@@ -383,7 +389,18 @@
   this->CheckFence();
 }
 
-auto ShardTask::SendStart(const StartCommand& start) -> void {
+auto ShardTask::SendStart(const StartCommand& start, TimePoint stored_at)
+    -> void {
+  // Checked directly before each start, as the process may have been paused
+  // since the run was stored, and another entry may own the shard by now.
+  const TimePoint now = ReadBootClock();
+  if (now - stored_at >= kStartValidity) {
+    this->environment.logger.Warning(
+        "shard", "start_withheld",
+        {{"shard", this->state.shard}, {"worker", start.worker}});
+    ApplyWithheldStart(this->state, start, now);
+    return;
+  }
   this->environment.workers.Start(
       start, kOrderTimeout,
       this->alive.Guard([this, start](const OrderReply& reply) {
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -104,7 +104,9 @@
                          TimePoint sent_at) -> void;
   auto ApplyConflict(const RecordBatch& batch, const Conflict& conflict)
       -> void;
-  auto SendStart(const StartCommand& start) -> void;
+  /// Sends the start of a run that a transaction sent at `stored_at` has
+  /// stored, or withholds it after a pause of the process.
+  auto SendStart(const StartCommand& start, TimePoint stored_at) -> void;
   auto LogFinished(const RecordBatch& batch, std::uint64_t revision) -> void;
   auto SendStops() -> void;
   auto SendStop(const StopCommand& stop) -> void;
--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -99,6 +99,17 @@
   }
 }
 
+auto ApplyWithheldStart(ShardState& state,
+                        const StartCommand& start,
+                        TimePoint now) -> void {
+  const TaskState* task = FindTask(state, start.task);
+  if (IsNewestRun(task, start.worker, start.run) &&
+      task->phase == RunPhase::kStarting) {
+    ReleaseTask(state, start.task, now);
+    ForgetIfFinished(state, start.task.job);
+  }
+}
+
 auto NextStops(ShardState& state, TimePoint now) -> std::vector<StopCommand> {
   std::vector<StopCommand> stops;
   for (const TaskName& name : state.stopping) {
--- a/src/fireflythread/jobs/shard_orders.h
+++ b/src/fireflythread/jobs/shard_orders.h
@@ -16,6 +16,12 @@
                      const OrderReply& reply,
                      TimePoint now) -> void;
 
+/// Applies that a stored start was not sent and never will be. The task waits
+/// for another run.
+auto ApplyWithheldStart(ShardState& state,
+                        const StartCommand& start,
+                        TimePoint now) -> void;
+
 /// Returns the stops that are due and marks each as sent.
 [[nodiscard]] auto NextStops(ShardState& state, TimePoint now)
     -> std::vector<StopCommand>;
--- a/src/fireflythread/relay/io_order_relay.cc
+++ b/src/fireflythread/relay/io_order_relay.cc
@@ -1,6 +1,7 @@
 #include "fireflythread/relay/io_order_relay.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <utility>
 
@@ -35,6 +36,23 @@
 /// cell has fewer entries than this.
 constexpr std::size_t kMaxOwners = 128;
 
+/// Upper limit of the time at which a message says that it was sent. Clocks
+/// start at zero with their machine; a later time would be an error and could
+/// overflow.
+constexpr std::chrono::nanoseconds kMaxSentAt = std::chrono::hours(24 * 365);
+
+/// Returns how much longer than usual a message of an owner was under way, and
+/// zero for a message that doesn't say when it was sent.
+auto TransitDelayOf(TransitDelay& transit,
+                    std::int64_t sent_at_ns,
+                    TimePoint now) -> Duration {
+  if (sent_at_ns <= 0 || sent_at_ns > kMaxSentAt.count()) {
+    return Duration(0);
+  }
+  const TimePoint sent_at{std::chrono::nanoseconds(sent_at_ns)};
+  return RecordTransit(transit, sent_at, now);
+}
+
 }  // namespace
 
 OrderRelay::OrderRelay(RelayLinks& relay_links, WorkerClient& local_client)
@@ -80,7 +98,9 @@
     owner = Owner{};
     owner.incarnation = envelope.incarnation();
   }
-  owner.last_message_at = ReadBootClock();
+  const TimePoint now = ReadBootClock();
+  owner.last_message_at = now;
+  (void)TransitDelayOf(owner.transit, envelope.relay_hello().sent_at_ns(), now);
   return true;
 }
 
@@ -96,19 +116,28 @@
     return;
   }
   owner->second.last_batch = batch.number();
-  owner->second.last_message_at = ReadBootClock();
+  const TimePoint now = ReadBootClock();
+  owner->second.last_message_at = now;
+  const Duration delay =
+      TransitDelayOf(owner->second.transit, batch.sent_at_ns(), now);
   for (const peer::RelayedOrder& order : batch.orders()) {
-    this->Enqueue({owner_id, envelope.incarnation(), order.number()}, order);
+    this->Enqueue({owner_id, envelope.incarnation(), order.number()}, order,
+                  delay);
   }
 }
 
 auto OrderRelay::Enqueue(const Origin& origin,
-                         const peer::RelayedOrder& message) -> void {
+                         const peer::RelayedOrder& message,
+                         Duration delay) -> void {
   auto order = DecodeOrder(message);
-  if (!order || this->stopping) {
+  // An order that waited in the socket of a paused process may have been given
+  // up, and another entry may own its shard by now.
+  if (!order || this->stopping ||
+      (delay > Duration(0) && delay >= order->timeout)) {
     this->Refuse(origin);
     return;
   }
+  order->timeout -= delay;
   if (this->queue.size() >= kMaxQueueLength) {
     this->RefuseAsBusy(origin);
     return;
--- a/src/fireflythread/relay/io_order_relay.h
+++ b/src/fireflythread/relay/io_order_relay.h
@@ -16,6 +16,7 @@
 #include "fireflythread/peer/generated/peer.pb.h"
 #include "fireflythread/platform/worker_client.h"
 #include "fireflythread/relay/fwd.h"
+#include "fireflythread/relay/transit_delay.h"
 #include "fireflythread/relay/worker_order.h"
 
 namespace fireflythread {
@@ -49,6 +50,7 @@
     std::uint64_t incarnation = 0;
     TimePoint last_message_at;
     std::uint64_t last_batch = 0;
+    TransitDelay transit;
     /// Answers of the next batch to this owner.
     peer::OrderReplyBatch answers;
     std::size_t bytes = 0;
@@ -70,7 +72,10 @@
 
   static auto OnIdle(gpointer data) -> gboolean;
   auto Admit(const EntryId& owner, const peer::Envelope& envelope) -> bool;
-  auto Enqueue(const Origin& origin, const peer::RelayedOrder& message) -> void;
+  /// Enqueues an order that was under way `delay` longer than usual.
+  auto Enqueue(const Origin& origin,
+               const peer::RelayedOrder& message,
+               Duration delay) -> void;
   auto PerformQueued() -> void;
   auto Perform(QueuedOrder queued) -> void;
   auto Refuse(const Origin& origin) -> void;
--- a/src/fireflythread/relay/io_relayed_worker_client.cc
+++ b/src/fireflythread/relay/io_relayed_worker_client.cc
@@ -136,6 +136,8 @@
 
 auto RelayedWorkerClient::Flush(const EntryId& peer_id, Batch batch) -> void {
   batch.envelope.mutable_order_batch()->set_number(++this->last_batch);
+  batch.envelope.mutable_order_batch()->set_sent_at_ns(
+      ReadBootClock().time_since_epoch().count());
   if (this->links.Send(peer_id, std::move(batch.envelope))) {
     return;
   }
@@ -223,6 +225,8 @@
   for (const EntryId& peer_id : CollectDueHellos(this->peers, now)) {
     peer::Envelope envelope;
     envelope.mutable_relay_hello()->set_address(this->links.Address());
+    envelope.mutable_relay_hello()->set_sent_at_ns(
+        now.time_since_epoch().count());
     // The result is ignored, because the hello is repeated until it is
     // answered.
     this->links.Send(peer_id, std::move(envelope));
--- a/test/fireflythread/duties/duties_test.cc
+++ b/test/fireflythread/duties/duties_test.cc
@@ -344,7 +344,9 @@
   const auto orders = NextOrders(fixture.state, fixture.now);
   REQUIRE(orders.size() == 2);
   CHECK(NextOrders(fixture.state, fixture.now).empty());
-  CHECK(ApplyRecordResult(fixture.state, orders, false, fixture.now).empty());
+  CHECK(
+      ApplyRecordResult(fixture.state, orders, false, fixture.now, fixture.now)
+          .empty());
   CHECK(NextOrders(fixture.state, fixture.now).empty());
   fixture.now += kDutyRetryDelay;
   CHECK(fixture.Send().size() == 2);
@@ -358,6 +360,24 @@
   CHECK(RemoveExpiredRecords(fixture.state, fixture.now).size() == 2);
 }
 
+TEST_CASE("A recorded order is not sent after a pause", "[duties]") {
+  // Guards against a process that was paused between the record and the order,
+  // and then moves a VM for which the next owner has other plans.
+  DutyFixture fixture;
+  fixture.SetLoad("a", 8000, 16000);
+  PlanMoves(fixture.state, fixture.now);
+  const auto orders = NextOrders(fixture.state, fixture.now);
+  REQUIRE(orders.size() == 2);
+  const TimePoint recorded_at = fixture.now;
+  fixture.now += kRecordValidity;
+  CHECK(ApplyRecordResult(fixture.state, orders, true, recorded_at, fixture.now)
+            .empty());
+  // The orders are recorded again under the fence, which fails at a former
+  // owner.
+  fixture.now += kDutyRetryDelay;
+  CHECK(fixture.Send().size() == 2);
+}
+
 TEST_CASE("VMs that a former owner sent to upkeep count towards the cap",
           "[duties]") {
   // Guards against exceeding the cap of down VMs after a change of the owner.
--- a/test/fireflythread/duties/duty_fixture.h
+++ b/test/fireflythread/duties/duty_fixture.h
@@ -59,7 +59,7 @@
   /// Records the orders that are due and returns those that are sent.
   auto Send() -> std::vector<Duty> {
     return ApplyRecordResult(this->state, NextOrders(this->state, this->now),
-                             true, this->now);
+                             true, this->now, this->now);
   }
 
   DutyState state;
--- a/test/fireflythread/relay/order_relay_test.cc
+++ b/test/fireflythread/relay/order_relay_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "fireflythread/base/io_clock.h"
 #include "fireflythread/relay/io_order_codec.h"
 #include "fireflythread/relay/io_relay_links.h"
 #include "test/fireflythread/relay/fake_workers.h"
@@ -85,6 +86,33 @@
   CHECK(fixture.workers.called.empty());
 }
 
+// Guards against an order that waited in the socket of a paused process and is
+// carried out after its owner has given it up.
+TEST_CASE("A relay peer returns an order that was under way for too long",
+          "[relay]") {
+  RelayFixture fixture;
+  fixture.WaitForWelcome();
+  const auto send_batch = [&](std::uint64_t number, TimePoint sent_at) {
+    peer::Envelope envelope;
+    peer::OrderBatch& batch = *envelope.mutable_order_batch();
+    batch.set_number(number);
+    batch.set_sent_at_ns(sent_at.time_since_epoch().count());
+    EncodeOrder({StopCommand{}, std::chrono::seconds(30)}, *batch.add_orders());
+    batch.mutable_orders(0)->set_number(number);
+    REQUIRE(fixture.owner.Send(EntryId("h"), std::move(envelope)));
+  };
+  const TimePoint now = ReadBootClock();
+  send_batch(1, now);
+  REQUIRE(RunUntil([&] { return fixture.answers.size() == 1; },
+                   [&] { fixture.workers.AnswerAll(); }));
+  CHECK_FALSE(fixture.answers[0].not_performed());
+  send_batch(2, now - std::chrono::seconds(60));
+  REQUIRE(RunUntil([&] { return fixture.answers.size() == 2; },
+                   [&] { fixture.workers.AnswerAll(); }));
+  CHECK(fixture.answers[1].not_performed());
+  CHECK(fixture.workers.called.size() == 1);
+}
+
 // Guards against an order that is performed twice because its batch is
 // delivered twice.
 TEST_CASE("A relay peer performs a batch once", "[relay]") {
