Find silent links with fewer heartbeats, hellos and ticks

Most entries own nothing, but each is a relay peer of about four owners: both ends of each of the 1,100 connections sent a heartbeat twice a second, owners sent hellos each second to relay peers that had just replied, and each entry ran a timer of 50 ms for relay peers that it did not have.

Ruled out: fewer relay peers an owner (a peak of one pool needs most of the entries, as its three or four owners are all that order then).

Change: the connecting end alone sends heartbeats, and the accepting end closes a connection after two timeouts without a message. On the links of the relay they go out each 1.5 s with a timeout of 3 s; unanswered orders and hellos show a silent link earlier. A hello waits until a relay peer has been silent for a second. The timer runs while there are relay peers.

--- a/src/fireflythread/peer/peer_link.cc
+++ b/src/fireflythread/peer/peer_link.cc
@@ -50,6 +50,7 @@
 auto PeerLink::Connect() -> zmq::socket_t {
   zmq::socket_t created(this->zmq_context, zmq::socket_type::dealer);
   internal::SetCommonOptions(created, this->settings, this->address);
+  internal::SetHeartbeats(created, this->settings);
   // Without this, messages pile up for a peer that is down and reach its
   // successor late.
   created.set(zmq::sockopt::immediate, true);
--- a/src/fireflythread/peer/peer_transport_settings.h
+++ b/src/fireflythread/peer/peer_transport_settings.h
@@ -37,6 +37,9 @@
   /// A larger message closes its connection. Holds a snapshot of the largest
   /// cell, some 700 VM rows of under 1 KB and the configuration, with room.
   std::int64_t largest_message = std::int64_t{8} << 20;
+  /// Interval of the heartbeats that the connecting end of each connection
+  /// sends.
+  Duration heartbeat_period = std::chrono::milliseconds(500);
   /// A connection without an answer to its heartbeats for this long is closed
   /// and opened anew.
   Duration heartbeat_timeout = std::chrono::milliseconds(1500);
--- a/src/fireflythread/peer/socket_options.cc
+++ b/src/fireflythread/peer/socket_options.cc
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// Heartbeats sent within the heartbeat timeout, so that one late answer does
-/// not close a connection.
-constexpr int kHeartbeatsPerTimeout = 3;
+/// The accepting end of a connection closes it after this many heartbeat
+/// timeouts without a message. By then the connecting end has replaced it.
+constexpr int kTimeoutsUntilClosed = 2;
 
 auto InMilliseconds(Duration duration) -> int {
   return static_cast<int>(
@@ -20,14 +20,12 @@
 auto SetCommonOptions(zmq::socket_t& socket,
                       const PeerTransportSettings& settings,
                       const std::string& address) -> void {
-  const int timeout_ms = InMilliseconds(settings.heartbeat_timeout);
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::sndhwm, settings.high_water_mark);
   socket.set(zmq::sockopt::rcvhwm, settings.high_water_mark);
   socket.set(zmq::sockopt::maxmsgsize, settings.largest_message);
-  socket.set(zmq::sockopt::heartbeat_ivl, timeout_ms / kHeartbeatsPerTimeout);
-  socket.set(zmq::sockopt::heartbeat_timeout, timeout_ms);
-  socket.set(zmq::sockopt::handshake_ivl, timeout_ms);
+  socket.set(zmq::sockopt::handshake_ivl,
+             InMilliseconds(settings.heartbeat_timeout));
   socket.set(zmq::sockopt::ipv6, address.starts_with('['));
   if (settings.keys) {
     socket.set(zmq::sockopt::curve_publickey, settings.keys->public_key);
@@ -35,6 +33,17 @@
   }
 }
 
+auto SetHeartbeats(zmq::socket_t& socket, const PeerTransportSettings& settings)
+    -> void {
+  const int timeout_ms = InMilliseconds(settings.heartbeat_timeout);
+  socket.set(zmq::sockopt::heartbeat_ivl,
+             InMilliseconds(settings.heartbeat_period));
+  socket.set(zmq::sockopt::heartbeat_timeout, timeout_ms);
+  // The accepting end closes the connection after this time without a message,
+  // so that it needs no heartbeats of its own.
+  socket.set(zmq::sockopt::heartbeat_ttl, timeout_ms * kTimeoutsUntilClosed);
+}
+
 auto Endpoint(const std::string& address) -> std::string {
   return "tcp://" + address;
 }
--- a/src/fireflythread/relay/io_relay_links.cc
+++ b/src/fireflythread/relay/io_relay_links.cc
@@ -1,9 +1,21 @@
 #include "fireflythread/relay/io_relay_links.h"
 
+#include <chrono>
 #include <utility>
 #include <variant>
 
 namespace fireflythread {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Heartbeats of the links between owners and relay peers. An owner has dozens
+/// of links, so heartbeats would be most of what an entry at rest does. Orders
+/// and hellos that stay unanswered show a silent link earlier.
+constexpr milliseconds kHeartbeatPeriod{1500};
+constexpr milliseconds kHeartbeatTimeout{3000};
+
+}  // namespace
 
 RelayLinks::RelayLinks(EntryId own_id, std::uint64_t own_incarnation)
     : self(std::move(own_id)), incarnation(own_incarnation) {}
@@ -17,6 +29,8 @@
   settings.listen_address = address;
   settings.allow_plaintext_beyond_loopback = true;
   settings.admit_relay_hellos = true;
+  settings.heartbeat_period = kHeartbeatPeriod;
+  settings.heartbeat_timeout = kHeartbeatTimeout;
   auto opened = PeerTransport::Open(
       std::move(settings), nullptr,
       [this](const peer::Envelope& envelope) { this->Deliver(envelope); });
--- a/src/fireflythread/relay/io_relayed_worker_client.cc
+++ b/src/fireflythread/relay/io_relayed_worker_client.cc
@@ -58,9 +58,7 @@
       unanswered_count(metrics.GetCounter(kCounterName,
                                           kCounterHelp,
                                           {{"outcome", "unanswered"}})),
-      last_tick_at(ReadBootClock()),
-      flush([this] { this->FlushAll(); }),
-      tick(kTickPeriod, [this] { this->Tick(); }) {}
+      flush([this] { this->FlushAll(); }) {}
 
 auto RelayedWorkerClient::Start(const StartCommand& start,
                                 Duration timeout,
@@ -88,6 +86,18 @@
       this->links.Connect(RelayLinks::Role::kRelayPeer, id, relay_peer.address);
     }
   }
+  this->UpdateTick();
+}
+
+auto RelayedWorkerClient::UpdateTick() -> void {
+  // A relay peer with pending orders stays listed until they are answered.
+  if (this->peers.peers.empty()) {
+    this->tick.reset();
+  } else if (!this->tick) {
+    this->last_tick_at = ReadBootClock();
+    this->tick =
+        std::make_unique<PeriodicTimer>(kTickPeriod, [this] { this->Tick(); });
+  }
 }
 
 auto RelayedWorkerClient::Submit(WorkerOrder order, ReportCallback callback)
--- a/src/fireflythread/relay/io_relayed_worker_client.h
+++ b/src/fireflythread/relay/io_relayed_worker_client.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <vector>
 
 #include "fireflythread/base/io_periodic_timer.h"
@@ -65,6 +66,8 @@
   auto SendLocally(const WorkerOrder& order, ReportCallback callback) -> void;
   auto HandleAnswer(const EntryId& peer_id, const peer::RelayedAnswer& answer)
       -> void;
+  /// Starts or stops the ticks, which are needed while there are relay peers.
+  auto UpdateTick() -> void;
   auto Tick() -> void;
   auto SendHellos(TimePoint now) -> void;
   auto ExpireOrders(TimePoint now) -> void;
@@ -82,7 +85,8 @@
   std::uint64_t last_batch = 0;
   TimePoint last_tick_at;
   OneShotTimer flush;
-  PeriodicTimer tick;
+  /// Runs only while there are relay peers.
+  std::unique_ptr<PeriodicTimer> tick;
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/relay/relay_peers.cc
+++ b/src/fireflythread/relay/relay_peers.cc
@@ -1,5 +1,7 @@
 #include "fireflythread/relay/relay_peers.h"
 
+#include <algorithm>
+
 #include "fireflythread/base/stable_hash.h"
 #include "fireflythread/relay/pending_orders.h"
 
@@ -46,6 +48,11 @@
     -> std::vector<EntryId> {
   std::vector<EntryId> due;
   for (auto& [id, relay_peer] : state.peers) {
+    if (relay_peer.welcomed) {
+      // A relay peer that has just sent replies need not be asked.
+      relay_peer.next_hello = std::max(
+          relay_peer.next_hello, relay_peer.last_message_at + kHelloPeriod);
+    }
     if (relay_peer.selected && now >= relay_peer.next_hello) {
       relay_peer.next_hello =
           now + (relay_peer.welcomed ? kHelloPeriod : kHelloRetry);
