Order hundreds of VMs at once at the begin of a peak

Four connections to the VM service carried all orders and the pages of the list; an order waited in the client's queue until its timeout of 1.5 s, was recorded and sent again, and arrived when the peak was over. At 10 s a pool with a peak had 191 usable VMs and 301 waiting jobs, and its neighbour 441 VMs with a fifth of them in use.

Ruled out: the limit of the VM service (188 calls in the busiest second), the owners (starts follow the free VMs at once), the order of starts.

The record of one group of orders is followed by the next one at once, and so are the rows of the drain table, which this entry's own writes change without a wait for the feed. The duties plan after each page of loads; an owner publishes its load each 100 ms while the arriving work rises by a quarter; new workers are seen after 100 ms instead of 200.

--- a/src/fireflythread/entry/drain_table.cc
+++ b/src/fireflythread/entry/drain_table.cc
@@ -64,7 +64,35 @@
 }
 
 auto DrainTable::ApplyRow(const Row& row) -> void {
-  this->entries[WorkerId(row.key)] = {row.version, row.value == kDrained};
+  Entry& entry = this->entries[WorkerId(row.key)];
+  // A page that was read before this entry's own write may arrive after it.
+  if (entry.version <= row.version) {
+    entry = {row.version, row.value == kDrained};
+  }
+}
+
+auto DrainTable::ApplyRemoval(const WorkerId& worker, std::uint64_t version)
+    -> void {
+  const auto entry = this->entries.find(worker);
+  if (entry != this->entries.end() && entry->second.version < version) {
+    this->entries.erase(entry);
+  }
+}
+
+auto DrainTable::ApplyWrites(const std::vector<Write>& writes,
+                             std::uint64_t version) -> void {
+  if (version <= this->revision) {
+    // The feed has shown the rows, and perhaps later changes of them.
+    return;
+  }
+  for (const Write& write : writes) {
+    if (write.value) {
+      this->ApplyRow({std::string(kDrainTable), write.key, version,
+                      *write.value, std::string(kDutyShard)});
+    } else {
+      this->ApplyRemoval(WorkerId(write.key), version);
+    }
+  }
 }
 
 auto DrainTable::Read() -> void {
@@ -101,11 +129,7 @@
           this->ApplyRow(row);
         }
         for (const Row& row : page->deleted) {
-          const auto entry = this->entries.find(WorkerId(row.key));
-          if (entry != this->entries.end() &&
-              entry->second.version < row.version) {
-            this->entries.erase(entry);
-          }
+          this->ApplyRemoval(WorkerId(row.key), row.version);
         }
         const bool changed = !page->changed.empty() || !page->deleted.empty();
         if (changed) {
@@ -167,12 +191,25 @@
   }
   transaction.conditions.push_back(
       {std::string(kFenceTable), std::string(kFenceKey), fence, shard.value});
+  // The rows of a load peak take several transactions. The next one follows at
+  // once, without a wait for the feed to show this one.
+  auto write_more = this->followed.Guard(
+      [this, workers, shard, fence,
+       written = transaction.writes](std::uint64_t version) -> void {
+        this->ApplyWrites(written, version);
+        this->SetWanted(workers, shard, fence);
+      });
   this->writing = true;
-  this->store.Commit(std::move(transaction), kStoreTimeout,
-                     this->alive.Guard([this](const TransactionOutcome&) {
-                       // The feed shows whether the rows changed.
-                       this->writing = false;
-                     }));
+  this->store.Commit(
+      std::move(transaction), kStoreTimeout,
+      this->alive.Guard([this, next = std::move(write_more)](
+                            const TransactionOutcome& outcome) mutable {
+        this->writing = false;
+        // Otherwise the feed shows whether the rows changed.
+        if (const auto* committed = std::get_if<Committed>(&outcome)) {
+          next(committed->revision);
+        }
+      }));
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/entry/drain_table.h
+++ b/src/fireflythread/entry/drain_table.h
@@ -16,9 +16,8 @@
 namespace fireflythread {
 
 /// Table of workers to drain, in the part of the duty shard. The key is a
-/// worker. The owner of the duty shard
-/// adds and removes rows; the owner of the worker's shard marks them as
-/// drained.
+/// worker. The owner of the duty shard adds and removes rows; the owner of the
+/// worker's shard marks them as drained.
 inline constexpr std::string_view kDrainTable = "vacate";
 
 /// Follows and writes the table of workers to drain, for as long as it is
@@ -45,9 +44,10 @@
   /// and, while a previous call has no answer yet, all of them.
   auto MarkDrained(const std::vector<WorkerId>& workers) -> void;
 
-  /// Adds and removes rows until they match `workers`, on condition that the
-  /// fence row of `shard` has version `fence`. Does nothing while the table is
-  /// not loaded or a previous call has no answer yet.
+  /// Adds and removes rows until they match `workers`, in as many transactions
+  /// as it takes, each on condition that the fence row of `shard` has version
+  /// `fence`. Does nothing while the table is not loaded or a previous call is
+  /// not finished.
   auto SetWanted(const std::set<WorkerId>& workers,
                  const ShardName& shard,
                  std::uint64_t fence) -> void;
@@ -61,6 +61,10 @@
   auto Read() -> void;
   auto Follow() -> void;
   auto ApplyRow(const Row& row) -> void;
+  auto ApplyRemoval(const WorkerId& worker, std::uint64_t version) -> void;
+  /// Applies writes of this entry that committed with this version.
+  auto ApplyWrites(const std::vector<Write>& writes, std::uint64_t version)
+      -> void;
 
   TableStore& store;
   std::function<void()> on_change;
--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -83,7 +83,7 @@
       load_retry([this] {
         this->loads_read ? this->FollowLoads() : this->ReadLoads();
       }),
-      tick(kTick, [this] { this->Step(); }) {
+      tick(kTick, [this] { this->Tick(); }) {
   this->state.owned_since = ReadBootClock();
 }
 
@@ -161,6 +161,7 @@
         for (const Row& row : page->changed) {
           this->ApplyLoad(row);
         }
+        this->Step();
         this->load_retry.Start(kLoadPagePause);
       }));
 }
@@ -197,12 +198,20 @@
       }));
 }
 
-auto DutyTask::Step() -> void {
+auto DutyTask::Tick() -> void {
   this->ReadMachines();
+  // The loads of busy pools cause steps as well.
+  if (ReadBootClock() - this->stepped_at >= kTick / 2) {
+    this->Step();
+  }
+}
+
+auto DutyTask::Step() -> void {
   if (!this->IsReady()) {
     return;
   }
   const TimePoint now = ReadBootClock();
+  this->stepped_at = now;
   for (const ServiceName& pool : std::exchange(this->changed_pools, {})) {
     this->state.loads[pool] = SumLoads(this->state.shard_loads, pool);
   }
@@ -254,8 +263,8 @@
                                   const TransactionOutcome& outcome,
                                   TimePoint sent_at) -> void {
   const bool stored = std::holds_alternative<Committed>(outcome);
-  const std::vector<Duty> confirmed = ApplyRecordResult(
-      this->state, orders, stored, sent_at, ReadBootClock());
+  const std::vector<Duty> confirmed =
+      ApplyRecordResult(this->state, orders, stored, sent_at, ReadBootClock());
   if (confirmed.size() < orders.size()) {
     this->environment.logger.Warning(
         "duties", "orders_not_recorded",
@@ -266,6 +275,9 @@
   }
   if (std::holds_alternative<Conflict>(outcome)) {
     this->environment.on_fenced(ShardName(std::string(kDutyShard)));
+  } else if (stored) {
+    // The orders of a load peak take several transactions.
+    this->RecordOrders();
   }
 }
 
--- a/src/fireflythread/entry/duty_task.h
+++ b/src/fireflythread/entry/duty_task.h
@@ -85,6 +85,8 @@
   auto ReadMachines() -> void;
   /// Returns whether everything is loaded that a plan depends on.
   auto IsReady() const -> bool;
+  auto Tick() -> void;
+  /// Plans moves and upkeeps, and sends the orders that are due.
   auto Step() -> void;
   auto RecordOrders() -> void;
   auto ApplyRecordOutcome(const std::vector<Duty>& orders,
@@ -110,6 +112,7 @@
   std::uint64_t load_revision = 0;
   bool loads_read = false;
   TimePoint listed_at;
+  TimePoint stepped_at;
   OneShotTimer load_retry;
   PeriodicTimer tick;
   AliveToken alive;
--- a/src/fireflythread/entry/shard_publisher.cc
+++ b/src/fireflythread/entry/shard_publisher.cc
@@ -21,8 +21,14 @@
 /// Minimum time between two writes of the counts of waiting jobs.
 constexpr milliseconds kWaitingPeriod{800};
 
-/// Minimum time between two writes of the pool's load.
+/// Minimum time between two writes of the pool's load, and between two while a
+/// load peak begins: VMs that are moved to the pool arrive that much earlier.
 constexpr milliseconds kLoadPeriod{300};
+constexpr milliseconds kRisingLoadPeriod{100};
+
+/// Arriving work counts as rising when it exceeds the published one by a
+/// quarter.
+constexpr std::int64_t kRisingDivisor = 4;
 
 auto EncodeCounts(const std::map<QueueName, int>& counts) -> std::string {
   nlohmann::json value = nlohmann::json::object();
@@ -90,7 +96,13 @@
 }
 
 auto ShardPublisher::PublishLoad(ShardState& state, TimePoint now) -> void {
-  if (this->storing_load || now - this->load_at < kLoadPeriod) {
+  if (this->storing_load || now - this->load_at < kRisingLoadPeriod) {
+    return;
+  }
+  const std::int64_t published = this->load.arriving_millicores;
+  const bool rising =
+      ArrivingMillicores(state, now) > published + published / kRisingDivisor;
+  if (!rising && now - this->load_at < kLoadPeriod) {
     return;
   }
   this->load_at = now;
--- a/src/fireflythread/entry/worker_directory.cc
+++ b/src/fireflythread/entry/worker_directory.cc
@@ -14,7 +14,7 @@
 /// Pause after a page with changes, so that the changes of that time share one
 /// page and one report. It is short, so that a worker gets no starts soon after
 /// its registration says that it is draining.
-constexpr milliseconds kPagePause{200};
+constexpr milliseconds kPagePause{100};
 
 }  // namespace
 
