--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -21,6 +21,10 @@
   std::chrono::milliseconds stop_time{400};
   /// Maximum time that a poll waits for a completion.
   std::chrono::milliseconds poll_wait{2000};
+  /// Delay of a poll after a completion or a start, so that the completions and
+  /// starts of that time share one. Without effect while tasks wait for
+  /// capacity, which a completion frees.
+  std::chrono::milliseconds poll_spacing{50};
   /// Time between polls of a worker without runs.
   std::chrono::milliseconds idle_poll{4000};
   /// Reports that are older than this are not relied on.
--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -87,7 +87,8 @@
       }
       state.jobs.at(start.task.job).has_started = true;
       if (worker != nullptr && !worker->poll_in_flight) {
-        worker->next_poll = now;
+        worker->next_poll =
+            std::min(worker->next_poll, now + state.limits.poll_spacing);
       }
       break;
     case OrderVerdict::kUnknown:
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -188,10 +188,11 @@
   }
 }
 
+/// Returns whether all tasks that may run have a worker.
 auto PlanIndependentTasks(ShardState& state,
                           UsableWorkers& usable,
                           const ReadyStep& ready,
-                          TimePoint now) -> void {
+                          TimePoint now) -> bool {
   const JobStep& step = SpecOf(ready);
   TaskName name{ready.job->request.id, ready.occurrence, ready.step, 0};
   for (; name.index < step.count; ++name.index) {
@@ -207,10 +208,11 @@
       if (step.long_running || !usable.reserved) {
         ReserveWorker(state, usable, name);
       }
-      return;
+      return false;
     }
     PlanTask(state, usable, name, *worker, task.run + 1, now);
   }
+  return true;
 }
 
 /// Returns the run number of a gang's next run; no value while a member cannot
@@ -316,6 +318,7 @@
 }  // namespace
 
 auto PlanRuns(ShardState& state, WallTime wall_now, TimePoint now) -> void {
+  state.has_backlog = false;
   std::vector<ReadyStep> collected = CollectReadySteps(state, wall_now);
   if (collected.empty()) {
     return;
@@ -329,10 +332,11 @@
     queue.pop();
     if (SpecOf(ready).gang) {
       PlanGang(state, usable, ready, now);
-    } else {
-      PlanIndependentTasks(state, usable, ready, now);
+    } else if (!PlanIndependentTasks(state, usable, ready, now)) {
+      state.has_backlog = true;
     }
   }
+  state.has_backlog = state.has_backlog || !queue.empty();
   state.plan_cost.workers += usable.cost.workers;
 }
 
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -70,6 +70,8 @@
   bool storing = false;
   /// Tasks in RunPhase::kStopping.
   std::set<TaskName> stopping;
+  /// The last plan left a ready task without a worker.
+  bool has_backlog = false;
   /// A worker reported that a newer owner exists.
   bool fenced_off = false;
   /// Planning cost since the shard was acquired.
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -275,7 +275,13 @@
   if (state.dirty.empty() && !state.storing) {
     worker.last_stored_completion = worker.last_applied_completion;
   }
-  worker.next_poll = worker.tasks.empty() ? now + state.limits.idle_poll : now;
+  if (worker.tasks.empty()) {
+    worker.next_poll = now + state.limits.idle_poll;
+  } else if (report.ended.empty() || state.has_backlog) {
+    worker.next_poll = now;
+  } else {
+    worker.next_poll = now + state.limits.poll_spacing;
+  }
 }
 
 auto ApplyPollFailure(ShardState& state,
--- a/test/fireflythread/jobs/worker_polls_test.cc
+++ b/test/fireflythread/jobs/worker_polls_test.cc
@@ -73,6 +73,44 @@
   CHECK(NextPoll(shard.state, shard.Worker("w0"), true, shard.now).has_value());
 }
 
+TEST_CASE("Completions of a short time share a poll while nothing waits",
+          "[jobs]") {
+  // Guards against a poll for each completion in a peak of short tasks, when
+  // all of them have room.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(3, 1000));
+  const auto starts = shard.StartAll();
+  REQUIRE(starts.size() == 3);
+  const auto poll_at = [&shard](milliseconds later) {
+    return NextPoll(shard.state, shard.Worker("w0"), true, shard.now + later);
+  };
+  // The starts that follow one another share the first poll.
+  CHECK_FALSE(poll_at(milliseconds(0)));
+  REQUIRE(poll_at(shard.state.limits.poll_spacing));
+  shard.Report("w0",
+               {ShardFixture::Running(starts[1]),
+                ShardFixture::Running(starts[2])},
+               {ShardFixture::Ended(starts[0], 1, RunResult::kDone)});
+  CHECK_FALSE(poll_at(shard.state.limits.poll_spacing - milliseconds(1)));
+  CHECK(poll_at(shard.state.limits.poll_spacing));
+}
+
+TEST_CASE("A completion is learned at once while tasks wait for capacity",
+          "[jobs]") {
+  // Guards against capacity that stays free in an overload.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(9, 1000));
+  const auto starts = shard.StartAll();
+  REQUIRE(starts.size() == 8);
+  std::vector<RunningRun> running;
+  for (std::size_t number = 1; number < starts.size(); ++number) {
+    running.push_back(ShardFixture::Running(starts[number]));
+  }
+  shard.Report("w0", running,
+               {ShardFixture::Ended(starts[0], 1, RunResult::kDone)});
+  CHECK(NextPoll(shard.state, shard.Worker("w0"), true, shard.now).has_value());
+}
+
 TEST_CASE("A poll without an answer is soon repeated", "[jobs]") {
   // Guards against a delay that grows during a network partition, so that idle
   // workers stay unusable for seconds after it has ended.
