Free a connection as soon as its answer has been read

Cause, found by a test of 300 orders to a VM service that answers after 200 ms: a finished call kept its stream, and with it its connection, until the next call of the same client. With all connections in use, the calls that waited for one moved on only when another call was made, for the VM service with the next read of the list: of 300 orders 64 were answered, the others timed out after 10 s. It also explains connections to workers that are opened anew for a third of the calls.

Ruled out: the stand-in of the service (it answers all 300 at once with the change), the number of connections alone (64 of them: 64 answers).

Change: the stream is released when the answer is complete or the call has failed.

--- a/src/fireflythread/platform/io_http_call.cc
+++ b/src/fireflythread/platform/io_http_call.cc
@@ -145,6 +145,8 @@
 
 auto HttpCall::Finish(Result result) -> void {
   this->StopTimer();
+  // The connection is free for the next call only once the stream is released.
+  g_clear_object(&this->stream);
   // The callback may start the next call or destroy the client.
   if (const Callback finished = std::exchange(this->callback, nullptr)) {
     finished(std::move(result));
--- a/test/fireflythread/jobs/worker_polls_test.cc
+++ b/test/fireflythread/jobs/worker_polls_test.cc
@@ -87,10 +87,10 @@
   // The starts that follow one another share the first poll.
   CHECK_FALSE(poll_at(milliseconds(0)));
   REQUIRE(poll_at(shard.state.limits.poll_spacing));
-  shard.Report("w0",
-               {ShardFixture::Running(starts[1]),
-                ShardFixture::Running(starts[2])},
-               {ShardFixture::Ended(starts[0], 1, RunResult::kDone)});
+  shard.Report(
+      "w0",
+      {ShardFixture::Running(starts[1]), ShardFixture::Running(starts[2])},
+      {ShardFixture::Ended(starts[0], 1, RunResult::kDone)});
   CHECK_FALSE(poll_at(shard.state.limits.poll_spacing - milliseconds(1)));
   CHECK(poll_at(shard.state.limits.poll_spacing));
 }
