--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -76,8 +76,8 @@
   /// Starts no more tasks, stores all changed progress and then calls `done`.
   auto Drain(std::function<void()> done) -> void;
 
-  /// Returns the unresponsive workers, with the time until their leases have
-  /// certainly expired, for the next owner.
+  /// Returns the unresponsive workers, with the time until their leases must
+  /// have expired, for the next owner.
   [[nodiscard]] auto UnresponsiveWorkers() const
       -> std::map<WorkerId, std::chrono::milliseconds>;
 
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -40,7 +40,7 @@
   /// The former owner is known to extend no more leases.
   bool former_owner_stopped = false;
   /// Workers that were unresponsive when the former owner handed the shard
-  /// over, with the time at which their leases have certainly expired.
+  /// over, with the time at which their leases must have expired.
   std::map<WorkerId, TimePoint> unresponsive_until;
   std::map<QueueName, Queue> queues;
   std::map<JobId, ShardJob> jobs;
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -230,7 +230,7 @@
   poll.last_seen = worker.last_stored_completion;
   const bool busy = !worker.tasks.empty();
   // An extension without an answer may still take effect, so each further one
-  // would delay the time at which the worker's leases have certainly expired.
+  // would delay the time at which the worker's leases must have expired.
   if (busy && may_extend && worker.clock && worker.failed_polls == 0) {
     poll.deadline = NextDeadline(state.limits, worker, now);
   }
--- a/src/fireflythread/relay/io_relayed_worker_client.h
+++ b/src/fireflythread/relay/io_relayed_worker_client.h
@@ -23,7 +23,7 @@
 
 /// Sends a shard's orders to workers through other entries, the relay peers. An
 /// order goes to one relay peer, or to the local client if no relay peer is
-/// usable. An order is sent again only if it was certainly not performed: it
+/// usable. An order is sent again only if it cannot have been performed: it
 /// did not leave the process, or the relay peer returned it.
 class RelayedWorkerClient : public WorkerClient {
  public:
