--- a/review/standin/site_standin.py
+++ b/review/standin/site_standin.py
@@ -698,12 +698,15 @@
                                        "m-%05x" % (0x0a3f1 + 31 * number), **kinds))
 
     async def start(self, entries):
+        """Starts all; `entries` is their number or a list of their names."""
         await self.store.http.start()
         await self.machines.http.start()
         for worker in self.workers:
             await worker.start()
         self.write_config()
-        self.entries = [Entry(self, f"front-z1-{n + 1}") for n in range(entries)]
+        names = entries if isinstance(entries, list) else [
+            f"front-z1-{n + 1}" for n in range(entries)]
+        self.entries = [Entry(self, name) for name in names]
         for entry in self.entries:
             await entry.start()
         # Traffic starts 10 s after the machines do.
