--- a/review/5/case.py
+++ b/review/5/case.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "standin"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import site_standin as site_module  # noqa: E402
 
 ATTEMPTS = 4
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,7 +6,7 @@
 command -v python3 >/dev/null || { echo "python3 is missing" >&2; exit 1; }
 python3 - <<'PY'
 import ast, glob
-for name in ["standin/site_standin.py"] + sorted(glob.glob("*/case.py")):
+for name in ["site_standin.py"] + sorted(glob.glob("*/case.py")):
     with open(name, encoding="utf-8") as file:
         ast.parse(file.read(), name)
 PY
--- a/review/standin/site_standin.py
+++ b/review/site_standin.py
@@ -20,7 +20,7 @@
 import time
 import urllib.parse
 
-ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
+ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 # The figures of the small site's pages.
 BOUNDS = {"grace_s": 6, "stop_ms": 200, "hold_max_ms": 10000}
 LIMITS = {"cpu_share": 0.25, "link_mbps": 1000.0}
