Let a restarted worker's own report decide which runs exist

Cause: ApplyRestart() gave up every confirmed run when a report or the registration showed another start time, before the runs of that report were looked at. The answer to a start doesn't tell its incarnation, so runs that the new one had accepted were given up too.

Ruled out: late or repeated orders (each run was ordered once); the cut without the restart.

Change: a restart gives up no run; the first report of the new incarnation does, by the rule of all reports. A restart is also known from a start's answer whose clock has begun again. A poll names no completion number of a former incarnation while the incarnation is unknown, a report to a poll from before the restart is not used, leases of a restarted worker count as long as its longest lease, and an earlier run in a report doesn't hide the newest one.

--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -69,6 +69,7 @@
   this->state.fence = fence;
   this->state.owned_since = ReadBootClock();
   this->state.former_owner_stopped = handover.former_owner_stopped;
+  this->state.limits.max_run_lease = this->environment.max_run_lease;
   for (const auto& [worker, left] : handover.unresponsive_workers) {
     this->state.unresponsive_until[worker] = this->state.owned_since + left;
   }
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_ENTRY_SHARD_TASK_H_
 #define FIREFLYTHREAD_ENTRY_SHARD_TASK_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,6 +22,7 @@
 #include "fireflythread/jobs/poll_command.h"
 #include "fireflythread/jobs/pool_part.h"
 #include "fireflythread/jobs/record_batch.h"
+#include "fireflythread/jobs/shard_limits.h"
 #include "fireflythread/jobs/shard_state.h"
 #include "fireflythread/jobs/start_command.h"
 #include "fireflythread/jobs/stop_command.h"
@@ -49,6 +51,8 @@
     /// Called with the shard when a newer owner exists. Must not destroy the
     /// task before it returns.
     std::function<void(const ShardName&)> on_fenced;
+    /// Longest lease that a worker grants.
+    std::chrono::milliseconds max_run_lease = ShardLimits().max_run_lease;
   };
 
   /// `part` is the part of a pool whose jobs to run, `fence` is the fencing
--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -10,6 +10,8 @@
   /// Lease of all runs on a worker. Short enough that the work of a lost worker
   /// soon runs again, long enough to outlast a change of owner.
   std::chrono::milliseconds run_lease{6000};
+  /// Longest lease that a worker grants; it shortens longer ones.
+  std::chrono::milliseconds max_run_lease{10000};
   /// An owner that cannot reach the store extends leases for at most this long
   /// after it sent the last renewal that the store confirmed.
   std::chrono::milliseconds extend_without_store{6000};
--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -53,6 +53,7 @@
     task.since = now;
   }
   if (worker != nullptr) {
+    worker->start_unanswered_at = now;
     worker->next_poll = now;
   }
 }
@@ -65,6 +66,10 @@
                      TimePoint now) -> void {
   ShardWorker* worker = WorkerOf(state, start.worker);
   if (worker != nullptr && reply.clock) {
+    if (HasClockRestarted(state.limits, *worker, *reply.clock,
+                          start.ordered_at)) {
+      ApplyRestart(state, *worker, now);
+    }
     ApplyClockReading(*worker, *reply.clock, now);
   }
   if (reply.verdict == OrderVerdict::kFenced) {
--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -52,6 +52,7 @@
   start.fence = state.fence;
   start.checkpoint = task.checkpoint;
   start.ticket = task.ticket;
+  start.ordered_at = now;
   return start;
 }
 
--- a/src/fireflythread/jobs/shard_worker.h
+++ b/src/fireflythread/jobs/shard_worker.h
@@ -37,6 +37,11 @@
   /// Start time of the incarnation whose runs are known, as the worker reports
   /// it.
   std::chrono::milliseconds reported_start{0};
+  /// Time at which a restart was last noticed; empty while none was.
+  std::optional<TimePoint> restart_noticed_at;
+  /// Time at which a start was found to have got no answer; empty once a later
+  /// report has told the incarnation.
+  std::optional<TimePoint> start_unanswered_at;
   /// Numbers of the last applied completion and of the last one whose effects
   /// are stored.
   std::uint64_t last_applied_completion = 0;
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -27,30 +27,6 @@
   }
 }
 
-/// Applies a restart of a worker under the same id: the new incarnation knows
-/// nothing of the former one. Runs whose order got no answer may still start in
-/// the new incarnation and stay unresolved.
-auto ApplyRestart(ShardState& state, ShardWorker& worker, TimePoint now)
-    -> void {
-  worker.last_applied_completion = 0;
-  worker.last_stored_completion = 0;
-  DropFromSnapshot(state, worker.view.id);
-  worker.clock.reset();
-  worker.latest_deadline = {};
-  worker.confirmed = false;
-  const std::set<TaskName> tasks = worker.tasks;
-  for (const TaskName& name : tasks) {
-    const TaskState* task = FindTask(state, name);
-    const bool certain =
-        task->phase == RunPhase::kRunning ||
-        (task->phase == RunPhase::kStopping && task->stop_confirmed);
-    if (certain) {
-      ReleaseTask(state, name, now);
-      ForgetIfFinished(state, name.job);
-    }
-  }
-}
-
 auto ApplyCompletions(ShardState& state,
                       ShardWorker& worker,
                       const WorkerReport& report,
@@ -129,17 +105,21 @@
                    [](const RunningRun* left, const RunningRun* right) -> bool {
                      return left->task < right->task;
                    });
-  auto found = running.begin();
+  auto first = running.begin();
   for (auto next = worker.tasks.begin(); next != worker.tasks.end();) {
     // The task may be removed from the set, so advance the iterator first.
     const auto name = next++;
-    while (found != running.end() && (*found)->task < *name) {
-      ++found;
+    while (first != running.end() && (*first)->task < *name) {
+      ++first;
     }
     ShardJob& job = state.jobs.at(name->job);
     TaskState& task = *FindTask(job, *name);
-    if (found != running.end() && (*found)->task == *name &&
-        (*found)->run == task.run) {
+    // An earlier run of the task may be listed beside the newest.
+    const auto found =
+        std::find_if(first, running.end(), [&](const RunningRun* run) -> bool {
+          return run->task != *name || run->run == task.run;
+        });
+    if (found != running.end() && (*found)->task == *name) {
       ApplyRunning(task, **found, now);
       job.has_started = true;
     } else {
@@ -196,6 +176,18 @@
   ExpireWorkers(state, now);
 }
 
+auto ApplyRestart(ShardState& state, ShardWorker& worker, TimePoint now)
+    -> void {
+  worker.last_applied_completion = 0;
+  worker.last_stored_completion = 0;
+  DropFromSnapshot(state, worker.view.id);
+  worker.clock.reset();
+  worker.latest_deadline = {};
+  worker.confirmed = false;
+  worker.restart_noticed_at = now;
+  worker.next_poll = std::min(worker.next_poll, now);
+}
+
 auto ExpireWorkers(ShardState& state, TimePoint now) -> void {
   for (auto next = state.workers.begin(); next != state.workers.end();) {
     ShardWorker& worker = next->second;
@@ -227,7 +219,10 @@
   poll.worker = worker.view.id;
   poll.address = worker.view.address;
   poll.fence = state.fence;
-  poll.last_seen = worker.last_stored_completion;
+  // A start without an answer may have reached a new incarnation, whose
+  // completions have numbers that the former one used already.
+  poll.last_seen =
+      worker.start_unanswered_at ? 0 : worker.last_stored_completion;
   const bool busy = !worker.tasks.empty();
   // An extension without an answer may still take effect, so each further one
   // would delay the time at which the worker's leases must have expired.
@@ -254,6 +249,11 @@
   }
   ShardWorker& worker = found->second;
   worker.poll_in_flight = false;
+  if (worker.restart_noticed_at && sent_at < *worker.restart_noticed_at) {
+    // The report may be of the former incarnation.
+    worker.next_poll = now;
+    return;
+  }
   worker.failed_polls = 0;
   worker.refused_polls = 0;
   worker.reported_at = now;
@@ -262,6 +262,9 @@
     ApplyRestart(state, worker, now);
   }
   worker.reported_start = report.started_at;
+  if (worker.start_unanswered_at && *worker.start_unanswered_at <= sent_at) {
+    worker.start_unanswered_at.reset();
+  }
   ApplyClockReading(worker, report.clock, now);
   if (!worker.confirmed) {
     // A former owner's lease may extend to this deadline; it cannot be extended
--- a/src/fireflythread/jobs/shard_workers.h
+++ b/src/fireflythread/jobs/shard_workers.h
@@ -33,6 +33,12 @@
                  TimePoint sent_at,
                  TimePoint now) -> void;
 
+/// Applies that a worker has restarted under the same id. The new incarnation
+/// knows nothing of the former one, but may have accepted runs already, so its
+/// first report decides which runs exist.
+auto ApplyRestart(ShardState& state, ShardWorker& worker, TimePoint now)
+    -> void;
+
 /// Records that a poll got no usable answer.
 auto ApplyPollFailure(ShardState& state, const WorkerId& worker, TimePoint now)
     -> void;
--- a/src/fireflythread/jobs/start_command.h
+++ b/src/fireflythread/jobs/start_command.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
 #include "fireflythread/jobs/task_name.h"
 
 namespace fireflythread {
@@ -22,6 +23,8 @@
   std::uint64_t fence = 0;
   std::string checkpoint;
   std::string ticket;
+  /// Time at which the owner made the order; not sent along.
+  TimePoint ordered_at{};
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -9,6 +9,9 @@
 
 using std::chrono::milliseconds;
 
+/// Covers the rounding of clock readings to milliseconds.
+constexpr milliseconds kClockRounding{10};
+
 /// Returns the maximum time until a lease that has `left` to run on a worker's
 /// clock has expired and its runs are stopped, for a slow clock.
 auto MaxLeaseDuration(const ShardLimits& limits, milliseconds left)
@@ -16,9 +19,9 @@
   return left * 100 / (100 - limits.slow_clock_percent) + limits.stop_time;
 }
 
-/// Returns when every lease that this or a former owner gave to an unresponsive
-/// worker has certainly expired.
-auto LeaseExpiry(const ShardState& state, const ShardWorker& worker)
+/// Returns when every lease given to the worker's known incarnation has
+/// certainly expired.
+auto IncarnationLeaseExpiry(const ShardState& state, const ShardWorker& worker)
     -> TimePoint {
   const ShardLimits& limits = state.limits;
   if (worker.clock) {
@@ -38,6 +41,22 @@
          MaxLeaseDuration(limits, limits.run_lease);
 }
 
+/// Returns when every lease that this or a former owner gave to an unresponsive
+/// worker has certainly expired.
+auto LeaseExpiry(const ShardState& state, const ShardWorker& worker)
+    -> TimePoint {
+  const TimePoint expiry = IncarnationLeaseExpiry(state, worker);
+  if (!worker.restart_noticed_at) {
+    return expiry;
+  }
+  // The new incarnation may have got orders with deadlines on the former one's
+  // clock, which it shortens to its longest lease.
+  const TimePoint restart_expiry =
+      *worker.restart_noticed_at +
+      MaxLeaseDuration(state.limits, state.limits.max_run_lease);
+  return std::max(expiry, restart_expiry);
+}
+
 }  // namespace
 
 auto EstimateClock(const ShardWorker& worker, TimePoint now) -> milliseconds {
@@ -48,6 +67,21 @@
   return worker.clock->clock + elapsed;
 }
 
+auto HasClockRestarted(const ShardLimits& limits,
+                       const ShardWorker& worker,
+                       milliseconds clock,
+                       TimePoint taken_after) -> bool {
+  if (!worker.clock) {
+    return false;
+  }
+  auto elapsed = std::chrono::duration_cast<milliseconds>(
+      taken_after - worker.clock->received_at);
+  if (elapsed.count() > 0) {
+    elapsed = elapsed * (100 - limits.slow_clock_percent) / 100;
+  }
+  return clock + kClockRounding < worker.clock->clock + elapsed;
+}
+
 auto ApplyClockReading(ShardWorker& worker,
                        milliseconds clock,
                        TimePoint received_at) -> void {
--- a/src/fireflythread/jobs/worker_lease.h
+++ b/src/fireflythread/jobs/worker_lease.h
@@ -14,6 +14,14 @@
 [[nodiscard]] auto EstimateClock(const ShardWorker& worker, TimePoint now)
     -> std::chrono::milliseconds;
 
+/// Returns whether a reading of a worker's clock, taken at `taken_after` or
+/// later, is of a later incarnation than the last reading: its clock has
+/// started again. Returns false when there was no reading.
+[[nodiscard]] auto HasClockRestarted(const ShardLimits& limits,
+                                     const ShardWorker& worker,
+                                     std::chrono::milliseconds clock,
+                                     TimePoint taken_after) -> bool;
+
 /// Stores a reading of the worker's clock.
 auto ApplyClockReading(ShardWorker& worker,
                        std::chrono::milliseconds clock,
--- a/test/fireflythread/jobs/shard_fixture.cc
+++ b/test/fireflythread/jobs/shard_fixture.cc
@@ -58,19 +58,39 @@
 auto ShardFixture::Report(const std::string& worker,
                           std::vector<RunningRun> running,
                           std::vector<RunCompletion> ended) -> void {
+  const TimePoint sent_at = this->now;
+  this->now += milliseconds(1);
+  this->ReportSince(sent_at, worker, std::move(running), std::move(ended));
+}
+
+auto ShardFixture::ReportSince(TimePoint sent_at,
+                               const std::string& worker,
+                               std::vector<RunningRun> running,
+                               std::vector<RunCompletion> ended) -> void {
   WorkerReport report;
-  report.clock =
-      std::chrono::duration_cast<milliseconds>(this->now.time_since_epoch());
-  report.started_at =
-      this->views[static_cast<std::size_t>(std::stoi(worker.substr(1)))]
-          .started_at;
+  report.clock = this->ClockOf(worker);
+  report.started_at = this->ViewOf(worker).started_at;
   report.running = std::move(running);
   report.ended = std::move(ended);
-  const TimePoint sent_at = this->now;
-  this->now += milliseconds(1);
   ApplyReport(this->state, WorkerId(worker), report, sent_at, this->now);
 }
 
+auto ShardFixture::Restart(const std::string& worker) -> void {
+  ++this->ViewOf(worker).started_at;
+  this->clock_origins[worker] = this->now;
+}
+
+auto ShardFixture::ClockOf(const std::string& worker) const -> milliseconds {
+  const auto origin = this->clock_origins.find(worker);
+  const TimePoint zero =
+      origin == this->clock_origins.end() ? TimePoint() : origin->second;
+  return std::chrono::duration_cast<milliseconds>(this->now - zero);
+}
+
+auto ShardFixture::ViewOf(const std::string& worker) -> WorkerView& {
+  return this->views[static_cast<std::size_t>(std::stoi(worker.substr(1)))];
+}
+
 auto ShardFixture::PlanAndStore() -> std::vector<StartCommand> {
   PlanRuns(this->state, this->wall_now, this->now);
   const RecordBatch batch = TakeBatch(this->state, kJobsPerBatch);
--- a/test/fireflythread/jobs/shard_fixture.h
+++ b/test/fireflythread/jobs/shard_fixture.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,17 @@
   auto Report(const std::string& worker,
               std::vector<RunningRun> running = {},
               std::vector<RunCompletion> ended = {}) -> void;
+  /// Applies such a report to a poll that was sent at `sent_at`.
+  auto ReportSince(TimePoint sent_at,
+                   const std::string& worker,
+                   std::vector<RunningRun> running = {},
+                   std::vector<RunCompletion> ended = {}) -> void;
+
+  /// Begins a new incarnation of a worker, whose clock starts at 0. The shard
+  /// learns of it from reports, replies or its registration.
+  auto Restart(const std::string& worker) -> void;
+  /// Returns the time on a worker's own clock.
+  [[nodiscard]] auto ClockOf(const std::string& worker) const -> milliseconds;
 
   /// Plans, stores the records and returns the starts that may be sent.
   [[nodiscard]] auto PlanAndStore() -> std::vector<StartCommand>;
@@ -53,6 +65,11 @@
   WallTime wall_now{std::chrono::hours(1000)};
   std::uint64_t version = 100;
   std::vector<WorkerView> views;
+  /// Time at which a worker's clock was 0; the epoch for those without entry.
+  std::map<std::string, TimePoint> clock_origins;
+
+ private:
+  [[nodiscard]] auto ViewOf(const std::string& worker) -> WorkerView&;
 };
 
 }  // namespace fireflythread::test
