Give up no run that an incomplete report does not list

Cause: a worker lists at most 500 completions in a report. The owner took each confirmed run that a report listed neither as running nor as ended for one that is gone. An unreadable entry of a report had the same effect.

Evidence: three tests failed before the change: "A run that an incomplete report does not list is not given up", "A report that may lack runs is incomplete" and "Replies and reports are unchanged after encoding and decoding" (relay).

Ruled out: the lease (the cut is shorter, no run lapsed).

Change: a report says whether it is complete; an incomplete one gives up no run. The relay passes the mark on.

--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -122,7 +122,7 @@
     if (found != running.end() && (*found)->task == *name) {
       ApplyRunning(task, **found, now);
       job.has_started = true;
-    } else {
+    } else if (report.complete) {
       ResolveMissingRun(state, TaskName(*name), sent_at, now);
     }
   }
--- a/src/fireflythread/jobs/worker_report.h
+++ b/src/fireflythread/jobs/worker_report.h
@@ -50,6 +50,9 @@
   std::chrono::milliseconds started_at{0};
   std::vector<RunningRun> running;
   std::vector<RunCompletion> ended;
+  /// The report lists all runs and all completions. Of a run that an incomplete
+  /// report does not list, nothing is known.
+  bool complete = true;
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/relay/io_order_codec.cc
+++ b/src/fireflythread/relay/io_order_codec.cc
@@ -99,6 +99,7 @@
     -> void {
   message.set_clock_ms(report.clock.count());
   message.set_born_ms(report.started_at.count());
+  message.set_incomplete(!report.complete);
   for (const RunningRun& run : report.running) {
     peer::RelayedRunning& running = *message.add_running();
     EncodeTask(run.task, *running.mutable_task());
@@ -150,6 +151,7 @@
   WorkerReport report;
   report.clock = milliseconds(message.clock_ms());
   report.started_at = milliseconds(message.born_ms());
+  report.complete = !message.incomplete();
   for (const peer::RelayedRunning& running : message.running()) {
     report.running.push_back(DecodeRunning(running));
   }
--- a/test/fireflythread/jobs/shard_fixture.cc
+++ b/test/fireflythread/jobs/shard_fixture.cc
@@ -57,21 +57,25 @@
 
 auto ShardFixture::Report(const std::string& worker,
                           std::vector<RunningRun> running,
-                          std::vector<RunCompletion> ended) -> void {
+                          std::vector<RunCompletion> ended,
+                          bool complete) -> void {
   const TimePoint sent_at = this->now;
   this->now += milliseconds(1);
-  this->ReportSince(sent_at, worker, std::move(running), std::move(ended));
+  this->ReportSince(sent_at, worker, std::move(running), std::move(ended),
+                    complete);
 }
 
 auto ShardFixture::ReportSince(TimePoint sent_at,
                                const std::string& worker,
                                std::vector<RunningRun> running,
-                               std::vector<RunCompletion> ended) -> void {
+                               std::vector<RunCompletion> ended,
+                               bool complete) -> void {
   WorkerReport report;
   report.clock = this->ClockOf(worker);
   report.started_at = this->ViewOf(worker).started_at;
   report.running = std::move(running);
   report.ended = std::move(ended);
+  report.complete = complete;
   ApplyReport(this->state, WorkerId(worker), report, sent_at, this->now);
 }
 
--- a/test/fireflythread/jobs/shard_fixture.h
+++ b/test/fireflythread/jobs/shard_fixture.h
@@ -33,12 +33,14 @@
   /// Applies a report of a worker that lists only the given runs.
   auto Report(const std::string& worker,
               std::vector<RunningRun> running = {},
-              std::vector<RunCompletion> ended = {}) -> void;
+              std::vector<RunCompletion> ended = {},
+              bool complete = true) -> void;
   /// Applies such a report to a poll that was sent at `sent_at`.
   auto ReportSince(TimePoint sent_at,
                    const std::string& worker,
                    std::vector<RunningRun> running = {},
-                   std::vector<RunCompletion> ended = {}) -> void;
+                   std::vector<RunCompletion> ended = {},
+                   bool complete = true) -> void;
 
   /// Begins a new incarnation of a worker, whose clock starts at 0. The shard
   /// learns of it from reports, replies or its registration.
--- a/test/fireflythread/jobs/shard_runs_test.cc
+++ b/test/fireflythread/jobs/shard_runs_test.cc
@@ -152,6 +152,39 @@
   CHECK(again[0].run == starts[0].run + 1);
 }
 
+TEST_CASE("A run that an incomplete report does not list is not given up",
+          "[jobs]") {
+  // Guards against a task that runs again after it was done, because its worker
+  // lists its completions in several reports.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(2, 1000));
+  const auto starts = shard.PlanAndStore();
+  REQUIRE(starts.size() == 2);
+  shard.Accept(starts[0]);
+  SECTION("the start was answered") {
+    shard.Accept(starts[1]);
+  }
+  SECTION("the start got no answer") {
+    ApplyStartReply(shard.state, starts[1], {OrderVerdict::kUnknown},
+                    shard.now);
+  }
+  SECTION("the run's stop is confirmed") {
+    shard.Accept(starts[1]);
+    BeginStop(shard.state, starts[1].task, shard.now);
+    for (const StopCommand& stop : NextStops(shard.state, shard.now)) {
+      ApplyStopReply(shard.state, stop, {OrderVerdict::kDone}, shard.now);
+    }
+  }
+  shard.Advance(milliseconds(10));
+  shard.Report("w0", {}, {ShardFixture::Ended(starts[0], 1, RunResult::kDone)},
+               false);
+  CHECK(shard.PlanAndStore().empty());
+  CHECK(NextStops(shard.state, shard.now).empty());
+  shard.Report("w0", {}, {ShardFixture::Ended(starts[1], 2, RunResult::kDone)});
+  CHECK(shard.PlanAndStore().empty());
+  CHECK(shard.state.finished.contains(JobId("a")));
+}
+
 TEST_CASE("A cancelled job's runs hold their capacity until they have stopped",
           "[jobs]") {
   // Guards against a start into capacity that a stopping run still uses.
--- a/test/fireflythread/relay/order_codec_test.cc
+++ b/test/fireflythread/relay/order_codec_test.cc
@@ -139,6 +139,7 @@
     WorkerReport sent;
     sent.clock = Time();
     sent.started_at = Time();
+    sent.complete = *rc::gen::arbitrary<bool>();
     for (int remaining = *rc::gen::inRange(0, 5); remaining > 0; --remaining) {
       sent.running.push_back(
           {Task(), Int(), Text(), Int(), *rc::gen::arbitrary<std::int64_t>()});
@@ -154,6 +155,7 @@
     const auto& report = std::get<WorkerReport>(result);
     RC_ASSERT(report.clock == sent.clock);
     RC_ASSERT(report.started_at == sent.started_at);
+    RC_ASSERT(report.complete == sent.complete);
     RC_ASSERT(report.running.size() == sent.running.size());
     for (std::size_t i = 0; i < sent.running.size(); ++i) {
       CheckSame(report.running[i], sent.running[i]);
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -203,6 +203,31 @@
   CHECK(report->ended[0].end == RunResult::kFailed);
 }
 
+/// Returns whether a report with these numbers of readable and unreadable
+/// entries counts as complete.
+auto IsReportComplete(int ended, const char* running = "[]") -> bool {
+  Json body = Json::parse(R"({"clock_ms":5,"born":9})");
+  body["running"] = Json::parse(running);
+  body["ended"] = Json::array();
+  for (int number = 1; number <= ended; ++number) {
+    body["ended"].push_back(
+        Json::array({number, "5c0e7a21d94b36f8.0.1." + std::to_string(number),
+                     1, "done", ""}));
+  }
+  const auto result = DecodeReport(JsonReply{200, body});
+  return std::get<WorkerReport>(result).complete;
+}
+
+TEST_CASE("A report that may lack runs is incomplete", "[platform]") {
+  // Guards against a run that is given up because the worker lists at most 500
+  // completions at once, or because one entry of the report is unreadable.
+  CHECK(IsReportComplete(0));
+  CHECK(IsReportComplete(499));
+  CHECK_FALSE(IsReportComplete(500));
+  CHECK(IsReportComplete(1, R"([["5c0e7a21d94b36f8.0.1.17",2,"ck",41]])"));
+  CHECK_FALSE(IsReportComplete(1, R"([["5c0e7a21d94b36f8.0.1.17",2]])"));
+}
+
 TEST_CASE("The decoders accept any text without a crash", "[platform]") {
   // Guards against a crash caused by bytes that another program wrote.
   rc::check("decoders take any text", [](const std::string& text) {
