Let another instance at a former address of a worker give up no run

What callers could see: two runs of a task, when a worker had started again at another address and runs there, and a call to its former address was answered with 421 by the instance that listens there now.

Cause: the answer 421 counted for the worker as a whole, not for the address that was called.

Evidence: "Another instance at a worker's former address gives up no run" failed in its three sections with the comparison of the addresses taken out.

Change: the verdict holds for the worker's present address only; a start that got it elsewhere counts as refused, a stop or a poll as failed. What the verdict on a missing report does moves from the task into the core.

--- a/src/fireflythread/entry/shard_task_polls.cc
+++ b/src/fireflythread/entry/shard_task_polls.cc
@@ -83,18 +83,9 @@
 
 auto ShardTask::ApplyMissingReport(const PollCommand& poll,
                                    const OrderReply& reply) -> void {
-  const TimePoint now = ReadBootClock();
   this->run_log.RecordFailedPoll(poll, reply);
-  if (reply.verdict == OrderVerdict::kFenced) {
-    this->state.fenced_off = true;
-  }
-  if (reply.verdict == OrderVerdict::kOtherInstance) {
-    ApplyWorkerGone(this->state, poll.worker, now);
-  } else if (reply.verdict == OrderVerdict::kNotSent) {
-    ApplyPollRefusal(this->state, poll.worker, now);
-  } else {
-    ApplyPollFailure(this->state, poll.worker, now);
-  }
+  fireflythread::ApplyMissingReport(this->state, poll, reply.verdict,
+                                    ReadBootClock());
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -76,8 +76,8 @@
     state.fenced_off = true;
     return;
   }
-  if (reply.verdict == OrderVerdict::kOtherInstance) {
-    ApplyWorkerGone(state, start.worker, now);
+  if (reply.verdict == OrderVerdict::kOtherInstance &&
+      ApplyOtherInstance(state, start.worker, start.address, now)) {
     return;
   }
   TaskState* task = FindTask(state, start.task);
@@ -140,8 +140,8 @@
     state.fenced_off = true;
     return;
   }
-  if (reply.verdict == OrderVerdict::kOtherInstance) {
-    ApplyWorkerGone(state, stop.worker, now);
+  if (reply.verdict == OrderVerdict::kOtherInstance &&
+      ApplyOtherInstance(state, stop.worker, stop.address, now)) {
     return;
   }
   TaskState* task = FindTask(state, stop.task);
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -313,16 +313,45 @@
   worker.next_poll = now + RefusedPause(state.limits, worker);
 }
 
-auto ApplyWorkerGone(ShardState& state,
-                     const WorkerId& worker_id,
-                     TimePoint now) -> void {
+auto ApplyOtherInstance(ShardState& state,
+                        const WorkerId& worker_id,
+                        const std::string& address,
+                        TimePoint now) -> bool {
   const auto found = state.workers.find(worker_id);
   if (found == state.workers.end()) {
-    return;
+    return true;
+  }
+  ShardWorker& worker = found->second;
+  if (worker.view.address != address) {
+    return false;
   }
-  found->second.poll_in_flight = false;
-  found->second.gone = true;
+  worker.poll_in_flight = false;
+  worker.gone = true;
   ExpireWorkers(state, now);
+  return true;
+}
+
+auto ApplyMissingReport(ShardState& state,
+                        const PollCommand& poll,
+                        OrderVerdict verdict,
+                        TimePoint now) -> void {
+  switch (verdict) {
+    case OrderVerdict::kOtherInstance:
+      if (!ApplyOtherInstance(state, poll.worker, poll.address, now)) {
+        ApplyPollFailure(state, poll.worker, now);
+      }
+      break;
+    case OrderVerdict::kNotSent:
+      ApplyPollRefusal(state, poll.worker, now);
+      break;
+    case OrderVerdict::kFenced:
+      state.fenced_off = true;
+      ApplyPollFailure(state, poll.worker, now);
+      break;
+    default:
+      ApplyPollFailure(state, poll.worker, now);
+      break;
+  }
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/shard_workers.h
+++ b/src/fireflythread/jobs/shard_workers.h
@@ -2,8 +2,10 @@
 #define FIREFLYTHREAD_JOBS_SHARD_WORKERS_H_
 
 #include <optional>
+#include <string>
 #include <vector>
 
+#include "fireflythread/jobs/order_verdict.h"
 #include "fireflythread/jobs/poll_command.h"
 #include "fireflythread/jobs/shard_state.h"
 #include "fireflythread/jobs/worker_report.h"
@@ -47,9 +49,19 @@
 auto ApplyPollRefusal(ShardState& state, const WorkerId& worker, TimePoint now)
     -> void;
 
-/// Records that another instance answers at the worker's address.
-auto ApplyWorkerGone(ShardState& state, const WorkerId& worker, TimePoint now)
-    -> void;
+/// Records that another instance answers at an address of the worker. Has no
+/// effect if the worker is registered at another address by now; returns
+/// whether the worker is gone.
+auto ApplyOtherInstance(ShardState& state,
+                        const WorkerId& worker,
+                        const std::string& address,
+                        TimePoint now) -> bool;
+
+/// Applies the verdict on a poll that got no report.
+auto ApplyMissingReport(ShardState& state,
+                        const PollCommand& poll,
+                        OrderVerdict verdict,
+                        TimePoint now) -> void;
 
 }  // namespace fireflythread
 
--- a/test/fireflythread/jobs/ended_jobs_test.cc
+++ b/test/fireflythread/jobs/ended_jobs_test.cc
@@ -34,7 +34,7 @@
   CancelJob(shard.state, JobId("a"), shard.now);
   CHECK(shard.PlanAndStore().empty());
   CHECK(NextEndedBatch(shard.state).moves.empty());
-  ApplyWorkerGone(shard.state, WorkerId("w0"), shard.now);
+  ApplyOtherInstance(shard.state, WorkerId("w0"), "10.0.0.0:80", shard.now);
   ExpireWorkers(shard.state, shard.now);
   CHECK(NextEndedBatch(shard.state).moves.size() == 1);
 }
--- a/test/fireflythread/jobs/shard_runs_test.cc
+++ b/test/fireflythread/jobs/shard_runs_test.cc
@@ -45,7 +45,7 @@
   REQUIRE(shard.StartAll().size() == 2);
   CancelJob(shard.state, JobId("a"), shard.now);
   const RecordBatch batch = TakeBatch(shard.state, 45);
-  ApplyWorkerGone(shard.state, WorkerId("w0"), shard.now);
+  ApplyOtherInstance(shard.state, WorkerId("w0"), "10.0.0.0:80", shard.now);
   ExpireWorkers(shard.state, shard.now);
   ApplyNotStored(shard.state, batch);
   CHECK(TakeBatch(shard.state, 45).records.size() == 1);
--- a/test/fireflythread/jobs/worker_restart_test.cc
+++ b/test/fireflythread/jobs/worker_restart_test.cc
@@ -141,6 +141,48 @@
   CHECK(shard.PlanAndStore().size() == 2);
 }
 
+TEST_CASE("Another instance at a worker's former address gives up no run",
+          "[jobs]") {
+  // Guards against two runs of a task: the worker has moved to another address,
+  // runs the task there, and an earlier call to the former address is answered
+  // by the instance that listens there now.
+  ShardFixture shard(2);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  shard.AddJob("b", ShardFixture::Step(1, 1000));
+  const auto starts = shard.PlanAndStore();
+  REQUIRE(starts.size() == 2);
+  REQUIRE(starts[0].worker == starts[1].worker);
+  const std::string worker = starts[0].worker.value;
+  shard.Accept(starts[0]);
+  const std::string former_address = starts[0].address;
+  shard.views[static_cast<std::size_t>(worker.back() - '0')].address =
+      "10.0.1.0:80";
+  ApplyWorkers(shard.state, shard.views, shard.now);
+  SECTION("a start") {
+    ApplyStartReply(shard.state, starts[1], {OrderVerdict::kOtherInstance},
+                    shard.now);
+    // This start had no effect, so the task may run elsewhere.
+    CHECK(shard.Task("b", 0).worker.empty());
+  }
+  SECTION("a stop") {
+    BeginStop(shard.state, starts[1].task, shard.now);
+    StopCommand stop = NextStops(shard.state, shard.now).at(0);
+    stop.address = former_address;
+    ApplyStopReply(shard.state, stop, {OrderVerdict::kOtherInstance},
+                   shard.now);
+    CHECK(shard.Task("b", 0).phase == RunPhase::kStopping);
+  }
+  SECTION("a poll") {
+    PollCommand poll;
+    poll.worker = starts[0].worker;
+    poll.address = former_address;
+    ApplyMissingReport(shard.state, poll, OrderVerdict::kOtherInstance,
+                       shard.now);
+  }
+  CHECK(shard.Task("a", 0).worker == starts[0].worker);
+  CHECK(shard.Task("a", 0).phase == RunPhase::kRunning);
+}
+
 TEST_CASE("A restarted worker that gives no report keeps its runs for a lease",
           "[jobs]") {
   // Guards against a start elsewhere while the new incarnation may run the
