Accept jobs where a queue is assigned, not where the configuration sends it

Cause: an entry accepted jobs for a new service before the row queue_home named it, and a configuration that came within the delay of its write replaced it.

Ruled out: conditions on the configuration's version (an entry with an old one agrees with itself); a shorter delay.

Change: the row decides, and a configuration only has it changed. A row in each shard of the old pool says first that the assignment has ended; a submission requires its absence in its own part of the store, and one that finds the row follows the queue.

--- a/src/fireflythread/entry/job_request_handler.cc
+++ b/src/fireflythread/entry/job_request_handler.cc
@@ -1,13 +1,12 @@
 #include "fireflythread/entry/job_request_handler.h"
 
-#include <glib.h>
-
 #include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/run_later.h"
 #include "fireflythread/entry/store_timeouts.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
@@ -21,19 +20,6 @@
 /// Delay before a store call for a caller's request is retried.
 constexpr milliseconds kCallRetryDelay{100};
 
-auto RunLater(milliseconds delay, std::function<void()> function) -> void {
-  g_timeout_add_full(
-      G_PRIORITY_DEFAULT, static_cast<guint>(delay.count()),
-      +[](gpointer data) -> gboolean {
-        (*static_cast<std::function<void()>*>(data))();
-        return G_SOURCE_REMOVE;
-      },
-      new std::function<void()>(std::move(function)),
-      +[](gpointer data) -> void {
-        delete static_cast<std::function<void()>*>(data);
-      });
-}
-
 /// Returns the timeout of a store call for a request with this deadline.
 auto CallTimeout(TimePoint deadline) -> Duration {
   const Duration left = deadline - ReadBootClock();
@@ -58,6 +44,7 @@
     : store(table_store), logger(log) {}
 
 auto JobRequestHandler::Submit(const ShardName& shard,
+                               const std::string& ended_key,
                                const std::vector<ShardName>& other_shards,
                                const JobRequest& job,
                                TimePoint deadline,
@@ -65,6 +52,7 @@
   Submission submission;
   submission.number = ++this->last_submission;
   submission.shard = shard;
+  submission.ended_key = ended_key;
   submission.other_shards = other_shards;
   submission.job = job.id;
   submission.value = EncodeJobRequest(job);
@@ -108,6 +96,13 @@
     // request.
     ConflictSplit split = SplitConflict(std::move(batch), *conflict);
     PutBack(queue, std::move(split.again));
+    for (const Submission& submission : split.moved) {
+      this->AnswerSubmission(submission, JobRequestOutcome::kMoved);
+    }
+    for (Submission& submission : split.unclear) {
+      submission.uncertain = true;
+      this->RetrySubmission(std::move(submission));
+    }
     batch = std::move(split.stored);
   }
   const bool stored = std::holds_alternative<Committed>(outcome) ||
--- a/src/fireflythread/entry/job_request_handler.h
+++ b/src/fireflythread/entry/job_request_handler.h
@@ -31,7 +31,10 @@
   /// request finds out.
   kUnknown,
   /// There is no such job.
-  kNoJob
+  kNoJob,
+  /// Nothing was stored or will be stored in this shard: the job's queue is
+  /// assigned to another one.
+  kMoved
 };
 
 /// Handles the callers' requests about jobs by reading and writing the store.
@@ -48,9 +51,12 @@
   JobRequestHandler(const JobRequestHandler&) = delete;
   auto operator=(const JobRequestHandler&) -> JobRequestHandler& = delete;
 
-  /// Stores a job. A job that is already stored in this shard or in one of
-  /// `other_shards` is accepted again, but not stored a second time.
+  /// Stores a job unless the row `ended_key` says that its queue has left the
+  /// shard; see EndedAssignmentKey(). A job that is already stored in this
+  /// shard or in one of `other_shards` is accepted again, but not stored a
+  /// second time.
   auto Submit(const ShardName& shard,
+              const std::string& ended_key,
               const std::vector<ShardName>& other_shards,
               const JobRequest& job,
               TimePoint deadline,
--- a/src/fireflythread/jobs/queue_assignments.cc
+++ b/src/fireflythread/jobs/queue_assignments.cc
@@ -2,8 +2,7 @@
 
 #include <cstddef>
 #include <nlohmann/json.hpp>
-#include <string>
-#include <utility>
+#include <optional>
 
 #include "fireflythread/jobs/configuration.h"
 #include "fireflythread/jobs/queue.h"
@@ -16,34 +15,79 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
-/// A transaction holds at most 100 entries; each row takes two.
-constexpr std::size_t kRowsPerTransaction = 45;
+/// A transaction holds at most 100 entries; each queue's row takes two.
+constexpr std::size_t kMaxRows = 45;
 
 auto ToMilliseconds(WallTime time) -> std::int64_t {
   return std::chrono::duration_cast<milliseconds>(time.time_since_epoch())
       .count();
 }
 
+auto FromMilliseconds(const Json& json) -> WallTime {
+  return WallTime(milliseconds(json.get<std::int64_t>()));
+}
+
 auto Encode(const QueueAssignment& assignment) -> std::string {
+  // Earlier versions of the program read the object `former` only.
   Json former = Json::object();
-  for (const auto& [service, left_at] : assignment.former) {
-    former[service.value] = ToMilliseconds(left_at);
+  Json ended = Json::array();
+  for (const FormerAssignment& each : assignment.former) {
+    const std::int64_t left_ms = ToMilliseconds(each.left_at);
+    ended.push_back(Json::array({each.service.value, each.version, left_ms}));
+    if (each.service != assignment.service) {
+      former[each.service.value] = left_ms;
+    }
+  }
+  Json earlier = Json::array();
+  for (const ServiceName& service : assignment.earlier_services) {
+    earlier.push_back(service.value);
   }
   return Json{{"service", assignment.service.value},
-              {"former", std::move(former)}}
+              {"former", std::move(former)},
+              {"ended", std::move(ended)},
+              {"earlier", std::move(earlier)}}
       .dump();
 }
 
+auto DecodeFormer(const Json& json) -> std::vector<FormerAssignment> {
+  std::vector<FormerAssignment> former;
+  if (const auto ended = json.find("ended"); ended != json.end()) {
+    for (const Json& each : *ended) {
+      former.push_back({ServiceName(each.at(0).get<std::string>()),
+                        each.at(1).get<std::uint64_t>(),
+                        FromMilliseconds(each.at(2))});
+    }
+    return former;
+  }
+  for (const auto& [service, left_ms] : json.at("former").items()) {
+    former.push_back({ServiceName(service), 0, FromMilliseconds(left_ms)});
+  }
+  return former;
+}
+
+auto DecodeEarlier(const Json& json,
+                   const std::vector<FormerAssignment>& former)
+    -> std::set<ServiceName> {
+  std::set<ServiceName> services;
+  for (const FormerAssignment& each : former) {
+    services.insert(each.service);
+  }
+  if (const auto earlier = json.find("earlier"); earlier != json.end()) {
+    for (const Json& service : *earlier) {
+      services.insert(ServiceName(service.get<std::string>()));
+    }
+  }
+  return services;
+}
+
 auto Decode(const Row& row) -> std::optional<QueueAssignment> {
   try {
     const Json json = Json::parse(row.value);
     QueueAssignment assignment;
     assignment.service = ServiceName(json.at("service").get<std::string>());
     assignment.version = row.version;
-    for (const auto& [service, left_ms] : json.at("former").items()) {
-      assignment.former[ServiceName(service)] =
-          WallTime(milliseconds(left_ms.get<std::int64_t>()));
-    }
+    assignment.former = DecodeFormer(json);
+    assignment.earlier_services = DecodeEarlier(json, assignment.former);
     return assignment;
   } catch (const Json::exception&) {
     return std::nullopt;
@@ -51,27 +95,104 @@
 }
 
 /// A time in the future, seen after a clock was set back, counts as recent.
-auto IsRecent(WallTime left_at, WallTime now) -> bool {
-  return now - left_at < kRepeatWindow;
+auto IsRecent(const FormerAssignment& former, WallTime now) -> bool {
+  return now - former.left_at < kRepeatWindow;
+}
+
+/// What one change of assignments writes.
+struct AssignmentChange {
+  /// Rows which say that an assignment has ended.
+  std::vector<Write> endings;
+  /// The queues' rows, with the conditions on their versions.
+  std::vector<Condition> conditions;
+  std::vector<Write> rows;
+  /// Removals of endings that are not recent.
+  std::vector<Write> removals;
+};
+
+/// Writes or removes the rows which say that an assignment has ended.
+auto AddEndings(const QueueName& queue,
+                const ServiceName& service,
+                std::uint64_t version,
+                const std::optional<std::string>& value,
+                const ShardsOfService& shards_of,
+                std::vector<Write>& writes) -> void {
+  for (const ShardName& shard : shards_of(service)) {
+    writes.push_back({std::string(kQueueAssignmentTable),
+                      EndedAssignmentKey(queue, version), value, shard.value});
+  }
 }
 
-/// Returns the row of a queue whose jobs are assigned to `service` from now on.
-auto NextAssignment(const QueueAssignment& known,
-                    const ServiceName& service,
-                    WallTime now) -> QueueAssignment {
+/// Ends the known assignment of a queue and returns the next one.
+auto EndAssignment(const Queue& queue,
+                   const QueueAssignment& known,
+                   const ShardsOfService& shards_of,
+                   WallTime now,
+                   AssignmentChange& change) -> QueueAssignment {
   QueueAssignment next;
-  next.service = service;
-  for (const auto& [former, left_at] : known.former) {
-    if (former != service && IsRecent(left_at, now)) {
-      next.former[former] = left_at;
+  next.service = queue.service;
+  next.earlier_services = known.earlier_services;
+  next.earlier_services.insert(known.service);
+  for (const FormerAssignment& former : known.former) {
+    if (IsRecent(former, now)) {
+      next.former.push_back(former);
+    } else if (former.version != 0) {
+      AddEndings(queue.name, former.service, former.version, std::nullopt,
+                 shards_of, change.removals);
     }
   }
-  next.former[known.service] = now;
+  next.former.push_back({known.service, known.version, now});
+  AddEndings(queue.name, known.service, known.version, "{}", shards_of,
+             change.endings);
   return next;
 }
 
+auto AddRow(const QueueName& queue,
+            std::uint64_t version,
+            const QueueAssignment& next,
+            AssignmentChange& change) -> void {
+  change.conditions.push_back(
+      {std::string(kQueueAssignmentTable), queue.value, version});
+  change.rows.push_back(
+      {std::string(kQueueAssignmentTable), queue.value, Encode(next)});
+}
+
+/// Appends one transaction for each part, because one over several parts delays
+/// all of them.
+auto AppendByPart(const std::vector<Write>& writes,
+                  std::vector<Transaction>& transactions) -> void {
+  std::map<std::string, Transaction> parts;
+  for (const Write& write : writes) {
+    parts[write.part].writes.push_back(write);
+  }
+  for (auto& [part, transaction] : parts) {
+    transactions.push_back(std::move(transaction));
+  }
+}
+
+/// An assignment must have ended in all shards before the next one begins.
+auto MakeTransactions(const AssignmentChange& change)
+    -> std::vector<Transaction> {
+  std::vector<Transaction> transactions;
+  if (change.rows.empty()) {
+    return transactions;
+  }
+  AppendByPart(change.endings, transactions);
+  Transaction rows;
+  rows.conditions = change.conditions;
+  rows.writes = change.rows;
+  transactions.push_back(std::move(rows));
+  AppendByPart(change.removals, transactions);
+  return transactions;
+}
+
 }  // namespace
 
+auto EndedAssignmentKey(const QueueName& queue, std::uint64_t version)
+    -> std::string {
+  return queue.value + "/" + std::to_string(version);
+}
+
 auto ApplyQueueAssignments(QueueAssignments& assignments,
                            const std::vector<Row>& rows) -> void {
   assignments.rows.clear();
@@ -80,52 +201,45 @@
       assignments.rows.emplace(row.key, *std::move(assignment));
     }
   }
-  assignments.current = true;
 }
 
 auto MakeQueueAssignments(const QueueAssignments& assignments,
                           const Configuration& configuration,
-                          WallTime now) -> Transaction {
-  Transaction transaction;
+                          const ShardsOfService& shards_of,
+                          WallTime now) -> std::vector<Transaction> {
+  AssignmentChange change;
   for (const Queue& queue : configuration.queues) {
     const auto known = assignments.rows.find(queue.name);
-    const bool absent = known == assignments.rows.end();
-    if (!absent && known->second.service == queue.service) {
+    if (change.rows.size() >= kMaxRows) {
+      break;
+    }
+    if (known == assignments.rows.end()) {
+      QueueAssignment first;
+      first.service = queue.service;
+      AddRow(queue.name, 0, first, change);
       continue;
     }
-    if (transaction.writes.size() >= kRowsPerTransaction) {
-      break;
+    const QueueAssignment& assignment = known->second;
+    const bool ended = assignments.found_ended.contains(
+        std::make_pair(queue.name, assignment.version));
+    if (assignment.service != queue.service || ended) {
+      const QueueAssignment next =
+          EndAssignment(queue, assignment, shards_of, now, change);
+      AddRow(queue.name, assignment.version, next, change);
     }
-    const QueueAssignment next =
-        absent ? QueueAssignment{queue.service, {}, 0}
-               : NextAssignment(known->second, queue.service, now);
-    transaction.conditions.push_back({std::string(kQueueAssignmentTable),
-                                      queue.name.value,
-                                      absent ? 0 : known->second.version});
-    transaction.writes.push_back(
-        {std::string(kQueueAssignmentTable), queue.name.value, Encode(next)});
   }
-  return transaction;
+  return MakeTransactions(change);
 }
 
-auto FormerAssignments(const QueueAssignments& assignments,
-                       const Queue& queue,
-                       WallTime now)
-    -> std::optional<std::vector<ServiceName>> {
-  const auto known = assignments.rows.find(queue.name);
-  if (!assignments.current || known == assignments.rows.end()) {
-    return std::nullopt;
-  }
-  std::vector<ServiceName> services;
-  if (known->second.service != queue.service) {
-    services.push_back(known->second.service);
-  }
-  for (const auto& [former, left_at] : known->second.former) {
-    if (former != queue.service && IsRecent(left_at, now)) {
-      services.push_back(former);
+auto FormerServices(const QueueAssignment& assignment, WallTime now)
+    -> std::vector<ServiceName> {
+  std::set<ServiceName> services;
+  for (const FormerAssignment& former : assignment.former) {
+    if (former.service != assignment.service && IsRecent(former, now)) {
+      services.insert(former.service);
     }
   }
-  return services;
+  return {services.begin(), services.end()};
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/queue_assignments.h
+++ b/src/fireflythread/jobs/queue_assignments.h
@@ -3,9 +3,12 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <optional>
+#include <set>
+#include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "fireflythread/base/ids.h"
@@ -15,46 +18,70 @@
 
 namespace fireflythread {
 
-/// Table with one row for each queue: the service that its jobs are assigned
-/// to, and the services that they were assigned to before.
+/// Table with one row for each queue, in the empty part: the service that its
+/// jobs are assigned to, and the services that they were assigned to before.
+/// The version of the row identifies the assignment.
+///
+/// A row in a shard's part says that an assignment to the shard's pool has
+/// ended; see EndedAssignmentKey(). A submission requires its absence, so an
+/// entry that does not know of the end stores nothing.
 inline constexpr std::string_view kQueueAssignmentTable = "queue_home";
 
 /// A caller may repeat a submission for this long.
 inline constexpr std::chrono::minutes kRepeatWindow{2};
 
+/// An assignment of a queue that has ended.
+struct FormerAssignment {
+  ServiceName service;
+  /// Version of the queue's row during the assignment; 0 if an earlier version
+  /// of the program ended it.
+  std::uint64_t version = 0;
+  WallTime left_at;
+};
+
 /// The assignment of a queue, as last read from its row.
 struct QueueAssignment {
   ServiceName service;
-  /// Former assignments of the queue, with the time at which the change was
-  /// noticed.
-  std::map<ServiceName, WallTime> former;
+  /// Assignments that ended recently.
+  std::vector<FormerAssignment> former;
+  /// All services that the queue was assigned to before.
+  std::set<ServiceName> earlier_services;
   std::uint64_t version = 0;
 };
 
 /// The queues' rows as an entry knows them.
 struct QueueAssignments {
   std::map<QueueName, QueueAssignment> rows;
-  /// The rows were read after the last change of the configuration.
-  bool current = false;
+  /// Assignments that a submission found to have ended, by their versions.
+  std::set<std::pair<QueueName, std::uint64_t>> found_ended;
 };
 
-/// Applies all rows of the table.
+/// Returns the shards of a service's pool.
+using ShardsOfService =
+    std::function<std::vector<ShardName>(const ServiceName&)>;
+
+/// Returns the key of the row which says that the assignment of a queue with
+/// this version has ended.
+[[nodiscard]] auto EndedAssignmentKey(const QueueName& queue,
+                                      std::uint64_t version) -> std::string;
+
+/// Applies all rows of the table's empty part.
 auto ApplyQueueAssignments(QueueAssignments& assignments,
                            const std::vector<Row>& rows) -> void;
 
-/// Makes a transaction that writes the rows that differ from the configuration.
-/// It is empty when all rows agree.
+/// Makes the transactions that assign the queues as the configuration says.
+/// They must be committed in order, each only after the one before. The result
+/// is empty when all rows agree.
 [[nodiscard]] auto MakeQueueAssignments(const QueueAssignments& assignments,
                                         const Configuration& configuration,
-                                        WallTime now) -> Transaction;
+                                        const ShardsOfService& shards_of,
+                                        WallTime now)
+    -> std::vector<Transaction>;
 
 /// Returns the other services whose shards may hold jobs of a queue that
-/// callers still repeat. Returns no value while this is unknown; then every
-/// service must be considered.
-[[nodiscard]] auto FormerAssignments(const QueueAssignments& assignments,
-                                     const Queue& queue,
-                                     WallTime now)
-    -> std::optional<std::vector<ServiceName>>;
+/// callers still repeat.
+[[nodiscard]] auto FormerServices(const QueueAssignment& assignment,
+                                  WallTime now) -> std::vector<ServiceName>;
 
 }  // namespace fireflythread
 
--- a/src/fireflythread/jobs/submission_queue.cc
+++ b/src/fireflythread/jobs/submission_queue.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/jobs/queue_assignments.h"
 #include "fireflythread/platform/row.h"
 #include "fireflythread/platform/transaction.h"
 #include "fireflythread/platform/transaction_outcome.h"
@@ -31,6 +32,19 @@
   return 1 + 2 * (1 + submission.other_shards.size());
 }
 
+/// Requires that the assignments of the submissions' queues have not ended.
+auto AddAssignments(const std::vector<Submission>& batch,
+                    Transaction& transaction) -> void {
+  std::set<std::string> keys;
+  for (const Submission& submission : batch) {
+    if (keys.insert(submission.ended_key).second) {
+      transaction.conditions.push_back({std::string(kQueueAssignmentTable),
+                                        submission.ended_key, 0,
+                                        submission.shard.value});
+    }
+  }
+}
+
 /// Requires that a shard has no such job, neither open nor ended. An ended
 /// job's rows are moved in one transaction, so one of the two always exists.
 auto AddAbsence(const ShardName& shard,
@@ -65,11 +79,13 @@
     return batch;
   }
   std::set<JobId> jobs;
+  std::set<std::string> assignments;
   std::size_t entries = 0;
   std::size_t bytes = 0;
   while (!queue.waiting.empty()) {
     Submission& next = queue.waiting.front();
     entries += EntryCount(next);
+    entries += assignments.insert(next.ended_key).second ? 1 : 0;
     bytes += next.value.size();
     const bool full = entries > kMaxEntries || bytes > kMaxBytes;
     const bool apart = next.alone || jobs.contains(next.job);
@@ -87,6 +103,7 @@
 auto MakeSubmissionTransaction(const std::vector<Submission>& batch)
     -> Transaction {
   Transaction transaction;
+  AddAssignments(batch, transaction);
   for (const Submission& submission : batch) {
     AddAbsence(submission.shard, submission.job, transaction);
     for (const ShardName& other : submission.other_shards) {
@@ -102,25 +119,30 @@
 auto SplitConflict(std::vector<Submission> batch, const Conflict& conflict)
     -> ConflictSplit {
   std::set<std::string> present;
+  std::set<std::string> ended_assignments;
   for (const Row& row : conflict.current) {
     if (row.version > 0) {
-      present.insert(row.key);
+      const bool is_ending = row.table == kQueueAssignmentTable;
+      (is_ending ? ended_assignments : present).insert(row.key);
     }
   }
   ConflictSplit split;
-  // A conflict of a transaction with a single job concerns that job.
   const bool single = batch.size() == 1;
   for (Submission& submission : batch) {
     // The key of an ended job's row is the job's id.
     const bool known = present.contains(JobKey(submission.job)) ||
                        present.contains(submission.job.value);
-    if (single || known) {
+    if (!known && ended_assignments.contains(submission.ended_key)) {
+      split.moved.push_back(std::move(submission));
+    } else if (known) {
       split.stored.push_back(std::move(submission));
+    } else if (single) {
+      split.unclear.push_back(std::move(submission));
     } else {
       split.again.push_back(std::move(submission));
     }
   }
-  if (split.stored.empty()) {
+  if (split.stored.empty() && split.moved.empty()) {
     for (Submission& submission : split.again) {
       submission.alone = true;
     }
--- a/src/fireflythread/jobs/submission_queue.h
+++ b/src/fireflythread/jobs/submission_queue.h
@@ -17,6 +17,9 @@
   /// Identifies the caller's request in this process.
   std::uint64_t number = 0;
   ShardName shard;
+  /// Key of the row whose absence in the shard's part says that the queue is
+  /// still assigned there; see EndedAssignmentKey().
+  std::string ended_key;
   /// Other shards that may have accepted the same job before.
   std::vector<ShardName> other_shards;
   JobId job;
@@ -44,6 +47,11 @@
   std::vector<Submission> stored;
   /// To be retried.
   std::vector<Submission> again;
+  /// Not stored, and never will be in this shard: its queue is assigned
+  /// elsewhere.
+  std::vector<Submission> moved;
+  /// The conflict does not tell why; the job may be stored.
+  std::vector<Submission> unclear;
 };
 
 /// Removes and returns the waiting submissions that have too little time left
@@ -58,8 +66,8 @@
 [[nodiscard]] auto TakeSubmissions(SubmissionQueue& queue)
     -> std::vector<Submission>;
 
-/// Makes the transaction that stores each job on the condition that no shard
-/// has or recently had it.
+/// Makes the transaction that stores each job on the condition that its queue
+/// is still assigned to the shard and that no shard has or recently had it.
 [[nodiscard]] auto MakeSubmissionTransaction(
     const std::vector<Submission>& batch) -> Transaction;
 
--- a/test/fireflythread/entry/fake_table_store.cc
+++ b/test/fireflythread/entry/fake_table_store.cc
@@ -164,6 +164,13 @@
   return this->rows.contains({std::string(table), part, key});
 }
 
+auto FakeTableStore::Value(std::string_view table,
+                           const std::string& part,
+                           const std::string& key) const -> std::string {
+  const auto row = this->rows.find({std::string(table), part, key});
+  return row == this->rows.end() ? "" : row->second.value;
+}
+
 auto FakeTableStore::CountRows(std::string_view table) const -> std::size_t {
   return static_cast<std::size_t>(std::count_if(
       this->rows.begin(), this->rows.end(),
--- a/test/fireflythread/entry/fake_table_store.h
+++ b/test/fireflythread/entry/fake_table_store.h
@@ -45,6 +45,10 @@
   [[nodiscard]] auto Has(std::string_view table,
                          const std::string& part,
                          const std::string& key) const -> bool;
+  /// Returns the value of a row; empty if there is no such row.
+  [[nodiscard]] auto Value(std::string_view table,
+                           const std::string& part,
+                           const std::string& key) const -> std::string;
   [[nodiscard]] auto CountRows(std::string_view table) const -> std::size_t;
   /// Returns the number of rows of a table that reads have returned so far.
   [[nodiscard]] auto RowsRead(std::string_view table) const -> std::size_t;
