Keep the terms under which a job was accepted

Cause: a queue that the present configuration doesn't name had one attempt, and the job's row didn't say under which terms it had been accepted.

Evidence: "A job keeps its attempts while its queue is not configured" failed in both sections, and "A job starts although its queue is not configured any more" in three checks: planning left such jobs out, so a job that was accepted just before its route was removed never started.

Change: a job's row keeps its queue's priority, attempts, stretch and latency objective; they hold while the queue isn't configured. A job of an earlier version, whose row has none, neither fails nor starts anything meanwhile.

--- a/bench/shard_step_main.cc
+++ b/bench/shard_step_main.cc
@@ -97,8 +97,8 @@
   Queue queue;
   queue.name = QueueName("orders");
   queue.service = ServiceName(this->state.shard.value);
-  queue.stretch = 1.5;
-  queue.latency_objective = milliseconds(600);
+  queue.terms.stretch = 1.5;
+  queue.terms.latency_objective = milliseconds(600);
   this->state.queues.emplace(queue.name, queue);
   this->AddWorkers(worker_count);
   const int filling = worker_count * kTasksOfWorker / kTasksOfJob;
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -19,6 +19,7 @@
 struct Queue;
 struct QueueAssignment;
 struct QueueAssignments;
+struct QueueTerms;
 struct RecordBatch;
 struct RunningRun;
 struct ShardJob;
--- a/src/fireflythread/jobs/job_codec.cc
+++ b/src/fireflythread/jobs/job_codec.cc
@@ -35,6 +35,13 @@
   }
 }
 
+auto EncodeTerms(const QueueTerms& terms) -> Json {
+  return Json{{"priority", terms.priority},
+              {"max_attempts", terms.max_attempts},
+              {"stretch", terms.stretch},
+              {"latency_objective_ms", terms.latency_objective.count()}};
+}
+
 auto EncodeStep(const JobStep& step) -> Json {
   const JobStep none;
   Json json{{"count", step.count}};
@@ -79,6 +86,15 @@
   value = std::chrono::milliseconds(milliseconds);
 }
 
+auto DecodeTerms(const Json& json) -> QueueTerms {
+  QueueTerms terms;
+  terms.priority = json.at("priority").get<int>();
+  terms.max_attempts = json.at("max_attempts").get<int>();
+  terms.stretch = json.at("stretch").get<double>();
+  ReadTime(json, "latency_objective_ms", terms.latency_objective);
+  return terms;
+}
+
 auto DecodeStep(const Json& json) -> JobStep {
   JobStep step;
   step.count = json.at("count").get<int>();
@@ -150,14 +166,17 @@
   for (const JobStep& step : job.steps) {
     steps.push_back(EncodeStep(step));
   }
-  return Json{{"queue", job.queue.value},
-              {"spec", job.spec},
-              {"steps", std::move(steps)},
-              {"repeat_count", job.repeat_count},
-              {"first_due_ms", ToMilliseconds(job.first_due)},
-              {"interval_ms", job.interval.count()},
-              {"accepted_ms", ToMilliseconds(job.accepted_at)}}
-      .dump();
+  Json json{{"queue", job.queue.value},
+            {"spec", job.spec},
+            {"steps", std::move(steps)},
+            {"repeat_count", job.repeat_count},
+            {"first_due_ms", ToMilliseconds(job.first_due)},
+            {"interval_ms", job.interval.count()},
+            {"accepted_ms", ToMilliseconds(job.accepted_at)}};
+  if (job.terms) {
+    json["terms"] = EncodeTerms(*job.terms);
+  }
+  return json.dump();
 }
 
 auto DecodeJobRequest(const JobId& id, std::string_view text)
@@ -178,6 +197,9 @@
         std::chrono::milliseconds(json.at("interval_ms").get<std::int64_t>());
     job.accepted_at =
         FromMilliseconds(json.at("accepted_ms").get<std::int64_t>());
+    if (const auto terms = json.find("terms"); terms != json.end()) {
+      job.terms = DecodeTerms(*terms);
+    }
     return job;
   } catch (const Json::exception&) {
     return std::nullopt;
--- a/src/fireflythread/jobs/job_request.h
+++ b/src/fireflythread/jobs/job_request.h
@@ -2,12 +2,14 @@
 #define FIREFLYTHREAD_JOBS_JOB_REQUEST_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 #include "fireflythread/jobs/job_step.h"
+#include "fireflythread/jobs/queue_terms.h"
 
 namespace fireflythread {
 
@@ -24,6 +26,9 @@
   WallTime first_due;
   std::chrono::milliseconds interval{0};
   WallTime accepted_at;
+  /// The terms of the queue when the job was accepted; empty for a job that an
+  /// earlier version of the program accepted.
+  std::optional<QueueTerms> terms;
 };
 
 /// Returns how many times the steps run: at least 1.
--- a/src/fireflythread/jobs/job_urgency.cc
+++ b/src/fireflythread/jobs/job_urgency.cc
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "fireflythread/jobs/job_request.h"
-#include "fireflythread/jobs/queue.h"
 #include "fireflythread/jobs/shard_job.h"
 
 namespace fireflythread {
@@ -29,14 +28,14 @@
   return longest;
 }
 
-auto DeadlineOf(const ShardJob& job, const Queue& queue, int occurrence)
+auto DeadlineOf(const ShardJob& job, const QueueTerms& terms, int occurrence)
     -> WallTime {
   const WallTime begin =
       std::max(DueAt(job.request, occurrence), job.request.accepted_at);
   const double work =
       static_cast<double>(job.remaining_critical_paths.front().count());
-  const milliseconds stretched(static_cast<std::int64_t>(work * queue.stretch));
-  return begin + stretched + queue.latency_objective;
+  const milliseconds stretched(static_cast<std::int64_t>(work * terms.stretch));
+  return begin + stretched + terms.latency_objective;
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/job_urgency.h
+++ b/src/fireflythread/jobs/job_urgency.h
@@ -5,14 +5,15 @@
 
 #include "fireflythread/base/time.h"
 #include "fireflythread/jobs/fwd.h"
+#include "fireflythread/jobs/queue_terms.h"
 
 namespace fireflythread {
 
 /// Returns the time by which one occurrence of a job should be done: the
-/// latency objective of its queue, counted from its acceptance or its due time,
+/// latency objective in its terms, counted from its acceptance or its due time,
 /// whichever is later.
 [[nodiscard]] auto DeadlineOf(const ShardJob& job,
-                              const Queue& queue,
+                              const QueueTerms& terms,
                               int occurrence) -> WallTime;
 
 /// Returns the estimated run time from the start of step `first` to the end of
--- a/src/fireflythread/jobs/run_completion.cc
+++ b/src/fireflythread/jobs/run_completion.cc
@@ -59,10 +59,10 @@
     task.not_before = now + state.limits.failed_task_pause;
   }
   state.dirty.insert(ended.task.job);
-  const auto queue = state.queues.find(job.request.queue);
-  const int max_attempts =
-      queue == state.queues.end() ? 1 : queue->second.max_attempts;
-  if (task.failures >= max_attempts && !step.long_running && !task.done) {
+  const QueueTerms* terms = TermsOf(state, job);
+  const bool exhausted =
+      terms != nullptr && task.failures >= terms->max_attempts;
+  if (exhausted && !step.long_running && !task.done) {
     FinishJob(state, ended.task.job, JobState::kFailed, now);
   } else if (IsJobDone(job)) {
     FinishJob(state, ended.task.job, JobState::kCompleted, now);
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -61,7 +61,7 @@
 }
 
 auto MakeReadyStep(ShardJob& job,
-                   const Queue& queue,
+                   const QueueTerms& terms,
                    int occurrence,
                    int step,
                    WallTime wall_now) -> ReadyStep {
@@ -70,8 +70,8 @@
   ready.occurrence = occurrence;
   ready.step = step;
   ready.finite = !SpecOf(ready).long_running;
-  ready.priority = queue.priority;
-  ready.deadline = DeadlineOf(job, queue, occurrence);
+  ready.priority = terms.priority;
+  ready.deadline = DeadlineOf(job, terms, occurrence);
   ready.late =
       ready.finite &&
       wall_now + job.remaining_critical_paths[static_cast<std::size_t>(step)] >
@@ -81,7 +81,7 @@
 
 /// Adds the steps of a job that are ready and have a waiting task.
 auto CollectReadyStepsOf(ShardJob& job,
-                         const Queue& queue,
+                         const QueueTerms& terms,
                          WallTime wall_now,
                          std::vector<ReadyStep>& ready) -> void {
   const auto steps = static_cast<int>(job.request.steps.size());
@@ -94,7 +94,7 @@
     for (int step = 0; step < steps; ++step) {
       if (TallyOf(job, occurrence, step).waiting > 0 &&
           AreDependenciesDone(job, occurrence, step)) {
-        ready.push_back(MakeReadyStep(job, queue, occurrence, step, wall_now));
+        ready.push_back(MakeReadyStep(job, terms, occurrence, step, wall_now));
         ready.back().position = ready.size();
       }
     }
@@ -110,9 +110,8 @@
     if (job.waiting == 0 || IsFinal(job.progress.state)) {
       continue;
     }
-    const auto queue = state.queues.find(job.request.queue);
-    if (queue != state.queues.end()) {
-      CollectReadyStepsOf(job, queue->second, wall_now, ready);
+    if (const QueueTerms* terms = TermsOf(state, job)) {
+      CollectReadyStepsOf(job, *terms, wall_now, ready);
     }
   }
   state.plan_cost.steps += static_cast<std::int64_t>(ready.size());
@@ -295,13 +294,13 @@
 /// Returns the cores, in thousandths, of a job's finite tasks that run in late
 /// occurrences.
 auto LateMillicoresOf(const ShardJob& job,
-                      const Queue& queue,
+                      const QueueTerms& terms,
                       WallTime wall_now) -> std::int64_t {
   std::int64_t late = 0;
   const auto steps = static_cast<int>(job.request.steps.size());
   const int occurrences = OccurrenceCount(job.request);
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
-    const WallTime deadline = DeadlineOf(job, queue, occurrence);
+    const WallTime deadline = DeadlineOf(job, terms, occurrence);
     for (int step = 0; step < steps; ++step) {
       const auto position = static_cast<std::size_t>(step);
       const JobStep& spec = job.request.steps[position];
@@ -357,9 +356,9 @@
     -> std::int64_t {
   std::int64_t late = 0;
   for (const auto& [id, job] : state.jobs) {
-    const auto queue = state.queues.find(job.request.queue);
-    if (job.assigned > 0 && queue != state.queues.end()) {
-      late += LateMillicoresOf(job, queue->second, wall_now);
+    const QueueTerms* terms = TermsOf(state, job);
+    if (job.assigned > 0 && terms != nullptr) {
+      late += LateMillicoresOf(job, *terms, wall_now);
     }
   }
   return late;
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -9,6 +9,15 @@
   return job == state.jobs.end() ? nullptr : FindTask(job->second, name);
 }
 
+auto TermsOf(const ShardState& state, const ShardJob& job)
+    -> const QueueTerms* {
+  const auto queue = state.queues.find(job.request.queue);
+  if (queue != state.queues.end()) {
+    return &queue->second.terms;
+  }
+  return job.request.terms ? &*job.request.terms : nullptr;
+}
+
 auto StepOf(const ShardState& state, const TaskName& name) -> const JobStep& {
   const auto job = state.jobs.find(name.job);
   FIREFLYTHREAD_ASSERT(job != state.jobs.end(), "the job must exist");
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -82,6 +82,12 @@
 [[nodiscard]] auto FindTask(ShardState& state, const TaskName& name)
     -> TaskState*;
 
+/// Returns the terms that hold for a job: those of its queue, or, while the
+/// queue is not configured, those under which the job was accepted. Returns
+/// null when neither is known; then nothing can be decided about the job.
+[[nodiscard]] auto TermsOf(const ShardState& state, const ShardJob& job)
+    -> const QueueTerms*;
+
 /// Returns the step of a task. The task must exist.
 [[nodiscard]] auto StepOf(const ShardState& state, const TaskName& name)
     -> const JobStep&;
--- a/test/fireflythread/jobs/job_codec_test.cc
+++ b/test/fireflythread/jobs/job_codec_test.cc
@@ -25,12 +25,14 @@
   job.repeat_count = 4;
   job.first_due = WallTime(std::chrono::milliseconds(1234567));
   job.interval = std::chrono::milliseconds(500);
+  job.terms = QueueTerms{2, 4, 1.6, std::chrono::milliseconds(600)};
   const std::string text = EncodeJobRequest(job);
   const auto decoded = DecodeJobRequest(job.id, text);
   REQUIRE(decoded.has_value());
   CHECK(EncodeJobRequest(*decoded) == text);
   CHECK(decoded->steps[0].has_disruption_budget);
   CHECK(decoded->first_due == job.first_due);
+  CHECK(decoded->terms == job.terms);
 }
 
 TEST_CASE("Members of a step with default values are not in the row",
--- a/test/fireflythread/jobs/peak_simulation.cc
+++ b/test/fireflythread/jobs/peak_simulation.cc
@@ -44,9 +44,9 @@
     const Queue& queue = this->shard.state.queues.begin()->second;
     job.left = job.tasks;
     job.objective =
-        this->shard.now + queue.latency_objective +
+        this->shard.now + queue.terms.latency_objective +
         milliseconds(static_cast<int>(
-            static_cast<double>(job.run_time.count()) * queue.stretch));
+            static_cast<double>(job.run_time.count()) * queue.terms.stretch));
     this->last_objective = std::max(this->last_objective, job.objective);
     const std::string id = "job" + std::to_string(this->jobs.size());
     this->shard.AddJob(id, step);
--- a/test/fireflythread/jobs/plan_equivalence_test.cc
+++ b/test/fireflythread/jobs/plan_equivalence_test.cc
@@ -26,7 +26,7 @@
       : ShardFixture(kWorkers), random(seed) {
     Queue urgent = this->state.queues.begin()->second;
     urgent.name = QueueName("urgent");
-    urgent.priority = -1;
+    urgent.terms.priority = -1;
     this->state.queues.emplace(urgent.name, urgent);
   }
 
--- a/test/fireflythread/jobs/reference_plan.cc
+++ b/test/fireflythread/jobs/reference_plan.cc
@@ -166,7 +166,8 @@
       if (DueAt(job.request, occurrence) > wall_now) {
         break;
       }
-      const WallTime deadline = DeadlineOf(job, queue->second, occurrence);
+      const WallTime deadline =
+          DeadlineOf(job, queue->second.terms, occurrence);
       for (int step = 0; step < steps; ++step) {
         if (HasWaitingTask(job, occurrence, step, now) &&
             AreDependenciesDone(job, occurrence, step)) {
@@ -176,7 +177,7 @@
           unit.step = step;
           unit.finite =
               !job.request.steps[static_cast<std::size_t>(step)].long_running;
-          unit.priority = queue->second.priority;
+          unit.priority = queue->second.terms.priority;
           unit.deadline = deadline;
           unit.late =
               unit.finite &&
@@ -359,7 +360,8 @@
         continue;
       }
       // The remaining time of the running step itself is unknown.
-      const WallTime deadline = DeadlineOf(job, queue->second, name.occurrence);
+      const WallTime deadline =
+          DeadlineOf(job, queue->second.terms, name.occurrence);
       if (wall_now + RemainingCriticalPath(job.request, name.step + 1) >
           deadline) {
         late += step.size.millicores;
--- a/test/fireflythread/jobs/shard_fixture.cc
+++ b/test/fireflythread/jobs/shard_fixture.cc
@@ -16,9 +16,9 @@
   Queue queue;
   queue.name = QueueName("orders");
   queue.service = ServiceName(this->state.shard.value);
-  queue.max_attempts = 2;
-  queue.stretch = 1.5;
-  queue.latency_objective = milliseconds(600);
+  queue.terms.max_attempts = 2;
+  queue.terms.stretch = 1.5;
+  queue.terms.latency_objective = milliseconds(600);
   this->state.queues.emplace(queue.name, queue);
   for (int number = 0; number < worker_count; ++number) {
     WorkerView view;
@@ -43,6 +43,7 @@
   request.queue = QueueName("orders");
   request.steps = {step};
   request.accepted_at = this->wall_now;
+  request.terms = this->state.queues.at(request.queue).terms;
   fireflythread::AddJob(this->state, std::move(request), std::nullopt, 0,
                         this->now);
 }
--- a/test/fireflythread/jobs/shard_runs_test.cc
+++ b/test/fireflythread/jobs/shard_runs_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "fireflythread/jobs/shard_plan.h"
 #include "test/fireflythread/jobs/shard_fixture.h"
 
 namespace fireflythread::test {
@@ -139,6 +140,43 @@
   CHECK(shard.PlanAndStore().empty());
 }
 
+TEST_CASE("A job keeps its attempts while its queue is not configured",
+          "[jobs]") {
+  // Guards against a job that fails after its first failed run, because its
+  // route was removed after it had been accepted.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto first = shard.StartAll();
+  REQUIRE(first.size() == 1);
+  const std::map<QueueName, Queue> queues = shard.state.queues;
+  shard.state.queues.clear();
+  shard.Report("w0", {},
+               {ShardFixture::Ended(first[0], 1, RunResult::kFailed)});
+  CHECK(shard.state.jobs.at(JobId("a")).progress.state == JobState::kRunning);
+  shard.Advance(milliseconds(5000));
+  SECTION("the queue comes back") {
+    shard.state.queues = queues;
+  }
+  SECTION("the queue stays away") {}
+  const auto second = shard.StartAll();
+  REQUIRE(second.size() == 1);
+  shard.Report("w0", {},
+               {ShardFixture::Ended(second[0], 2, RunResult::kFailed)});
+  CHECK(shard.state.jobs.at(JobId("a")).progress.state == JobState::kFailed);
+}
+
+TEST_CASE("A job starts although its queue is not configured any more",
+          "[jobs]") {
+  // Guards against an accepted job that waits for good.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(2, 1000));
+  shard.state.queues.clear();
+  CHECK(WaitingMillicores(shard.state, shard.wall_now, shard.now) == 2000);
+  CHECK(shard.StartAll().size() == 2);
+  shard.wall_now += std::chrono::hours(1);
+  CHECK(LateMillicores(shard.state, shard.wall_now) == 2000);
+}
+
 TEST_CASE("A worker that restarted under its id runs nothing", "[jobs]") {
   // Guards against waiting for a run that ended with the worker's former
   // incarnation.
