Count the waiting jobs of a queue in all services it was assigned to

Cause: that of the moving queue: the present configuration decided where the jobs of an earlier one are looked for.

Queues that never moved are counted as before. Test: "The waiting jobs of a queue that has moved are in all its services" (new function, so it can't run on the former code).

--- a/src/fireflythread/jobs/queue_assignments.cc
+++ b/src/fireflythread/jobs/queue_assignments.cc
@@ -242,4 +242,21 @@
   return {services.begin(), services.end()};
 }
 
+auto ServicesWithJobs(const Queue& queue,
+                      const QueueAssignment* assignment,
+                      const Configuration& configuration)
+    -> std::vector<ServiceName> {
+  if (assignment == nullptr) {
+    return {queue.service};
+  }
+  std::vector<ServiceName> services{assignment->service};
+  for (const PoolService& service : configuration.services) {
+    if (!service.spare && service.name != assignment->service &&
+        assignment->earlier_services.contains(service.name)) {
+      services.push_back(service.name);
+    }
+  }
+  return services;
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/queue_assignments.h
+++ b/src/fireflythread/jobs/queue_assignments.h
@@ -83,6 +83,13 @@
 [[nodiscard]] auto FormerServices(const QueueAssignment& assignment,
                                   WallTime now) -> std::vector<ServiceName>;
 
+/// Returns the services whose shards may hold open jobs of a queue, which stay
+/// where they were accepted. `assignment` is null while none is known.
+[[nodiscard]] auto ServicesWithJobs(const Queue& queue,
+                                    const QueueAssignment* assignment,
+                                    const Configuration& configuration)
+    -> std::vector<ServiceName>;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_JOBS_QUEUE_ASSIGNMENTS_H_
--- a/test/fireflythread/jobs/queue_assignments_test.cc
+++ b/test/fireflythread/jobs/queue_assignments_test.cc
@@ -195,6 +195,29 @@
   CHECK(table.rows.size() == 251);
 }
 
+TEST_CASE("The waiting jobs of a queue that has moved are in all its services",
+          "[jobs]") {
+  // Guards against the answer that nothing waits while jobs wait where they
+  // were accepted, also long after the queue has left.
+  Configuration configuration = ConfigurationWith(kOffice);
+  configuration.services = {{kDesk}, {kOffice}, {ServiceName("plant")}};
+  const Queue& queue = configuration.queues.front();
+  Table table;
+  CHECK(ServicesWithJobs(queue, nullptr, configuration) ==
+        std::vector<ServiceName>{kOffice});
+  table.Assign(ConfigurationWith(kDesk), kNow);
+  const QueueAssignment before = table.Assignment();
+  CHECK(ServicesWithJobs(queue, &before, configuration) ==
+        std::vector<ServiceName>{kDesk});
+  table.Assign(configuration, kNow);
+  table.Assign(ConfigurationWith(ServiceName("plant")),
+               kNow + 2 * kRepeatWindow);
+  table.Assign(configuration, kNow + 4 * kRepeatWindow);
+  const QueueAssignment after = table.Assignment();
+  CHECK(ServicesWithJobs(queue, &after, configuration) ==
+        std::vector<ServiceName>{kOffice, kDesk, ServiceName("plant")});
+}
+
 TEST_CASE("A queue's row of an earlier version is read", "[jobs]") {
   // Guards against an upgrade that forgets where a queue's jobs were accepted.
   QueueAssignments assignments;
