Log why the step that waits longest has no worker

No log line and no command said why a job waits: whether its pool is full, no single worker is empty enough, or the owner is behind.

step_waits gives, once a second for a shard with a step that has waited 3 s or more, what one of its tasks needs, the usable workers, those with room for it, those with tasks of long-running steps, and the most that one has free.

--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -6,12 +6,16 @@
 #include <string>
 
 #include "fireflythread/jobs/shard_summary.h"
+#include "fireflythread/jobs/waiting_step.h"
 
 namespace fireflythread {
 namespace {
 
 constexpr std::chrono::seconds kReportPeriod{1};
 
+/// Shorter waits are ordinary in a peak and are not reported.
+constexpr std::chrono::seconds kMinReportedWait{3};
+
 auto ToMilliseconds(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -56,6 +60,29 @@
   this->feed_rows += rows;
 }
 
+auto ShardMonitor::ReportWait(const ShardState& state, TimePoint now) -> void {
+  const auto waiting = FindLongestWait(
+      state, kMinReportedWait, std::chrono::system_clock::now(), now);
+  if (!waiting) {
+    return;
+  }
+  this->logger.Info("shard", "step_waits",
+                    {{"shard", state.shard},
+                     {"job", waiting->job},
+                     {"step", waiting->step},
+                     {"waiting_tasks", waiting->waiting_tasks},
+                     {"waited_ms", ToMilliseconds(waiting->waited)},
+                     {"late", waiting->late},
+                     {"long_running", waiting->long_running},
+                     {"need_millicores", waiting->need.millicores},
+                     {"need_memory_mb", waiting->need.memory_mb},
+                     {"usable", waiting->usable_workers},
+                     {"fitting", waiting->fitting_workers},
+                     {"with_long_running", waiting->long_running_workers},
+                     {"most_free_millicores", waiting->max_free.millicores},
+                     {"most_free_memory_mb", waiting->max_free.memory_mb}});
+}
+
 auto ShardMonitor::Report(const ShardState& state, bool loaded, TimePoint now)
     -> void {
   if (now - this->reported_at < kReportPeriod) {
@@ -104,6 +131,7 @@
        {"planned_workers", state.plan_cost.workers - this->plan_cost.workers},
        {"longest_step_ms", ToMilliseconds(this->max_step_time)},
        {"longest_gap_ms", ToMilliseconds(this->max_step_gap)}});
+  this->ReportWait(state, now);
   this->plan_cost = state.plan_cost;
   this->feed_rows = 0;
   this->starts = 0;
--- a/src/fireflythread/entry/shard_monitor.h
+++ b/src/fireflythread/entry/shard_monitor.h
@@ -39,6 +39,9 @@
   auto Report(const ShardState& state, bool loaded, TimePoint now) -> void;
 
  private:
+  /// Logs the step that has waited longest.
+  auto ReportWait(const ShardState& state, TimePoint now) -> void;
+
   const Logger& logger;
   MetricsRegistry& metrics;
   TimePoint reported_at;
--- a/src/fireflythread/jobs/shard_job.cc
+++ b/src/fireflythread/jobs/shard_job.cc
@@ -1,5 +1,6 @@
 #include "fireflythread/jobs/shard_job.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "fireflythread/base/assert.h"
@@ -159,4 +160,13 @@
          job.request.steps[static_cast<std::size_t>(step)].count;
 }
 
+auto AreDependenciesDone(const ShardJob& job, int occurrence, int step)
+    -> bool {
+  const JobStep& spec = job.request.steps[static_cast<std::size_t>(step)];
+  return std::all_of(spec.after.begin(), spec.after.end(),
+                     [&](int earlier) -> bool {
+                       return IsStepDone(job, occurrence, earlier);
+                     });
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/shard_job.h
+++ b/src/fireflythread/jobs/shard_job.h
@@ -90,6 +90,11 @@
 [[nodiscard]] auto IsStepDone(const ShardJob& job, int occurrence, int step)
     -> bool;
 
+/// Returns whether all steps that must be done before a step are done.
+[[nodiscard]] auto AreDependenciesDone(const ShardJob& job,
+                                       int occurrence,
+                                       int step) -> bool;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_JOBS_SHARD_JOB_H_
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -51,15 +51,6 @@
   return ready.job->request.steps[static_cast<std::size_t>(ready.step)];
 }
 
-auto AreDependenciesDone(const ShardJob& job, int occurrence, int step)
-    -> bool {
-  const JobStep& spec = job.request.steps[static_cast<std::size_t>(step)];
-  return std::all_of(spec.after.begin(), spec.after.end(),
-                     [&](int earlier) -> bool {
-                       return IsStepDone(job, occurrence, earlier);
-                     });
-}
-
 auto MakeReadyStep(ShardJob& job,
                    const QueueTerms& terms,
                    int occurrence,
--- a/test/fireflythread/jobs/reference_plan.cc
+++ b/test/fireflythread/jobs/reference_plan.cc
@@ -128,7 +128,7 @@
   return true;
 }
 
-auto AreDependenciesDone(const ShardJob& job, int occurrence, int step)
+auto AreEarlierStepsDone(const ShardJob& job, int occurrence, int step)
     -> bool {
   const JobStep& spec = job.request.steps[static_cast<std::size_t>(step)];
   return std::all_of(spec.after.begin(), spec.after.end(),
@@ -170,7 +170,7 @@
           DeadlineOf(job, queue->second.terms, occurrence);
       for (int step = 0; step < steps; ++step) {
         if (HasWaitingTask(job, occurrence, step, now) &&
-            AreDependenciesDone(job, occurrence, step)) {
+            AreEarlierStepsDone(job, occurrence, step)) {
           ReadyStep unit;
           unit.job = &job;
           unit.occurrence = occurrence;
