--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -61,8 +61,8 @@
 }
 
 auto ShardMonitor::ReportWait(const ShardState& state, TimePoint now) -> void {
-  const auto waiting = FindLongestWait(
-      state, kMinReportedWait, std::chrono::system_clock::now(), now);
+  const auto waiting = FindLongestWait(state, kMinReportedWait,
+                                       std::chrono::system_clock::now(), now);
   if (!waiting) {
     return;
   }
