Log until when a lost worker's runs are held, and when they are released

Callers saw a long-running task without a run for 16 s. No line told whether the new owner held the run of the lost worker, until when, and why it gave it up. worker_unresponsive and runs_released do; loaded says what the new owner knows of the former one. No decision changes.

--- a/src/fireflythread/entry/run_log.cc
+++ b/src/fireflythread/entry/run_log.cc
@@ -5,6 +5,8 @@
 
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/poll_command.h"
+#include "fireflythread/jobs/released_runs.h"
+#include "fireflythread/jobs/shard_worker.h"
 #include "fireflythread/jobs/start_command.h"
 #include "fireflythread/jobs/stop_command.h"
 #include "fireflythread/jobs/task_name.h"
@@ -68,6 +70,29 @@
                      {"reason", reply.reason}});
 }
 
+auto RunLog::RecordUnresponsive(const ShardName& shard,
+                                const ShardWorker& worker,
+                                std::chrono::milliseconds held) -> void {
+  this->logger.Warning("shard", "worker_unresponsive",
+                       {{"shard", shard},
+                        {"worker", worker.view.id},
+                        {"runs", worker.tasks.size()},
+                        {"held_ms", held.count()}});
+}
+
+auto RunLog::RecordReleased(const ShardName& shard,
+                            const ReleasedRuns& released) -> void {
+  const auto unresponsive =
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          released.unresponsive);
+  this->logger.Warning("shard", "runs_released",
+                       {{"shard", shard},
+                        {"worker", released.worker},
+                        {"runs", released.runs},
+                        {"reason", ReleaseReasonName(released.reason)},
+                        {"unresponsive_ms", unresponsive.count()}});
+}
+
 auto RunLog::RecordFinished(const JobId& job,
                             JobState state,
                             std::uint64_t revision) -> void {
--- a/src/fireflythread/entry/run_log.h
+++ b/src/fireflythread/entry/run_log.h
@@ -1,6 +1,7 @@
 #ifndef FIREFLYTHREAD_ENTRY_RUN_LOG_H_
 #define FIREFLYTHREAD_ENTRY_RUN_LOG_H_
 
+#include <chrono>
 #include <cstdint>
 
 #include "fireflythread/base/ids.h"
@@ -30,6 +31,14 @@
   /// Logs a poll that returned no report.
   auto RecordFailedPoll(const PollCommand& poll, const OrderReply& reply)
       -> void;
+  /// Logs that a worker with runs of the shard has stopped answering, and the
+  /// time for which its runs are held at most.
+  auto RecordUnresponsive(const ShardName& shard,
+                          const ShardWorker& worker,
+                          std::chrono::milliseconds held) -> void;
+  /// Logs that the runs of a lost worker are released.
+  auto RecordReleased(const ShardName& shard, const ReleasedRuns& released)
+      -> void;
   /// Logs a job whose final state is stored at `revision`.
   auto RecordFinished(const JobId& job, JobState state, std::uint64_t revision)
       -> void;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -161,6 +161,8 @@
          {"fence", this->state.fence},
          {"open_jobs", this->state.jobs.size()},
          {"finished_jobs", this->state.finished.size()},
+         {"former_owner_stopped", this->state.former_owner_stopped},
+         {"unresponsive_workers", this->state.unresponsive_until.size()},
          {"revision", revision}});
   }
   this->FollowJobs();
@@ -261,6 +263,7 @@
   this->MoveEndedJobs(now);
   this->step_ended = ReadBootClock();
   this->last_step = this->step_ended - now;
+  this->LogReleasedRuns();
   this->monitor.RecordStep(now, this->step_ended);
   this->monitor.Report(this->state, this->loaded_once, now);
   this->FinishDrain();
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -121,6 +121,8 @@
                          TimePoint sent_at) -> void;
   auto ApplyMissingReport(const PollCommand& poll, const OrderReply& reply)
       -> void;
+  auto LogUnresponsive(const WorkerId& worker, TimePoint now) -> void;
+  auto LogReleasedRuns() -> void;
   auto LogCompletions(const WorkerId& worker, const WorkerReport& report)
       -> void;
   auto CheckFence() -> void;
--- a/src/fireflythread/entry/shard_task_polls.cc
+++ b/src/fireflythread/entry/shard_task_polls.cc
@@ -6,6 +6,7 @@
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/shard_task.h"
 #include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/jobs/worker_lease.h"
 
 namespace fireflythread {
 namespace {
@@ -66,6 +67,12 @@
   ApplyReport(this->state, poll.worker, report, sent_at, ReadBootClock());
 }
 
+auto ShardTask::LogReleasedRuns() -> void {
+  for (const ReleasedRuns& released : std::exchange(this->state.released, {})) {
+    this->run_log.RecordReleased(this->state.shard, released);
+  }
+}
+
 auto ShardTask::LogCompletions(const WorkerId& worker_id,
                                const WorkerReport& report) -> void {
   const auto worker = this->state.workers.find(worker_id);
@@ -83,9 +90,24 @@
 
 auto ShardTask::ApplyMissingReport(const PollCommand& poll,
                                    const OrderReply& reply) -> void {
+  const TimePoint now = ReadBootClock();
   this->run_log.RecordFailedPoll(poll, reply);
-  fireflythread::ApplyMissingReport(this->state, poll, reply.verdict,
-                                    ReadBootClock());
+  fireflythread::ApplyMissingReport(this->state, poll, reply.verdict, now);
+  this->LogUnresponsive(poll.worker, now);
+}
+
+auto ShardTask::LogUnresponsive(const WorkerId& worker_id, TimePoint now)
+    -> void {
+  const auto found = this->state.workers.find(worker_id);
+  if (found == this->state.workers.end()) {
+    return;
+  }
+  const ShardWorker& worker = found->second;
+  if (worker.failed_polls == 1 && !worker.tasks.empty()) {
+    this->run_log.RecordUnresponsive(
+        this->state.shard, worker,
+        TimeUntilLeaseExpiry(this->state, worker, now));
+  }
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -20,6 +20,7 @@
 struct QueueAssignment;
 struct QueueAssignments;
 struct QueueTerms;
+struct ReleasedRuns;
 struct RecordBatch;
 struct RunningRun;
 struct ShardJob;
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
@@ -14,6 +15,7 @@
 #include "fireflythread/jobs/finished_job.h"
 #include "fireflythread/jobs/plan_cost.h"
 #include "fireflythread/jobs/queue.h"
+#include "fireflythread/jobs/released_runs.h"
 #include "fireflythread/jobs/shard_job.h"
 #include "fireflythread/jobs/shard_limits.h"
 #include "fireflythread/jobs/shard_worker.h"
@@ -74,6 +76,8 @@
   bool has_backlog = false;
   /// A worker reported that a newer owner exists.
   bool fenced_off = false;
+  /// Runs of lost workers that were released and are not logged yet.
+  std::vector<ReleasedRuns> released;
   /// Planning cost since the shard was acquired.
   PlanCost plan_cost;
 };
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -13,6 +13,11 @@
 /// Releases all runs of a worker, none of which exists any more.
 auto ReleaseAll(ShardState& state, ShardWorker& worker, TimePoint now) -> void {
   const std::set<TaskName> tasks = worker.tasks;
+  state.released.push_back(
+      {worker.view.id, tasks.size(),
+       worker.gone ? ReleaseReason::kOtherInstance
+                   : ReleaseReason::kLeaseExpired,
+       now - std::max(worker.reported_at, state.owned_since)});
   for (const TaskName& name : tasks) {
     ReleaseTask(state, name, now);
     ForgetIfFinished(state, name.job);
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -101,6 +101,14 @@
   return now >= LeaseExpiry(state, worker);
 }
 
+auto TimeUntilLeaseExpiry(const ShardState& state,
+                          const ShardWorker& worker,
+                          TimePoint now) -> milliseconds {
+  const auto left =
+      std::chrono::ceil<milliseconds>(LeaseExpiry(state, worker) - now);
+  return std::max(left, milliseconds(0));
+}
+
 auto UnresponsiveWorkers(const ShardState& state, TimePoint now)
     -> std::map<WorkerId, milliseconds> {
   std::map<WorkerId, milliseconds> unresponsive;
@@ -108,9 +116,7 @@
     if (worker.tasks.empty() || (worker.clock && worker.failed_polls == 0)) {
       continue;
     }
-    const auto left =
-        std::chrono::ceil<milliseconds>(LeaseExpiry(state, worker) - now);
-    unresponsive.emplace(id, std::max(left, milliseconds(0)));
+    unresponsive.emplace(id, TimeUntilLeaseExpiry(state, worker, now));
   }
   return unresponsive;
 }
--- a/src/fireflythread/jobs/worker_lease.h
+++ b/src/fireflythread/jobs/worker_lease.h
@@ -39,6 +39,13 @@
                                    const ShardWorker& worker,
                                    TimePoint now) -> bool;
 
+/// Returns the time until every lease of an unresponsive worker has certainly
+/// expired, rounded up; 0 when they have.
+[[nodiscard]] auto TimeUntilLeaseExpiry(const ShardState& state,
+                                        const ShardWorker& worker,
+                                        TimePoint now)
+    -> std::chrono::milliseconds;
+
 /// Returns the unresponsive workers with runs and the time until their leases
 /// have certainly expired, which the next owner of the shard needs to know.
 [[nodiscard]] auto UnresponsiveWorkers(const ShardState& state, TimePoint now)
