--- /dev/null
+++ b/test/fireflythread/entry/lost_worker_takeover_test.cc
@@ -0,0 +1,176 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/shard_task.h"
+#include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/ownership/ownership.h"
+#include "test/fireflythread/entry/fake_table_store.h"
+
+namespace fireflythread::test {
+namespace {
+
+using std::chrono::milliseconds;
+
+const PoolPart kPart{ServiceName("desk"), 0, 1};
+const ShardName kShard = ShardOf(kPart);
+
+/// Workers that accept every start and report what they run. Polls of lost
+/// workers get no answer.
+class LossyWorkers : public WorkerClient {
+ public:
+  auto Start(const StartCommand& start,
+             Duration /*timeout*/,
+             OrderCallback callback) -> void override {
+    this->running[start.worker].push_back({start.task, start.run, "", 100, 0});
+    this->last_run[start.task.job] = start.run;
+    this->worker_of[start.task.job] = start.worker;
+    OrderReply reply{OrderVerdict::kDone};
+    reply.clock = Clock();
+    callback(reply);
+  }
+  auto Stop(const StopCommand& /*stop*/,
+            Duration /*timeout*/,
+            OrderCallback /*callback*/) -> void override {}
+  auto Poll(const PollCommand& poll,
+            Duration /*timeout*/,
+            ReportCallback callback) -> void override {
+    if (this->lost.contains(poll.worker)) {
+      ++this->failed_polls;
+      callback(OrderReply{OrderVerdict::kUnknown});
+      return;
+    }
+    WorkerReport report;
+    report.clock = Clock();
+    report.started_at = milliseconds(1);
+    report.running = this->running[poll.worker];
+    callback(report);
+  }
+
+  std::set<WorkerId> lost;
+  int failed_polls = 0;
+  std::map<JobId, int> last_run;
+  std::map<JobId, WorkerId> worker_of;
+
+ private:
+  [[nodiscard]] static auto Clock() -> milliseconds {
+    return std::chrono::duration_cast<milliseconds>(
+        ReadBootClock().time_since_epoch());
+  }
+
+  std::map<WorkerId, std::vector<RunningRun>> running;
+};
+
+/// A shard with three workers, two long-running jobs of one task, and an owner
+/// that another one can replace without a release.
+struct LostWorkerFixture {
+  auto PutJob(const std::string& id) -> void {
+    JobRequest request;
+    request.queue = QueueName("orders");
+    JobStep step;
+    step.count = 1;
+    step.long_running = true;
+    step.size = {1000, 100, 0};
+    request.steps = {step};
+    this->store.Put(JobTable(kShard), kShard.value, JobKey(JobId(id)),
+                    EncodeJobRequest(request));
+  }
+
+  /// Replaces the owner, whose process ends at once.
+  auto TakeOver() -> void {
+    this->owner.reset();
+    const std::uint64_t fence = this->store.Put(kFenceTable, kShard.value,
+                                                std::string(kFenceKey), "{}");
+    ShardTask::Environment environment{this->store,
+                                       this->workers,
+                                       this->logger,
+                                       this->metrics,
+                                       [] { return ReadBootClock(); },
+                                       [](const std::vector<WorkerId>&) {},
+                                       [](const ShardName&) {}};
+    this->owner = std::make_unique<ShardTask>(std::move(environment), kPart,
+                                              fence, Handover{});
+    Queue queue;
+    queue.name = QueueName("orders");
+    queue.service = kPart.pool;
+    this->owner->SetQueues({{queue.name, queue}});
+    this->owner->SetWorkers(Directory());
+    this->owner->SetDraining({});
+    this->owner->Start();
+  }
+
+  /// Waits until the condition holds, while the feed of jobs stays current.
+  [[nodiscard]] auto WaitFor(const std::function<bool()>& condition) -> bool {
+    return FakeTableStore::RunUntil([this, &condition]() -> bool {
+      const TimePoint now = ReadBootClock();
+      if (now - this->fed_at > milliseconds(500)) {
+        this->fed_at = now;
+        this->store.Put(JobTable(kShard), kShard.value,
+                        CancelKey(JobId("unknown")), "{}");
+      }
+      return condition();
+    });
+  }
+
+  [[nodiscard]] auto RunOf(const std::string& job) const -> int {
+    const auto found = this->workers.last_run.find(JobId(job));
+    return found == this->workers.last_run.end() ? 0 : found->second;
+  }
+
+  static auto Directory() -> WorkerDirectory::Workers {
+    WorkerDirectory::Workers workers;
+    for (const std::string id : {"w0", "w1", "w2"}) {
+      WorkerEntry entry;
+      entry.view.id = WorkerId(id);
+      entry.view.service = kPart.pool;
+      entry.view.address = "127.0.0.1:1";
+      entry.view.capacity = {8000, 16000, 0};
+      entry.view.started_at = milliseconds(1);
+      workers.emplace(entry.view.id, entry);
+    }
+    return workers;
+  }
+
+  FakeTableStore store;
+  LossyWorkers workers;
+  Logger logger{{},
+                LogLevel::kError,
+                [](std::string_view) {},
+                [] { return WallTime(); }};
+  MetricsRegistry metrics;
+  std::unique_ptr<ShardTask> owner;
+  TimePoint fed_at;
+};
+
+TEST_CASE("A lost worker's task does not wait for a new owner's full leases",
+          "[entry]") {
+  // Guards against a long-running task that stays without a run for 16 s,
+  // because its owner knew the worker as lost and was lost too.
+  LostWorkerFixture fixture;
+  fixture.PutJob("lost");
+  fixture.PutJob("lost-later");
+  fixture.TakeOver();
+  REQUIRE(fixture.WaitFor([&] {
+    return fixture.RunOf("lost") == 1 && fixture.RunOf("lost-later") == 1;
+  }));
+  const WorkerId first = fixture.workers.worker_of.at(JobId("lost"));
+  const WorkerId second = fixture.workers.worker_of.at(JobId("lost-later"));
+  REQUIRE(first != second);
+  fixture.workers.lost = {first};
+  REQUIRE(fixture.WaitFor([&] { return fixture.workers.failed_polls >= 8; }));
+  // The former owner did not know that the second worker is lost, so its run
+  // has to be held for the longest lease.
+  fixture.workers.lost = {first, second};
+  fixture.TakeOver();
+  REQUIRE(fixture.WaitFor([&] { return fixture.RunOf("lost") == 2; }));
+  CHECK(fixture.RunOf("lost-later") == 1);
+}
+
+}  // namespace
+}  // namespace fireflythread::test
