Let the accepted request of a gateway test have 5 s instead of 5 ms

Cause: the one deadline that is valid ("5 ", as the HTTP library strips blanks) was 5 ms, so on a busy machine the request is given up before its attempt or hedged. No malformed request reached the backend server.

Change: the valid deadline is "5000 ".

--- a/test/fireflythread/gateway/control_test.cc
+++ b/test/fireflythread/gateway/control_test.cc
@@ -30,12 +30,12 @@
   fixture.AddWorker("vm-1", backend.Address());
   const std::string malformed = "400 malformed-request";
   const std::string path = "/s/orders/1";
-  for (const char* deadline : {"0", "30001", "-1", "1e3", "", "5 "}) {
+  for (const char* deadline : {"0", "30001", "-1", "1e3", "", "5000 "}) {
     INFO(deadline);
-    // libsoup strips the blanks around a value, so "5 " is accepted as 5.
+    // libsoup strips the blanks around a value, so "5000 " is accepted as 5000.
     const CallerAnswer answer =
         fixture.Call("GET", path, {{"Fireflythread-Deadline-Ms", deadline}});
-    CHECK((answer.status == 400) == (std::string(deadline) != "5 "));
+    CHECK((answer.status == 400) == (std::string(deadline) != "5000 "));
   }
   CHECK(Reason(fixture, "GET", path, {{"Fireflythread-Urgency", "now"}}) ==
         malformed);
