Let a replaced owner tell its successor until when its leases last

The row of unresponsive workers does not help if the owner is frozen or cut off before it has noticed that the worker is lost.

Cause: a new owner that got no release assumes that the former one goes on and extends leases until 3 s after the takeover, even when the former one has learned that it was replaced, or when its process was replaced by another.

Change: an entry that ceases to own a shard says so in its own row for 12 s, with the fencing token and the unresponsive workers' times. The successor reads the entries' rows each second as before; the end of the former ownership, or another process in that entry, bounds what it holds.

--- a/src/fireflythread/entry/ownership_task.cc
+++ b/src/fireflythread/entry/ownership_task.cc
@@ -7,6 +7,7 @@
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/ownership/ended_ownerships.h"
 #include "fireflythread/platform/read_all.h"
 
 namespace fireflythread {
@@ -50,8 +51,9 @@
   }
   this->renewing = true;
   const TimePoint sent_at = ReadBootClock();
+  RemoveOldEndedOwnerships(this->state, sent_at);
   this->store.Commit(
-      MakeRenewal(this->state), kStoreTimeout,
+      MakeRenewal(this->state, sent_at), kStoreTimeout,
       this->alive.Guard([this, sent_at](const TransactionOutcome& outcome) {
         this->renewing = false;
         if (std::holds_alternative<Committed>(outcome)) {
@@ -74,6 +76,7 @@
             this->reading_entries = false;
             if (const auto* page = std::get_if<RangePage>(&result)) {
               ApplyEntryRows(this->state, page->rows, ReadBootClock());
+              this->ReportEndedOwners();
               this->Claim();
               this->PlanHandover();
             }
@@ -187,6 +190,25 @@
                      {"conflict", std::holds_alternative<Conflict>(outcome)}});
 }
 
+auto OwnershipTask::ReportEndedOwners() -> void {
+  for (const ShardName& shard : this->owned) {
+    FormerOwner& former = this->handovers[shard].former;
+    if (const auto workers = FindEndedOwnership(this->state, shard, former)) {
+      former = {};
+      this->events.former_owner_ended(shard, *workers);
+    }
+  }
+}
+
+auto OwnershipTask::AnnounceEnd(const ShardName& shard,
+                                std::uint64_t token,
+                                UnresponsiveWorkerMap unresponsive_workers)
+    -> void {
+  this->state.ended[shard] = {token, ReadBootClock(),
+                              std::move(unresponsive_workers)};
+  this->Renew();
+}
+
 auto OwnershipTask::PlanHandover() -> void {
   if (this->handover_plan || !this->releases.empty() ||
       !this->claiming.empty()) {
--- a/src/fireflythread/entry/ownership_task.h
+++ b/src/fireflythread/entry/ownership_task.h
@@ -37,6 +37,10 @@
     /// Called when another entry should own the shard, so that the shard is
     /// released soon.
     std::function<void(const ShardName&)> hand_over;
+    /// Called when the former owner of an owned shard is known to give no more
+    /// leases, with the workers that it names as unresponsive.
+    std::function<void(const ShardName&, const UnresponsiveWorkerMap&)>
+        former_owner_ended = {};
   };
 
   OwnershipTask(TableStore& store,
@@ -70,6 +74,13 @@
                std::uint64_t token,
                UnresponsiveWorkerMap unresponsive_workers) -> void;
 
+  /// Announces in this entry's row that the ownership of a shard with the
+  /// fencing token `token` has ended, for an owner that took the shard over
+  /// without a release. `unresponsive_workers` is as for Release().
+  auto AnnounceEnd(const ShardName& shard,
+                   std::uint64_t token,
+                   UnresponsiveWorkerMap unresponsive_workers) -> void;
+
   /// Returns when the last renewal that the store confirmed was sent.
   [[nodiscard]] auto ConfirmedAt() const -> TimePoint {
     return this->confirmed_at;
@@ -98,6 +109,7 @@
   auto Claim() -> void;
   auto ApplyClaimOutcome(const ShardName& shard,
                          const TransactionOutcome& outcome) -> void;
+  auto ReportEndedOwners() -> void;
   auto PlanHandover() -> void;
   auto SendReleases() -> void;
   auto SendRelease(const ShardName& shard, PendingRelease& release) -> void;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -62,7 +62,7 @@
                  [this] { this->CheckFence(); }),
       unresponsive_workers(this->environment.store,
                            this->state,
-                           handover.former_fence,
+                           handover.former.fence,
                            [this] {
                              this->CheckFence();
                              this->Wake();
@@ -87,6 +87,16 @@
   return fireflythread::UnresponsiveWorkers(this->state, ReadBootClock());
 }
 
+auto ShardTask::ApplyFormerOwnerEnd(
+    const std::map<WorkerId, milliseconds>& named) -> void {
+  fireflythread::ApplyFormerOwnerEnd(this->state, named, ReadBootClock());
+  this->environment.logger.Info("shard", "former_owner_ended",
+                                {{"shard", this->state.shard},
+                                 {"fence", this->state.fence},
+                                 {"unresponsive_workers", named.size()}});
+  this->Wake();
+}
+
 auto ShardTask::Start() -> void {
   this->unresponsive_workers.Load();
   this->LoadJobs();
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -81,6 +81,12 @@
   /// Starts no more tasks, stores all changed progress and then calls `done`.
   auto Drain(std::function<void()> done) -> void;
 
+  /// Applies that the former owner gives no more leases. It has named these
+  /// unresponsive workers, with the time until their leases must have expired.
+  auto ApplyFormerOwnerEnd(
+      const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers)
+      -> void;
+
   /// Returns the unresponsive workers, with the time until their leases must
   /// have expired, for the next owner.
   [[nodiscard]] auto UnresponsiveWorkers() const
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -42,6 +42,9 @@
   ShardLimits limits;
   /// The former owner is known to extend no more leases.
   bool former_owner_stopped = false;
+  /// Time at which a former owner that did not release the shard was found to
+  /// give no more leases.
+  std::optional<TimePoint> former_owner_ended_at;
   /// Workers that the former owner knew as unresponsive, with the time at which
   /// their leases must have expired.
   std::map<WorkerId, TimePoint> unresponsive_until;
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -37,8 +37,11 @@
       state.former_owner_stopped
           ? milliseconds(0)
           : limits.extend_without_store - limits.takeover_after;
-  return state.owned_since + extended +
-         MaxLeaseDuration(limits, limits.run_lease);
+  TimePoint last_lease = state.owned_since + extended;
+  if (state.former_owner_ended_at) {
+    last_lease = std::min(last_lease, *state.former_owner_ended_at);
+  }
+  return last_lease + MaxLeaseDuration(limits, limits.run_lease);
 }
 
 /// Returns when every lease that this or a former owner gave to an unresponsive
@@ -109,6 +112,18 @@
   return std::max(left, milliseconds(0));
 }
 
+auto ApplyFormerOwnerEnd(
+    ShardState& state,
+    const std::map<WorkerId, milliseconds>& unresponsive_workers,
+    TimePoint now) -> void {
+  state.former_owner_ended_at = now;
+  for (const auto& [worker, left] : unresponsive_workers) {
+    const auto [known, inserted] =
+        state.unresponsive_until.emplace(worker, now + left);
+    known->second = std::min(known->second, now + left);
+  }
+}
+
 auto UnresponsiveWorkers(const ShardState& state, TimePoint now)
     -> std::map<WorkerId, milliseconds> {
   std::map<WorkerId, milliseconds> unresponsive;
--- a/src/fireflythread/jobs/worker_lease.h
+++ b/src/fireflythread/jobs/worker_lease.h
@@ -46,6 +46,14 @@
                                         TimePoint now)
     -> std::chrono::milliseconds;
 
+/// Applies that the former owner, which did not release the shard, is now known
+/// to give no more leases. `unresponsive_workers` are those that it names, with
+/// the time until their leases have certainly expired.
+auto ApplyFormerOwnerEnd(
+    ShardState& state,
+    const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers,
+    TimePoint now) -> void;
+
 /// Returns the unresponsive workers with runs and the time until their leases
 /// have certainly expired, which the next owner of the shard needs to know.
 [[nodiscard]] auto UnresponsiveWorkers(const ShardState& state, TimePoint now)
--- a/src/fireflythread/ownership/fwd.h
+++ b/src/fireflythread/ownership/fwd.h
@@ -3,9 +3,11 @@
 
 namespace fireflythread {
 
+struct EndedOwnership;
 struct EntryCapacity;
 struct EntryLoad;
 struct EntryView;
+struct FormerOwner;
 struct Handover;
 struct HandoverPlan;
 struct OwnershipState;
--- a/src/fireflythread/ownership/handover.h
+++ b/src/fireflythread/ownership/handover.h
@@ -2,10 +2,10 @@
 #define FIREFLYTHREAD_OWNERSHIP_HANDOVER_H_
 
 #include <chrono>
-#include <cstdint>
 #include <map>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/ownership/former_owner.h"
 
 namespace fireflythread {
 
@@ -14,9 +14,7 @@
   /// True if the former owner released the shard or its process has ended.
   /// Otherwise it may still be running without a connection to the store.
   bool former_owner_stopped = false;
-  /// Fencing token of the former owner; 0 if there was none or it released the
-  /// shard.
-  std::uint64_t former_fence = 0;
+  FormerOwner former;
   /// Workers that were unresponsive when the former owner released the shard,
   /// each with the time after which its lease has certainly expired.
   std::map<WorkerId, std::chrono::milliseconds> unresponsive_workers;
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/ownership/ended_ownerships.h"
 #include "fireflythread/ownership/placement.h"
 
 namespace fireflythread {
@@ -72,7 +73,8 @@
     handover.unresponsive_workers = known->second.unresponsive_workers;
     if (!known->second.owner.empty()) {
       // The version of an owned shard's row is its owner's fencing token.
-      handover.former_fence = known->second.version;
+      handover.former = {known->second.owner, known->second.incarnation,
+                         known->second.version};
     }
   }
   return {shard, std::move(transaction), std::move(handover)};
@@ -90,6 +92,7 @@
   entry.capacity = {json.value("cpu_millicores", 0),
                     json.value("link_mbps", 0)};
   entry.peer = ReadPeer(json);
+  entry.ended = DecodeEndedOwnerships(json);
   return entry;
 }
 
@@ -148,7 +151,7 @@
   shard.unresponsive_workers = ReadUnresponsiveWorkers(json);
 }
 
-auto MakeRenewal(const OwnershipState& state) -> Transaction {
+auto MakeRenewal(const OwnershipState& state, TimePoint now) -> Transaction {
   Json row{{"incarnation", state.incarnation},
            {"stopping", state.stopping},
            {"cpu_millicores", state.capacity.cpu_millicores},
@@ -156,6 +159,9 @@
   if (!state.peer.empty()) {
     row["peer"] = state.peer;
   }
+  if (!state.ended.empty()) {
+    row["ended"] = EncodeEndedOwnerships(state, now);
+  }
   Transaction transaction;
   transaction.writes.push_back(
       {std::string(kEntryTable), state.self.value, row.dump()});
--- a/src/fireflythread/ownership/ownership.h
+++ b/src/fireflythread/ownership/ownership.h
@@ -38,8 +38,10 @@
 auto ApplyShardRow(OwnershipState& state, const Row& row, TimePoint now)
     -> void;
 
-/// Returns the transaction that renews this entry's own row.
-[[nodiscard]] auto MakeRenewal(const OwnershipState& state) -> Transaction;
+/// Returns the transaction that renews this entry's own row. It is sent at
+/// `now`.
+[[nodiscard]] auto MakeRenewal(const OwnershipState& state, TimePoint now)
+    -> Transaction;
 
 /// Returns whether this entry reads the rows of all entries at each renewal: it
 /// owns a shard, a shard has no owner, or it would be among the first to claim
--- a/src/fireflythread/ownership/ownership_state.h
+++ b/src/fireflythread/ownership/ownership_state.h
@@ -10,6 +10,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/ownership/ended_ownership.h"
 #include "fireflythread/ownership/entry_capacity.h"
 
 namespace fireflythread {
@@ -31,6 +32,8 @@
   /// Time since which this process has renewed its row without a gap of
   /// kEntryTimeout or more.
   TimePoint alive_since = {};
+  /// Shards that this process has ceased to own lately.
+  std::map<ShardName, EndedOwnership> ended = {};
 };
 
 /// A shard's row as last read. `owner` is empty after a release.
@@ -54,6 +57,8 @@
   std::string peer = {};
   /// Capacity of this entry.
   EntryCapacity capacity;
+  /// Shards that this entry has ceased to own lately.
+  std::map<ShardName, EndedOwnership> ended;
   std::map<EntryId, EntryView> entries;
   std::map<ShardName, ShardOwner> shards;
   /// Shards that must have an owner.
--- a/test/fireflythread/entry/lost_worker_takeover_test.cc
+++ b/test/fireflythread/entry/lost_worker_takeover_test.cc
@@ -86,7 +86,7 @@
   auto TakeOver() -> void {
     this->owner.reset();
     Handover handover;
-    handover.former_fence = this->fence;
+    handover.former.fence = this->fence;
     this->fence = this->store.Put(kFenceTable, kShard.value,
                                   std::string(kFenceKey), "{}");
     ShardTask::Environment environment{this->store,
--- a/test/fireflythread/entry/ownership_task_test.cc
+++ b/test/fireflythread/entry/ownership_task_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,7 +41,12 @@
                 ++this->gains;
               },
               [this](const ShardName& shard) { this->fences.erase(shard); },
-              [this](const ShardName& shard) { this->Release(shard); }}) {
+              [this](const ShardName& shard) { this->Release(shard); },
+              [this](const ShardName&,
+                     const OwnershipTask::UnresponsiveWorkerMap& workers) {
+                this->former_owner_ended = true;
+                this->unresponsive_workers = workers;
+              }}) {
     this->task.Start();
     this->task.SetWanted({kPool});
   }
@@ -67,6 +73,8 @@
   std::vector<std::string> lines;
   std::map<ShardName, std::uint64_t> fences;
   int gains = 0;
+  bool former_owner_ended = false;
+  OwnershipTask::UnresponsiveWorkerMap unresponsive_workers;
   Logger logger;
   OwnershipTask task;
 };
@@ -117,5 +125,57 @@
   }
 }
 
+/// An owner that was replaced without a release, and its successor.
+struct ReplacedOwner {
+  ReplacedOwner() {
+    OwningEntry former(this->store, "a", 1, {120, 10});
+    REQUIRE(RunUntil(this->store, [&] { return former.Owns(); }));
+    this->fence = former.fences.at(kPool);
+    this->successor = std::make_unique<OwningEntry>(this->store, "b", 2,
+                                                    EntryCapacity{120, 10});
+    REQUIRE_FALSE(this->successor->Owns());
+    // The former owner renews its row no more from here on.
+  }
+
+  auto WaitForTakeover() -> void {
+    REQUIRE(RunUntil(this->store, [&] { return this->successor->Owns(); }));
+    REQUIRE_FALSE(this->successor->former_owner_ended);
+  }
+
+  [[nodiscard]] auto WaitForEnd() -> bool {
+    return RunUntil(this->store,
+                    [&] { return this->successor->former_owner_ended; });
+  }
+
+  MemoryTableStore store;
+  std::uint64_t fence = 0;
+  std::unique_ptr<OwningEntry> successor;
+};
+
+TEST_CASE("A replaced owner tells its successor until when its leases last",
+          "[ownership]") {
+  // Guards against a successor that assumes the longest leases of an owner that
+  // was only frozen or cut off from the store.
+  ReplacedOwner owners;
+  owners.WaitForTakeover();
+  OwningEntry former(owners.store, "a", 1, {120, 10});
+  former.task.AnnounceEnd(kPool, owners.fence,
+                          {{WorkerId("w"), std::chrono::milliseconds(5000)}});
+  REQUIRE(owners.WaitForEnd());
+  REQUIRE(owners.successor->unresponsive_workers.size() == 1);
+  CHECK(owners.successor->unresponsive_workers.at(WorkerId("w")) <=
+        std::chrono::milliseconds(5000));
+}
+
+TEST_CASE("A successor learns that the former owner's process was replaced",
+          "[ownership]") {
+  // Guards against a successor that assumes that a killed owner goes on.
+  ReplacedOwner owners;
+  owners.WaitForTakeover();
+  const OwningEntry restarted(owners.store, "a", 3, {120, 10});
+  REQUIRE(owners.WaitForEnd());
+  CHECK(owners.successor->unresponsive_workers.empty());
+}
+
 }  // namespace
 }  // namespace fireflythread::test
--- a/test/fireflythread/jobs/takeover_test.cc
+++ b/test/fireflythread/jobs/takeover_test.cc
@@ -96,6 +96,36 @@
   CHECK(successor.Task("a", 0).worker.empty());
 }
 
+TEST_CASE("A former owner's end shortens the wait for unresponsive workers",
+          "[jobs]") {
+  // Guards against runs of lost workers that are held for the longest lease of
+  // an owner that is known to be gone.
+  ShardFixture former_owner(2);
+  former_owner.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto starts = former_owner.StartAll();
+  ShardFixture successor(0);
+  successor.state.owned_since = successor.now;
+  TakeOver(successor, former_owner);
+  successor.Advance(milliseconds(1000));
+  SECTION("if it names the worker") {
+    ApplyFormerOwnerEnd(successor.state,
+                        {{starts[0].worker, milliseconds(500)}}, successor.now);
+    successor.Advance(milliseconds(499));
+    ExpireWorkers(successor.state, successor.now);
+    CHECK(successor.Task("a", 0).worker == starts[0].worker);
+    successor.Advance(milliseconds(1));
+  }
+  SECTION("if it does not name the worker") {
+    ApplyFormerOwnerEnd(successor.state, {}, successor.now);
+    successor.Advance(successor.state.limits.run_lease);
+    ExpireWorkers(successor.state, successor.now);
+    CHECK(successor.Task("a", 0).worker == starts[0].worker);
+    successor.Advance(milliseconds(600));
+  }
+  ExpireWorkers(successor.state, successor.now);
+  CHECK(successor.Task("a", 0).worker.empty());
+}
+
 TEST_CASE("A done task stays done after a takeover", "[jobs]") {
   ShardFixture former_owner(1);
   former_owner.AddJob("a", ShardFixture::Step(2, 1000));
--- a/test/fireflythread/ownership/entry_cluster.cc
+++ b/test/fireflythread/ownership/entry_cluster.cc
@@ -26,7 +26,7 @@
 auto EntryCluster::Tick() -> void {
   this->now += kEntryRenewal;
   for (const auto& [id, view] : this->views) {
-    this->Apply(MakeRenewal(view));
+    this->Apply(MakeRenewal(view, this->now));
   }
   this->ReadRows();
   this->Claim();
--- a/test/fireflythread/relay/relay_candidate_test.cc
+++ b/test/fireflythread/relay/relay_candidate_test.cc
@@ -27,7 +27,7 @@
   state.incarnation = version;
   state.stopping = stopping;
   state.peer = peer;
-  const Transaction renewal = MakeRenewal(state);
+  const Transaction renewal = MakeRenewal(state, TimePoint());
   return {renewal.writes.at(0).table, renewal.writes.at(0).key, version,
           *renewal.writes.at(0).value};
 }
