Store that a lost worker's runs were released

Cause: the release of a lost worker's runs changed only the owner's memory until the next run was planned. An owner that is stopping plans none, and the worker is not unresponsive any more in its list for the next owner. So the next owner held the run for the longest lease once more.

"A successor does not hold runs that were released" and "A row names an unresponsive worker until its runs are released" failed with the three sources as they were before.

Change: the release of runs makes their jobs' rows out of date, so they are stored, also while the owner stops. For 5 s after it the worker stays in the list for the next owner with no time left, unless it reports again. Ended jobs are left alone: their rows say all that matters.

--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -21,6 +21,9 @@
   int slow_clock_percent = 2;
   /// Maximum time that a worker needs to stop a run.
   std::chrono::milliseconds stop_time{400};
+  /// A new owner is told of a lost worker for this long after its runs were
+  /// released, which takes effect in the store later.
+  std::chrono::milliseconds released_retention{5000};
   /// Maximum time that a poll waits for a completion.
   std::chrono::milliseconds poll_wait{2000};
   /// Delay of a poll after a completion or a start, so that the completions and
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -48,6 +48,9 @@
   /// Workers that the former owner knew as unresponsive, with the time at which
   /// their leases must have expired.
   std::map<WorkerId, TimePoint> unresponsive_until;
+  /// Lost workers whose runs were released lately, with the time until which a
+  /// new owner is told so.
+  std::map<WorkerId, TimePoint> released_until;
   UnresponsiveRecord unresponsive_record;
   std::map<QueueName, Queue> queues;
   std::map<JobId, ShardJob> jobs;
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -19,9 +19,15 @@
        worker.gone ? ReleaseReason::kOtherInstance
                    : ReleaseReason::kLeaseExpired,
        now - std::max(worker.reported_at, state.owned_since)});
+  state.released_until[worker.view.id] = now + state.limits.released_retention;
   for (const TaskName& name : tasks) {
     ReleaseTask(state, name, now);
-    ForgetIfFinished(state, name.job);
+    if (IsFinal(state.jobs.at(name.job).progress.state)) {
+      ForgetIfFinished(state, name.job);
+    } else {
+      // Until it is stored, a new owner would hold the run again.
+      state.dirty.insert(name.job);
+    }
   }
 }
 
@@ -195,6 +201,9 @@
 }
 
 auto ExpireWorkers(ShardState& state, TimePoint now) -> void {
+  std::erase_if(state.released_until, [now](const auto& entry) -> bool {
+    return entry.second <= now;
+  });
   for (auto next = state.workers.begin(); next != state.workers.end();) {
     ShardWorker& worker = next->second;
     const bool over = worker.failed_polls > 0 || !worker.listed;
@@ -264,6 +273,7 @@
   worker.failed_polls = 0;
   worker.refused_polls = 0;
   worker.reported_at = now;
+  state.released_until.erase(worker_id);
   if (worker.reported_start.count() != 0 &&
       worker.reported_start != report.started_at) {
     ApplyRestart(state, worker, now);
--- a/src/fireflythread/jobs/unresponsive_workers.cc
+++ b/src/fireflythread/jobs/unresponsive_workers.cc
@@ -36,6 +36,9 @@
       row.workers.emplace(id, TimeUntilLeaseExpiry(state, worker, now));
     }
   }
+  for (const auto& [id, until] : state.released_until) {
+    row.workers.emplace(id, milliseconds(0));
+  }
   return row;
 }
 
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -133,6 +133,9 @@
     }
     unresponsive.emplace(id, TimeUntilLeaseExpiry(state, worker, now));
   }
+  for (const auto& [id, until] : state.released_until) {
+    unresponsive.emplace(id, milliseconds(0));
+  }
   return unresponsive;
 }
 
--- a/src/fireflythread/jobs/worker_lease.h
+++ b/src/fireflythread/jobs/worker_lease.h
@@ -54,8 +54,9 @@
     const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers,
     TimePoint now) -> void;
 
-/// Returns the unresponsive workers with runs and the time until their leases
-/// have certainly expired, which the next owner of the shard needs to know.
+/// Returns the unresponsive workers with runs and those whose runs were
+/// released lately, with the time until their leases have certainly expired,
+/// which the next owner of the shard needs to know.
 [[nodiscard]] auto UnresponsiveWorkers(const ShardState& state, TimePoint now)
     -> std::map<WorkerId, std::chrono::milliseconds>;
 
--- a/test/fireflythread/jobs/takeover_test.cc
+++ b/test/fireflythread/jobs/takeover_test.cc
@@ -96,6 +96,32 @@
   CHECK(successor.Task("a", 0).worker.empty());
 }
 
+TEST_CASE("A successor does not hold runs that were released", "[jobs]") {
+  // Guards against a lost worker's task that waits for the longest lease again,
+  // because the owner had released the run, but not started another one yet.
+  ShardFixture former_owner(1);
+  former_owner.AddJob("a", ShardFixture::Step(1, 1000));
+  const auto starts = former_owner.StartAll();
+  const WorkerId lost = starts[0].worker;
+  ApplyPollFailure(former_owner.state, lost, former_owner.now);
+  former_owner.Advance(std::chrono::seconds(10));
+  ExpireWorkers(former_owner.state, former_owner.now);
+  REQUIRE(former_owner.Task("a", 0).worker.empty());
+
+  SECTION("and the release is stored") {
+    CHECK(former_owner.state.dirty.contains(JobId("a")));
+    CHECK(ReadBack(former_owner, "a").tasks[0].worker.empty());
+  }
+  SECTION("and the next owner is told until it is stored") {
+    CHECK(UnresponsiveWorkers(former_owner.state, former_owner.now) ==
+          std::map<WorkerId, milliseconds>{{lost, milliseconds(0)}});
+  }
+  SECTION("unless the worker reports again") {
+    former_owner.Report(lost.value);
+    CHECK(UnresponsiveWorkers(former_owner.state, former_owner.now).empty());
+  }
+}
+
 TEST_CASE("A former owner's end shortens the wait for unresponsive workers",
           "[jobs]") {
   // Guards against runs of lost workers that are held for the longest lease of
--- a/test/fireflythread/jobs/unresponsive_workers_test.cc
+++ b/test/fireflythread/jobs/unresponsive_workers_test.cc
@@ -62,6 +62,10 @@
 
   shard.Advance(second.workers.at(WorkerId("w0")));
   ExpireWorkers(shard.state, shard.now);
+  CHECK(shard.StoreRow().workers ==
+        std::map<WorkerId, milliseconds>{{WorkerId("w0"), milliseconds(0)}});
+  shard.Advance(shard.state.limits.released_retention);
+  ExpireWorkers(shard.state, shard.now);
   CHECK(shard.StoreRow().workers.empty());
 }
 
