Poll a worker without a long wait while it may get no lease

Callers would see the runs of a worker lapse after a single lost poll: one answer is lost, the worker is named in the row of unresponsive workers, and the next poll, which can carry no lease, waits for 2 s again; after it the lease of 6 s is over.

Change: a poll of a worker that failed one or may get no lease waits for 250 ms at most. Ruled out: an earlier removal from the row; it must be stored first.

--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -248,7 +248,11 @@
   // A worker with completions that are not stored yet would answer at once
   // anyway.
   if (busy && worker.confirmed) {
-    poll.wait = state.limits.poll_wait;
+    // The poll after this one may extend the lease, and a long wait would
+    // outlast what is left of it.
+    const bool withheld =
+        worker.failed_polls > 0 || !MayGetLease(state, worker.view.id);
+    poll.wait = withheld ? state.limits.poll_retry : state.limits.poll_wait;
   }
   worker.poll_in_flight = true;
   return poll;
--- a/test/fireflythread/jobs/unresponsive_workers_test.cc
+++ b/test/fireflythread/jobs/unresponsive_workers_test.cc
@@ -3,6 +3,8 @@
 #include <rapidcheck/catch.h>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <optional>
 #include <string>
 
 #include "fireflythread/jobs/worker_lease.h"
@@ -119,6 +121,53 @@
   CHECK(NextUnresponsiveRow(shard.state, shard.now));
 }
 
+TEST_CASE("One lost poll does not end a worker's lease", "[jobs]") {
+  // Guards against a named worker whose next long poll outlasts its lease: the
+  // row without it is stored only after that poll has been sent.
+  OwnedShard shard(1);
+  const RunningRun run{TaskName{JobId("a"), 0, 0, 0}, 1, "", 0, 0};
+  constexpr milliseconds kTimeout{2800};
+  constexpr milliseconds kStoreTime{10};
+  milliseconds lease_end{0};
+  std::optional<PollCommand> poll;
+  std::optional<UnresponsiveRow> row;
+  TimePoint poll_sent_at;
+  TimePoint row_sent_at;
+  int polls = 0;
+  shard.Worker("w0").next_poll = shard.now;
+  // The worker sees every poll but the answer to the first one is lost. Each
+  // round is a step of the owner, in the order of ShardTask::Step().
+  for (const TimePoint end = shard.now + milliseconds(12000); shard.now < end;
+       shard.Advance(milliseconds(5))) {
+    if (poll && polls == 1 && shard.now - poll_sent_at >= kTimeout) {
+      ApplyPollFailure(shard.state, WorkerId("w0"), shard.now);
+      poll.reset();
+    }
+    if (poll && polls > 1 && shard.now - poll_sent_at >= poll->wait) {
+      shard.ReportSince(poll_sent_at, "w0", {run});
+      poll.reset();
+    }
+    if (row && shard.now - row_sent_at >= kStoreTime) {
+      ApplyRowStored(shard.state, *row, ++shard.version);
+      row.reset();
+    }
+    ExpireWorkers(shard.state, shard.now);
+    ShardWorker& worker = shard.Worker("w0");
+    if (auto next = NextPoll(shard.state, worker, true, shard.now)) {
+      poll = std::move(next);
+      poll_sent_at = shard.now;
+      ++polls;
+      lease_end = std::max(lease_end, poll->deadline.value_or(lease_end));
+    }
+    if (auto next = NextUnresponsiveRow(shard.state, shard.now)) {
+      row = std::move(next);
+      row_sent_at = shard.now;
+    }
+    CAPTURE(polls, shard.ClockOf("w0").count(), lease_end.count());
+    REQUIRE(shard.ClockOf("w0") < lease_end);
+  }
+}
+
 /// A shard whose new owner loads one run on w0, and w0 does not answer.
 struct SuccessorShard : ShardFixture {
   explicit SuccessorShard(OwnedShard& former) : ShardFixture(0) {
