Keep the row of unresponsive workers until the jobs are loaded

Callers would see a lost worker's task wait for 9.5 s again: a new owner that had read the row, but not the jobs, knew no runs, stored an empty row, and was lost in turn.

Change: the row is stored only once the jobs are loaded.

--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -276,8 +276,10 @@
   ExpireWorkers(this->state, now);
   if (this->loaded_once && this->state.unresponsive_record.loaded) {
     this->PlanAndOrder(now);
+    // Not before the jobs are loaded: until then no worker has runs, and the
+    // row would lose what the former owner knew.
+    this->unresponsive_workers.Step(now);
   }
-  this->unresponsive_workers.Step(now);
   this->Flush();
   this->MoveEndedJobs(now);
   this->step_ended = ReadBootClock();
--- a/test/fireflythread/entry/lost_worker_takeover_test.cc
+++ b/test/fireflythread/entry/lost_worker_takeover_test.cc
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/shard_task.h"
@@ -67,6 +68,30 @@
   std::map<WorkerId, std::vector<RunningRun>> running;
 };
 
+/// A store that can hold back the answers to reads of the jobs.
+class HoldingTableStore : public FakeTableStore {
+ public:
+  auto ReadRange(RangeRequest request,
+                 Duration timeout,
+                 Callback<RangePage> callback) -> void override {
+    if (this->hold_jobs && request.table == JobTable(kShard)) {
+      this->held = [this, request, timeout, callback] {
+        FakeTableStore::ReadRange(request, timeout, callback);
+      };
+      return;
+    }
+    FakeTableStore::ReadRange(std::move(request), timeout, std::move(callback));
+  }
+
+  auto Release() -> void {
+    this->hold_jobs = false;
+    std::exchange(this->held, nullptr)();
+  }
+
+  bool hold_jobs = false;
+  std::function<void()> held;
+};
+
 /// A shard with three workers, two long-running jobs of one task, and an owner
 /// that another one can replace without a release.
 struct LostWorkerFixture {
@@ -139,7 +164,7 @@
     return workers;
   }
 
-  FakeTableStore store;
+  HoldingTableStore store;
   LossyWorkers workers;
   Logger logger{{},
                 LogLevel::kError,
@@ -175,5 +200,44 @@
   CHECK(fixture.RunOf("lost-later") == 1);
 }
 
+TEST_CASE("The row names lost workers until their runs are loaded", "[entry]") {
+  // Guards against a new owner that forgets what its predecessor knew, because
+  // it stores the row before it has read the jobs, and is lost itself.
+  LostWorkerFixture fixture;
+  fixture.PutJob("lost");
+  fixture.TakeOver();
+  REQUIRE(fixture.WaitFor([&] { return fixture.RunOf("lost") == 1; }));
+  const WorkerId lost = fixture.workers.worker_of.at(JobId("lost"));
+  fixture.workers.lost = {lost};
+  const auto row = [&fixture]() -> std::string {
+    return fixture.store.Value(kFenceTable, kShard.value, "unresponsive");
+  };
+  const auto names_lost = [&]() -> bool {
+    return row().find(lost.value) != std::string::npos;
+  };
+  REQUIRE(fixture.WaitFor(names_lost));
+  const std::size_t before = fixture.store.transactions.size();
+  fixture.store.hold_jobs = true;
+  fixture.TakeOver();
+  REQUIRE(fixture.WaitFor([&] { return fixture.store.held != nullptr; }));
+  // Some steps of the new owner, which has read the row, but not the jobs.
+  const TimePoint steps_end = ReadBootClock() + milliseconds(300);
+  REQUIRE(fixture.WaitFor([&] { return ReadBootClock() >= steps_end; }));
+  fixture.store.Release();
+  REQUIRE(fixture.WaitFor([&] {
+    return names_lost() &&
+           row().find(std::to_string(fixture.fence)) != std::string::npos;
+  }));
+  for (std::size_t index = before; index < fixture.store.transactions.size();
+       ++index) {
+    for (const Write& write : fixture.store.transactions[index].writes) {
+      if (write.key == "unresponsive") {
+        CAPTURE(*write.value);
+        CHECK(write.value->find(lost.value) != std::string::npos);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace fireflythread::test
