Let a former owner's last word replace its older row

Callers could see two runs of a task: a worker restarts, its owner notices after it has stored the row of unresponsive workers, so the worker's longest lease (10 s) counts from then; the next owner took the smaller of the row's time and the one that the former owner announces at its end.

Change: the announcement replaces the row's time, and the row adds only workers that nothing is known of.

--- a/src/fireflythread/jobs/unresponsive_workers.cc
+++ b/src/fireflythread/jobs/unresponsive_workers.cc
@@ -94,10 +94,8 @@
     if (row.fence != former_fence) {
       continue;
     }
-    const TimePoint until = state.owned_since + left;
-    const auto [known, inserted] =
-        state.unresponsive_until.emplace(worker, until);
-    known->second = std::min(known->second, until);
+    // What the former owner said at its end is later knowledge.
+    state.unresponsive_until.emplace(worker, state.owned_since + left);
   }
 }
 
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -118,9 +118,9 @@
     TimePoint now) -> void {
   state.former_owner_ended_at = now;
   for (const auto& [worker, left] : unresponsive_workers) {
-    const auto [known, inserted] =
-        state.unresponsive_until.emplace(worker, now + left);
-    known->second = std::min(known->second, now + left);
+    // It is later knowledge than the row, and the only one of a restart that
+    // was noticed after the row was stored.
+    state.unresponsive_until[worker] = now + left;
   }
 }
 
--- a/test/fireflythread/jobs/takeover_test.cc
+++ b/test/fireflythread/jobs/takeover_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "fireflythread/jobs/job_codec.h"
+#include "fireflythread/jobs/unresponsive_workers.h"
 #include "fireflythread/jobs/worker_lease.h"
 #include "test/fireflythread/jobs/shard_fixture.h"
 
@@ -152,6 +153,33 @@
   CHECK(successor.Task("a", 0).worker.empty());
 }
 
+TEST_CASE("A former owner's last word replaces its older row", "[jobs]") {
+  // Guards against a second run beside that of a restarted worker: the former
+  // owner noticed the restart after it had stored the row.
+  ShardFixture former_owner(1);
+  former_owner.state.fence = 50;
+  ApplyUnresponsiveRow(former_owner.state, {}, 0, 0);
+  former_owner.AddJob("a", ShardFixture::Step(1, 1000));
+  const WorkerId worker = former_owner.StartAll().at(0).worker;
+  ApplyPollFailure(former_owner.state, worker, former_owner.now);
+  const auto row = NextUnresponsiveRow(former_owner.state, former_owner.now);
+  REQUIRE(row);
+  former_owner.Restart(worker.value);
+  ApplyWorkers(former_owner.state, former_owner.views, former_owner.now);
+  const auto announced =
+      UnresponsiveWorkers(former_owner.state, former_owner.now);
+  REQUIRE(announced.at(worker) > row->workers.at(worker));
+
+  ShardFixture successor(0);
+  successor.state.owned_since = successor.now;
+  TakeOver(successor, former_owner);
+  ApplyUnresponsiveRow(successor.state, *row, 7, 50);
+  ApplyFormerOwnerEnd(successor.state, announced, successor.now);
+  successor.Advance(announced.at(worker) - milliseconds(1));
+  ExpireWorkers(successor.state, successor.now);
+  CHECK(successor.Task("a", 0).worker == worker);
+}
+
 TEST_CASE("A done task stays done after a takeover", "[jobs]") {
   ShardFixture former_owner(1);
   former_owner.AddJob("a", ShardFixture::Step(2, 1000));
