Withhold no lease because of a row that was refused

Callers would see runs lapse while the store refuses calls: a transaction that was certainly not carried out withheld the leases of the workers that it would have named, like one whose outcome is unknown. Found by the review.

Change: a refusal restores the set that was named before.

--- a/src/fireflythread/entry/unresponsive_workers_task.cc
+++ b/src/fireflythread/entry/unresponsive_workers_task.cc
@@ -80,6 +80,10 @@
     ApplyRowStored(this->state, row, committed->revision);
     return;
   }
+  if (std::holds_alternative<NotCommitted>(outcome)) {
+    ApplyRowRefused(this->state, ReadBootClock());
+    return;
+  }
   ApplyRowNotStored(this->state, ReadBootClock());
   if (const auto* conflict = std::get_if<Conflict>(&outcome)) {
     this->ApplyConflict(*conflict);
--- a/src/fireflythread/jobs/unresponsive_record.h
+++ b/src/fireflythread/jobs/unresponsive_record.h
@@ -26,6 +26,8 @@
   /// Workers that the stored row may name. They get no lease, because the row
   /// would be wrong about a later one.
   std::set<WorkerId> named;
+  /// The same before the row that is being stored.
+  std::set<WorkerId> named_before;
   /// Version of the stored row; 0 when there is none.
   std::uint64_t version = 0;
   /// The row has been read after the shard was acquired.
--- a/src/fireflythread/jobs/unresponsive_workers.cc
+++ b/src/fireflythread/jobs/unresponsive_workers.cc
@@ -111,6 +111,7 @@
   if (current) {
     return std::nullopt;
   }
+  record.named_before = record.named;
   for (const auto& [worker, left] : row.workers) {
     record.named.insert(worker);
   }
@@ -139,6 +140,12 @@
   record.next_attempt = now + kRetryDelay;
 }
 
+auto ApplyRowRefused(ShardState& state, TimePoint now) -> void {
+  UnresponsiveRecord& record = state.unresponsive_record;
+  record.named = record.named_before;
+  ApplyRowNotStored(state, now);
+}
+
 auto MayGetLease(const ShardState& state, const WorkerId& worker) -> bool {
   return !state.unresponsive_record.named.contains(worker);
 }
--- a/src/fireflythread/jobs/unresponsive_workers.h
+++ b/src/fireflythread/jobs/unresponsive_workers.h
@@ -41,6 +41,10 @@
 /// Applies that a row is not stored, or that this is unknown.
 auto ApplyRowNotStored(ShardState& state, TimePoint now) -> void;
 
+/// Applies that a row was certainly not stored. Workers that only it names may
+/// get leases.
+auto ApplyRowRefused(ShardState& state, TimePoint now) -> void;
+
 /// Returns whether the worker may get a lease: the stored row certainly does
 /// not name it.
 [[nodiscard]] auto MayGetLease(const ShardState& state, const WorkerId& worker)
--- a/test/fireflythread/jobs/unresponsive_workers_test.cc
+++ b/test/fireflythread/jobs/unresponsive_workers_test.cc
@@ -168,6 +168,18 @@
   }
 }
 
+TEST_CASE("A row that was certainly not stored withholds no lease", "[jobs]") {
+  // Guards against runs that lapse because the store refuses calls while their
+  // worker answers again.
+  OwnedShard shard(1);
+  ApplyPollFailure(shard.state, WorkerId("w0"), shard.now);
+  REQUIRE(NextUnresponsiveRow(shard.state, shard.now));
+  ApplyRowRefused(shard.state, shard.now);
+  shard.Advance(milliseconds(250));
+  shard.Report("w0", {{TaskName{JobId("a"), 0, 0, 0}, 1, "", 0, 0}});
+  CHECK(shard.NextPollOf("w0")->deadline);
+}
+
 /// A shard whose new owner loads one run on w0, and w0 does not answer.
 struct SuccessorShard : ShardFixture {
   explicit SuccessorShard(OwnedShard& former) : ShardFixture(0) {
