Keep a worker's clock when it refuses a start as late

Callers could see two runs of a task: a worker refuses a start because its deadline has passed, its next poll gets no answer, and all its other runs are released at once. The refusal made the owner forget the worker's clock, and without it the end of the leases is counted from the takeover.

--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -36,7 +36,9 @@
     worker->next_poll = std::min(worker->next_poll, now);
   }
   if (worker != nullptr && verdict == OrderVerdict::kDeadlinePassed) {
-    worker->clock.reset();
+    // The clock's last reading still bounds the end of the leases. The reply
+    // has corrected it, or the next report does.
+    worker->cooldown_until = now + state.limits.refused_pause;
     worker->next_poll = now;
   }
   const TaskState* task = FindTask(state, start.task);
--- a/test/fireflythread/jobs/unresponsive_workers_test.cc
+++ b/test/fireflythread/jobs/unresponsive_workers_test.cc
@@ -180,6 +180,33 @@
   CHECK(shard.NextPollOf("w0")->deadline);
 }
 
+TEST_CASE("A start that came too late does not end the known leases",
+          "[jobs]") {
+  // Guards against two runs of a task: a worker refuses a start as late, its
+  // next poll gets no answer, and its other run is released at once, although
+  // the run's lease has just been extended.
+  OwnedShard shard(1);
+  shard.Advance(std::chrono::seconds(60));
+  shard.Report("w0", {{TaskName{JobId("a"), 0, 0, 0}, 1, "", 0, 0}});
+  REQUIRE(shard.NextPollOf("w0")->deadline);
+  shard.AddJob("b", ShardFixture::Step(1, 1000));
+  const auto starts = shard.PlanAndStore();
+  REQUIRE(starts.size() == 1);
+  OrderReply late{OrderVerdict::kDeadlinePassed};
+  late.clock = shard.ClockOf("w0");
+  ApplyStartReply(shard.state, starts[0], late, shard.now);
+  ApplyPollFailure(shard.state, WorkerId("w0"), shard.now);
+  SECTION("for this owner") {
+    ExpireWorkers(shard.state, shard.now);
+    CHECK(shard.Task("a", 0).worker == WorkerId("w0"));
+  }
+  SECTION("for the next one") {
+    const auto row = NextUnresponsiveRow(shard.state, shard.now);
+    REQUIRE(row);
+    CHECK(row->workers.at(WorkerId("w0")) >= shard.state.limits.run_lease);
+  }
+}
+
 /// A shard whose new owner loads one run on w0, and w0 does not answer.
 struct SuccessorShard : ShardFixture {
   explicit SuccessorShard(OwnedShard& former) : ShardFixture(0) {
