--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -97,6 +97,14 @@
   this->Wake();
 }
 
+auto ShardTask::Close() -> void {
+  this->closed = true;
+}
+
+auto ShardTask::KnowsRuns() const -> bool {
+  return this->loaded_once && this->state.unresponsive_record.loaded;
+}
+
 auto ShardTask::Start() -> void {
   this->unresponsive_workers.Load();
   this->LoadJobs();
@@ -269,12 +277,12 @@
 }
 
 auto ShardTask::Step() -> void {
-  if (this->state.fenced_off) {
+  if (this->state.fenced_off || this->closed) {
     return;
   }
   const TimePoint now = ReadBootClock();
   ExpireWorkers(this->state, now);
-  if (this->loaded_once && this->state.unresponsive_record.loaded) {
+  if (this->KnowsRuns()) {
     this->PlanAndOrder(now);
     // Not before the jobs are loaded: until then no worker has runs, and the
     // row would lose what the former owner knew.
@@ -416,6 +424,9 @@
 
 auto ShardTask::SendStart(const StartCommand& start, TimePoint stored_at)
     -> void {
+  if (this->closed) {
+    return;
+  }
   // Checked directly before each start, as the process may have been paused
   // since the run was stored, and another entry may own the shard by now.
   const TimePoint now = ReadBootClock();
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -87,6 +87,14 @@
       const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers)
       -> void;
 
+  /// Gives no more leases: orders nothing from now on, although answers to
+  /// earlier calls may still arrive.
+  auto Close() -> void;
+
+  /// Returns whether this owner knows all runs of the shard and what the former
+  /// owner knew of their workers.
+  [[nodiscard]] auto KnowsRuns() const -> bool;
+
   /// Returns the unresponsive workers, with the time until their leases must
   /// have expired, for the next owner.
   [[nodiscard]] auto UnresponsiveWorkers() const
@@ -153,6 +161,7 @@
   bool feed_behind = false;
   bool flushing = false;
   bool draining = false;
+  bool closed = false;
   std::function<void()> drain_callback;
   std::set<WorkerId> draining_workers;
   bool draining_known = false;
--- a/test/fireflythread/entry/lost_worker_takeover_test.cc
+++ b/test/fireflythread/entry/lost_worker_takeover_test.cc
@@ -68,13 +68,14 @@
   std::map<WorkerId, std::vector<RunningRun>> running;
 };
 
-/// A store that can hold back the answers to reads of the jobs.
+/// A store that can hold back the answers to reads of the jobs, or of the row.
 class HoldingTableStore : public FakeTableStore {
  public:
   auto ReadRange(RangeRequest request,
                  Duration timeout,
                  Callback<RangePage> callback) -> void override {
-    if (this->hold_jobs && request.table == JobTable(kShard)) {
+    if ((this->hold_jobs && request.table == JobTable(kShard)) ||
+        (this->hold_row && request.table == kFenceTable)) {
       this->held = [this, request, timeout, callback] {
         FakeTableStore::ReadRange(request, timeout, callback);
       };
@@ -85,10 +86,12 @@
 
   auto Release() -> void {
     this->hold_jobs = false;
+    this->hold_row = false;
     std::exchange(this->held, nullptr)();
   }
 
   bool hold_jobs = false;
+  bool hold_row = false;
   std::function<void()> held;
 };
 
@@ -223,6 +226,7 @@
   // Some steps of the new owner, which has read the row, but not the jobs.
   const TimePoint steps_end = ReadBootClock() + milliseconds(300);
   REQUIRE(fixture.WaitFor([&] { return ReadBootClock() >= steps_end; }));
+  CHECK_FALSE(fixture.owner->KnowsRuns());
   fixture.store.Release();
   REQUIRE(fixture.WaitFor([&] {
     return names_lost() &&
@@ -239,5 +243,54 @@
   }
 }
 
+TEST_CASE("An owner that was replaced cannot change the row", "[entry]") {
+  // Guards against a row of a former owner that the next one takes for its own.
+  LostWorkerFixture fixture;
+  fixture.PutJob("lost");
+  fixture.TakeOver();
+  REQUIRE(fixture.WaitFor([&] { return fixture.RunOf("lost") == 1; }));
+  fixture.store.Put(kFenceTable, kShard.value, std::string(kFenceKey), "{}");
+  fixture.workers.lost = {fixture.workers.worker_of.at(JobId("lost"))};
+  REQUIRE(fixture.WaitFor([&] {
+    const Transaction& last = fixture.store.transactions.back();
+    return !last.writes.empty() && last.writes.front().key == "unresponsive";
+  }));
+  CHECK(fixture.store.Value(kFenceTable, kShard.value, "unresponsive").empty());
+}
+
+TEST_CASE("A worker gets leases again after the row's answer was lost",
+          "[entry]") {
+  // Guards against a worker that the owner takes for named for ever, because
+  // each further row conflicts with the one whose answer was lost.
+  LostWorkerFixture fixture;
+  fixture.PutJob("lost");
+  fixture.TakeOver();
+  REQUIRE(fixture.WaitFor([&] { return fixture.RunOf("lost") == 1; }));
+  const WorkerId lost = fixture.workers.worker_of.at(JobId("lost"));
+  fixture.workers.lost = {lost};
+  fixture.store.lose_next_answer = true;
+  REQUIRE(fixture.WaitFor([&] { return !fixture.store.lose_next_answer; }));
+  fixture.workers.lost.clear();
+  CHECK(fixture.WaitFor([&] {
+    return fixture.store.Value(kFenceTable, kShard.value, "unresponsive")
+               .find("\"left_ms\":{}") != std::string::npos;
+  }));
+}
+
+TEST_CASE("A new owner starts nothing before it has read the row", "[entry]") {
+  // Guards against a lease for a worker that the row names.
+  LostWorkerFixture fixture;
+  fixture.PutJob("job");
+  fixture.store.hold_row = true;
+  fixture.TakeOver();
+  REQUIRE(fixture.WaitFor([&] { return fixture.store.held != nullptr; }));
+  const TimePoint steps_end = ReadBootClock() + milliseconds(300);
+  REQUIRE(fixture.WaitFor([&] { return ReadBootClock() >= steps_end; }));
+  CHECK(fixture.RunOf("job") == 0);
+  CHECK_FALSE(fixture.owner->KnowsRuns());
+  fixture.store.Release();
+  CHECK(fixture.WaitFor([&] { return fixture.RunOf("job") == 1; }));
+}
+
 }  // namespace
 }  // namespace fireflythread::test
--- a/test/fireflythread/entry/paused_owner_test.cc
+++ b/test/fireflythread/entry/paused_owner_test.cc
@@ -115,5 +115,16 @@
   CHECK(fixture.workers.started_runs.front() == 2);
 }
 
+TEST_CASE("An owner that has announced its end starts nothing", "[entry]") {
+  // Guards against two runs of a task: the next owner relies on the announced
+  // times, and the answer to a transaction starts another run after that.
+  PausedOwnerFixture fixture;
+  REQUIRE(
+      FakeTableStore::RunUntil([&] { return fixture.HasStoredProgress(); }));
+  fixture.owner->Close();
+  FakeTableStore::RunCallbacks();
+  CHECK(fixture.workers.started_runs.empty());
+}
+
 }  // namespace
 }  // namespace fireflythread::test
