Log each run that is given up, with the evidence and its age

GiveUpRun() now stands between each of them and ReleaseTask(): expired lease, other instance, three cases of a report that does not list the run, a refused and a withheld start. The owner logs run_given_up with task, run, worker, reason, the age of the evidence and what it knew of the run, and counts them by reason. task_lingers and fireflythread_oldest_task_seconds show the task that has been longest in each phase, as step_waits sees waiting tasks only.

No decision changes: same conditions, same order.

--- a/src/fireflythread/entry/run_log.cc
+++ b/src/fireflythread/entry/run_log.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <string_view>
 
+#include "fireflythread/jobs/given_up_run.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/poll_command.h"
 #include "fireflythread/jobs/released_runs.h"
@@ -13,6 +14,14 @@
 #include "fireflythread/jobs/worker_report.h"
 
 namespace fireflythread {
+namespace {
+
+auto ToMilliseconds(Duration duration) -> std::int64_t {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+}  // namespace
 
 RunLog::RunLog(const Logger& log, MetricsRegistry& registry)
     : logger(log), metrics(registry) {}
@@ -82,15 +91,35 @@
 
 auto RunLog::RecordReleased(const ShardName& shard,
                             const ReleasedRuns& released) -> void {
-  const auto unresponsive =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          released.unresponsive);
-  this->logger.Warning("shard", "runs_released",
-                       {{"shard", shard},
-                        {"worker", released.worker},
-                        {"runs", released.runs},
-                        {"reason", ReleaseReasonName(released.reason)},
-                        {"unresponsive_ms", unresponsive.count()}});
+  this->logger.Warning(
+      "shard", "runs_released",
+      {{"shard", shard},
+       {"worker", released.worker},
+       {"runs", released.runs},
+       {"reason", GiveUpReasonName(released.reason)},
+       {"unresponsive_ms", ToMilliseconds(released.unresponsive)}});
+}
+
+auto RunLog::RecordGivenUp(const ShardName& shard, const GivenUpRun& given_up)
+    -> void {
+  const GiveUpEvidence& evidence = given_up.evidence;
+  const std::string_view reason = GiveUpReasonName(evidence.reason);
+  this->metrics
+      .GetCounter("fireflythread_runs_given_up_total",
+                  "Runs that were given up, by the reason",
+                  {{"reason", std::string(reason)}})
+      .Add();
+  this->logger.Info("shard", "run_given_up",
+                    {{"shard", shard},
+                     {"job", given_up.task.job},
+                     {"task", FormatTaskName(given_up.task)},
+                     {"run", given_up.run},
+                     {"worker", given_up.worker},
+                     {"reason", reason},
+                     {"verdict", OrderVerdictName(evidence.verdict)},
+                     {"evidence_age_ms", ToMilliseconds(given_up.evidence_age)},
+                     {"phase", RunPhaseName(given_up.phase)},
+                     {"in_phase_ms", ToMilliseconds(given_up.in_phase)}});
 }
 
 auto RunLog::RecordFinished(const JobId& job,
--- a/src/fireflythread/entry/run_log.h
+++ b/src/fireflythread/entry/run_log.h
@@ -39,6 +39,9 @@
   /// Logs that the runs of a lost worker are released.
   auto RecordReleased(const ShardName& shard, const ReleasedRuns& released)
       -> void;
+  /// Logs and counts a run that is given up, with the evidence for it.
+  auto RecordGivenUp(const ShardName& shard, const GivenUpRun& given_up)
+      -> void;
   /// Logs a job whose final state is stored at `revision`.
   auto RecordFinished(const JobId& job, JobState state, std::uint64_t revision)
       -> void;
--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -1,10 +1,13 @@
 #include "fireflythread/entry/shard_monitor.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 
+#include "fireflythread/jobs/oldest_task.h"
 #include "fireflythread/jobs/shard_summary.h"
 #include "fireflythread/jobs/waiting_step.h"
 
@@ -16,6 +19,11 @@
 /// Shorter waits are ordinary in a peak and are not reported.
 constexpr std::chrono::seconds kMinReportedWait{3};
 
+/// The phases in which a run may exist.
+constexpr std::array<RunPhase, 5> kAssignedPhases = {
+    RunPhase::kPlanned, RunPhase::kStarting, RunPhase::kRunning,
+    RunPhase::kUnresolved, RunPhase::kStopping};
+
 auto ToMilliseconds(Duration duration) -> std::int64_t {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
       .count();
@@ -83,6 +91,34 @@
                      {"most_free_memory_mb", waiting->max_free.memory_mb}});
 }
 
+auto ShardMonitor::ReportOldestTasks(const ShardState& state, TimePoint now)
+    -> void {
+  const std::map<RunPhase, OldestTask> oldest = FindOldestTasks(state, now);
+  for (const RunPhase phase : kAssignedPhases) {
+    const auto found = oldest.find(phase);
+    const Duration age =
+        found == oldest.end() ? Duration(0) : found->second.in_phase;
+    const std::string phase_name(RunPhaseName(phase));
+    this->metrics
+        .GetGauge("fireflythread_oldest_task_seconds",
+                  "Time that the oldest task in a phase has been in it",
+                  {{"shard", state.shard.value}, {"phase", phase_name}})
+        .Set(std::chrono::duration<double>(age).count());
+    if (phase == RunPhase::kRunning || age < kMinReportedWait) {
+      continue;
+    }
+    const OldestTask& task = found->second;
+    this->logger.Info("shard", "task_lingers",
+                      {{"shard", state.shard},
+                       {"job", task.task.job},
+                       {"task", FormatTaskName(task.task)},
+                       {"run", task.run},
+                       {"worker", task.worker},
+                       {"phase", phase_name},
+                       {"in_phase_ms", ToMilliseconds(task.in_phase)}});
+  }
+}
+
 auto ShardMonitor::Report(const ShardState& state, bool loaded, TimePoint now)
     -> void {
   if (now - this->reported_at < kReportPeriod) {
@@ -132,6 +168,7 @@
        {"longest_step_ms", ToMilliseconds(this->max_step_time)},
        {"longest_gap_ms", ToMilliseconds(this->max_step_gap)}});
   this->ReportWait(state, now);
+  this->ReportOldestTasks(state, now);
   this->plan_cost = state.plan_cost;
   this->feed_rows = 0;
   this->starts = 0;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -292,7 +292,7 @@
   this->MoveEndedJobs(now);
   this->step_ended = ReadBootClock();
   this->last_step = this->step_ended - now;
-  this->LogReleasedRuns();
+  this->LogGivenUpRuns();
   this->monitor.RecordStep(now, this->step_ended);
   this->monitor.Report(this->state, this->loaded_once, now);
   this->FinishDrain();
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -137,7 +137,7 @@
   auto ApplyMissingReport(const PollCommand& poll, const OrderReply& reply)
       -> void;
   auto LogUnresponsive(const WorkerId& worker, TimePoint now) -> void;
-  auto LogReleasedRuns() -> void;
+  auto LogGivenUpRuns() -> void;
   auto LogCompletions(const WorkerId& worker, const WorkerReport& report)
       -> void;
   auto CheckFence() -> void;
--- a/src/fireflythread/entry/shard_task_polls.cc
+++ b/src/fireflythread/entry/shard_task_polls.cc
@@ -67,10 +67,13 @@
   ApplyReport(this->state, poll.worker, report, sent_at, ReadBootClock());
 }
 
-auto ShardTask::LogReleasedRuns() -> void {
+auto ShardTask::LogGivenUpRuns() -> void {
   for (const ReleasedRuns& released : std::exchange(this->state.released, {})) {
     this->run_log.RecordReleased(this->state.shard, released);
   }
+  for (const GivenUpRun& given_up : std::exchange(this->state.given_up, {})) {
+    this->run_log.RecordGivenUp(this->state.shard, given_up);
+  }
 }
 
 auto ShardTask::LogCompletions(const WorkerId& worker_id,
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -11,6 +11,8 @@
 struct RunCompletion;
 struct EndedScan;
 struct FinishedJob;
+struct GivenUpRun;
+struct OldestTask;
 struct PollCommand;
 struct JobProgress;
 struct JobRequest;
--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "fireflythread/jobs/given_up_run.h"
 #include "fireflythread/jobs/shard_workers.h"
 #include "fireflythread/jobs/worker_lease.h"
 
@@ -43,7 +44,8 @@
   }
   const TaskState* task = FindTask(state, start.task);
   if (task->phase == RunPhase::kStarting) {
-    ReleaseTask(state, start.task, now);
+    GiveUpRun(state, start.task,
+              {GiveUpReason::kRefused, verdict, start.ordered_at}, now);
     ForgetIfFinished(state, start.task.job);
   }
 }
@@ -113,7 +115,10 @@
   const TaskState* task = FindTask(state, start.task);
   if (IsNewestRun(task, start.worker, start.run) &&
       task->phase == RunPhase::kStarting) {
-    ReleaseTask(state, start.task, now);
+    GiveUpRun(
+        state, start.task,
+        {GiveUpReason::kWithheld, OrderVerdict::kNotSent, start.ordered_at},
+        now);
     ForgetIfFinished(state, start.task.job);
   }
 }
--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "fireflythread/jobs/given_up_run.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/unresponsive_workers.h"
 #include "fireflythread/jobs/worker_lease.h"
@@ -157,7 +158,8 @@
     if (usable) {
       starts.push_back(MakeStart(state, planned.task, *task, worker, now));
     } else {
-      ReleaseTask(state, planned.task, now);
+      GiveUpRun(state, planned.task,
+                {GiveUpReason::kWithheld, OrderVerdict::kNotSent, now}, now);
     }
   }
   for (const JobRecord& record : batch.records) {
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -13,6 +13,7 @@
 #include "fireflythread/base/time.h"
 #include "fireflythread/jobs/completion_snapshot.h"
 #include "fireflythread/jobs/finished_job.h"
+#include "fireflythread/jobs/given_up_run.h"
 #include "fireflythread/jobs/plan_cost.h"
 #include "fireflythread/jobs/queue.h"
 #include "fireflythread/jobs/released_runs.h"
@@ -86,6 +87,8 @@
   bool fenced_off = false;
   /// Runs of lost workers that were released and are not logged yet.
   std::vector<ReleasedRuns> released;
+  /// Runs that were given up and are not logged yet.
+  std::vector<GivenUpRun> given_up;
   /// Planning cost since the shard was acquired.
   PlanCost plan_cost;
 };
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "fireflythread/jobs/given_up_run.h"
 #include "fireflythread/jobs/run_completion.h"
 #include "fireflythread/jobs/unresponsive_workers.h"
 #include "fireflythread/jobs/worker_lease.h"
@@ -14,14 +15,14 @@
 /// Releases all runs of a worker, none of which exists any more.
 auto ReleaseAll(ShardState& state, ShardWorker& worker, TimePoint now) -> void {
   const std::set<TaskName> tasks = worker.tasks;
+  const GiveUpEvidence evidence{
+      worker.gone ? GiveUpReason::kOtherInstance : GiveUpReason::kLeaseExpired,
+      OrderVerdict::kUnknown, std::max(worker.reported_at, state.owned_since)};
   state.released.push_back(
-      {worker.view.id, tasks.size(),
-       worker.gone ? ReleaseReason::kOtherInstance
-                   : ReleaseReason::kLeaseExpired,
-       now - std::max(worker.reported_at, state.owned_since)});
+      {worker.view.id, tasks.size(), evidence.reason, now - evidence.as_of});
   state.released_until[worker.view.id] = now + state.limits.released_retention;
   for (const TaskName& name : tasks) {
-    ReleaseTask(state, name, now);
+    GiveUpRun(state, name, evidence, now);
     if (IsFinal(state.jobs.at(name.job).progress.state)) {
       ForgetIfFinished(state, name.job);
     } else {
@@ -77,24 +78,29 @@
                        TimePoint sent_at,
                        TimePoint now) -> void {
   const TaskState* task = FindTask(state, name);
+  GiveUpEvidence evidence;
+  evidence.as_of = sent_at;
   switch (task->phase) {
     case RunPhase::kRunning:
       // The run was confirmed before the poll was sent, so it has ended.
       if (task->since < sent_at) {
-        ReleaseTask(state, name, now);
+        evidence.reason = GiveUpReason::kConfirmedNotListed;
+        GiveUpRun(state, name, evidence, now);
       }
       break;
     case RunPhase::kUnresolved:
       if (task->inherited) {
         // A former owner ordered the run; the worker rejects its token by now.
-        ReleaseTask(state, name, now);
+        evidence.reason = GiveUpReason::kInheritedNotListed;
+        GiveUpRun(state, name, evidence, now);
       } else {
         BeginStop(state, name, now);
       }
       break;
     case RunPhase::kStopping:
       if (task->stop_confirmed && task->stop_confirmed_at < sent_at) {
-        ReleaseTask(state, name, now);
+        evidence.reason = GiveUpReason::kStoppedNotListed;
+        GiveUpRun(state, name, evidence, now);
       }
       break;
     default:
--- a/src/fireflythread/jobs/task_state.h
+++ b/src/fireflythread/jobs/task_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
@@ -27,6 +28,9 @@
   kDone
 };
 
+/// Returns "waiting", "planned" and so on, for logs and metrics.
+[[nodiscard]] auto RunPhaseName(RunPhase phase) -> std::string_view;
+
 /// The state of one task. The first group of members is stored with its job;
 /// the rest is known only since the owner acquired the shard.
 struct TaskState {
