Hold the runs of a restarted worker for its longest lease after a takeover

Cause: knowledge that only its holder had. A start reaches the new incarnation of a worker that restarted under its id; its deadline is a time on the former incarnation's clock, so the worker shortens the lease to the longest it grants, 10 s. The owner that notices the restart holds the runs for that long. The next owner doesn't know of it and counts 6.52 s from its takeover; if it can't reach the worker, it gives all of its runs up while they go on. The same in one owner that hasn't noticed the restart: a start without an answer was held for the usual lease only.

Change: the row of unresponsive workers also lists, as restarted_ms, workers that answer but may hold a long lease (they still get leases); a release and the end of an ownership name them too; a run whose start got no answer is held for the longest lease, the confirmed runs of its worker as before.

--- a/src/fireflythread/jobs/oldest_task.cc
+++ b/src/fireflythread/jobs/oldest_task.cc
@@ -9,10 +9,7 @@
   std::map<RunPhase, OldestTask> oldest;
   for (const auto& [id, worker] : state.workers) {
     for (const TaskName& name : worker.tasks) {
-      const ShardJob& job = state.jobs.at(name.job);
-      const TaskState& task =
-          job.progress
-              .tasks[TaskIndex(job, name.occurrence, name.step, name.index)];
+      const TaskState& task = TaskOf(state, name);
       const Duration in_phase = now - task.since;
       const auto found = oldest.find(task.phase);
       if (found == oldest.end() || found->second.in_phase < in_phase) {
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -9,6 +9,12 @@
   return job == state.jobs.end() ? nullptr : FindTask(job->second, name);
 }
 
+auto TaskOf(const ShardState& state, const TaskName& name) -> const TaskState& {
+  const ShardJob& job = state.jobs.at(name.job);
+  return job.progress
+      .tasks[TaskIndex(job, name.occurrence, name.step, name.index)];
+}
+
 auto TermsOf(const ShardState& state, const ShardJob& job)
     -> const QueueTerms* {
   const auto queue = state.queues.find(job.request.queue);
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -49,6 +49,9 @@
   /// Workers that the former owner knew as unresponsive, with the time at which
   /// their leases must have expired.
   std::map<WorkerId, TimePoint> unresponsive_until;
+  /// Workers that had restarted lately under the former owner, or may have,
+  /// with the time until which their runs must be held at least.
+  std::map<WorkerId, TimePoint> restarted_until;
   /// Lost workers whose runs were released lately, with the time until which a
   /// new owner is told so.
   std::map<WorkerId, TimePoint> released_until;
@@ -97,6 +100,10 @@
 [[nodiscard]] auto FindTask(ShardState& state, const TaskName& name)
     -> TaskState*;
 
+/// Returns a task, which must exist.
+[[nodiscard]] auto TaskOf(const ShardState& state, const TaskName& name)
+    -> const TaskState&;
+
 /// Returns the terms that hold for a job: those of its queue, or, while the
 /// queue is not configured, those under which the job was accepted. Returns
 /// null when neither is known; then nothing can be decided about the job.
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -1,7 +1,6 @@
 #include "fireflythread/jobs/shard_workers.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "fireflythread/jobs/given_up_run.h"
@@ -12,15 +11,28 @@
 namespace fireflythread {
 namespace {
 
-/// Releases all runs of a worker, none of which exists any more.
-auto ReleaseAll(ShardState& state, ShardWorker& worker, TimePoint now) -> void {
-  const std::set<TaskName> tasks = worker.tasks;
+/// Releases the runs of a worker that certainly do not exist any more.
+auto ReleaseExpired(ShardState& state, ShardWorker& worker, TimePoint now)
+    -> void {
+  std::vector<TaskName> tasks;
+  for (const TaskName& name : worker.tasks) {
+    if (worker.gone ||
+        HasRunExpired(state, worker, *FindTask(state, name), now)) {
+      tasks.push_back(name);
+    }
+  }
+  if (tasks.empty()) {
+    return;
+  }
   const GiveUpEvidence evidence{
       worker.gone ? GiveUpReason::kOtherInstance : GiveUpReason::kLeaseExpired,
       OrderVerdict::kUnknown, std::max(worker.reported_at, state.owned_since)};
   state.released.push_back(
       {worker.view.id, tasks.size(), evidence.reason, now - evidence.as_of});
-  state.released_until[worker.view.id] = now + state.limits.released_retention;
+  if (tasks.size() == worker.tasks.size()) {
+    state.released_until[worker.view.id] =
+        now + state.limits.released_retention;
+  }
   for (const TaskName& name : tasks) {
     GiveUpRun(state, name, evidence, now);
     if (IsFinal(state.jobs.at(name.job).progress.state)) {
@@ -215,7 +227,7 @@
     const bool over = worker.failed_polls > 0 || !worker.listed;
     if (!worker.tasks.empty() &&
         (worker.gone || (over && HasLeaseExpired(state, worker, now)))) {
-      ReleaseAll(state, worker, now);
+      ReleaseExpired(state, worker, now);
     }
     const bool forget = worker.tasks.empty() && !worker.poll_in_flight &&
                         (worker.gone || !worker.listed);
--- a/src/fireflythread/jobs/unresponsive_record.h
+++ b/src/fireflythread/jobs/unresponsive_record.h
@@ -18,6 +18,9 @@
   /// The time after which every lease of a worker has certainly expired,
   /// counted from any moment after the row was written.
   std::map<WorkerId, std::chrono::milliseconds> workers;
+  /// Workers that answer, but may have restarted lately, with the least time
+  /// for which their runs must be held if they stop answering. They get leases.
+  std::map<WorkerId, std::chrono::milliseconds> restarted;
 };
 
 /// What the owner of a shard knows of that row. It tells a new owner how long
@@ -26,6 +29,8 @@
   /// Workers that the stored row may name. They get no lease, because the row
   /// would be wrong about a later one.
   std::set<WorkerId> named;
+  /// Workers that the stored row lists as restarted.
+  std::set<WorkerId> restarted;
   /// The same before the row that is being stored.
   std::set<WorkerId> named_before;
   /// Version of the stored row; 0 when there is none.
--- a/src/fireflythread/jobs/unresponsive_workers.cc
+++ b/src/fireflythread/jobs/unresponsive_workers.cc
@@ -11,6 +11,7 @@
 
 using std::chrono::milliseconds;
 using Json = nlohmann::json;
+using WorkerTimes = std::map<WorkerId, milliseconds>;
 
 /// Period at which a row that names workers is stored again. A new owner may
 /// hold their runs for longer than necessary by this time.
@@ -34,6 +35,8 @@
   for (const auto& [id, worker] : state.workers) {
     if (IsUnresponsive(state, worker)) {
       row.workers.emplace(id, TimeUntilLeaseExpiry(state, worker, now));
+    } else if (!worker.tasks.empty() && MayHoldLongLease(state, worker, now)) {
+      row.restarted.emplace(id, TimeUntilLeaseExpiry(state, worker, now));
     }
   }
   for (const auto& [id, until] : state.released_until) {
@@ -42,23 +45,50 @@
   return row;
 }
 
-auto NamesSameWorkers(const UnresponsiveRecord& record,
-                      const UnresponsiveRow& row) -> bool {
-  return std::equal(record.named.begin(), record.named.end(),
-                    row.workers.begin(), row.workers.end(),
+auto AreKeysOf(const std::set<WorkerId>& names, const WorkerTimes& times)
+    -> bool {
+  return std::equal(names.begin(), names.end(), times.begin(), times.end(),
                     [](const WorkerId& named, const auto& entry) -> bool {
                       return named == entry.first;
                     });
 }
 
+auto NamesSameWorkers(const UnresponsiveRecord& record,
+                      const UnresponsiveRow& row) -> bool {
+  return AreKeysOf(record.named, row.workers) &&
+         AreKeysOf(record.restarted, row.restarted);
+}
+
+auto EncodeTimes(const WorkerTimes& times) -> Json {
+  Json json = Json::object();
+  for (const auto& [worker, left] : times) {
+    json[worker.value] = left.count();
+  }
+  return json;
+}
+
+/// Returns the times of an object; none if it is missing or not an object.
+auto DecodeTimes(const Json& row, const char* name) -> WorkerTimes {
+  WorkerTimes times;
+  const auto object = row.find(name);
+  if (object == row.end() || !object->is_object()) {
+    return times;
+  }
+  for (const auto& [worker, left] : object->items()) {
+    if (left.is_number_unsigned()) {
+      times[WorkerId(worker)] = milliseconds(left.get<std::int64_t>());
+    }
+  }
+  return times;
+}
+
 }  // namespace
 
 auto EncodeUnresponsiveRow(const UnresponsiveRow& row) -> std::string {
-  Json workers = Json::object();
-  for (const auto& [worker, left] : row.workers) {
-    workers[worker.value] = left.count();
-  }
-  return Json{{"fence", row.fence}, {"left_ms", workers}}.dump();
+  return Json{{"fence", row.fence},
+              {"left_ms", EncodeTimes(row.workers)},
+              {"restarted_ms", EncodeTimes(row.restarted)}}
+      .dump();
 }
 
 auto DecodeUnresponsiveRow(const std::string& value) -> UnresponsiveRow {
@@ -68,17 +98,12 @@
     return row;
   }
   const auto fence = json.find("fence");
-  const auto workers = json.find("left_ms");
-  if (fence == json.end() || !fence->is_number_unsigned() ||
-      workers == json.end() || !workers->is_object()) {
+  if (fence == json.end() || !fence->is_number_unsigned()) {
     return row;
   }
   row.fence = fence->get<std::uint64_t>();
-  for (const auto& [worker, left] : workers->items()) {
-    if (left.is_number_unsigned()) {
-      row.workers[WorkerId(worker)] = milliseconds(left.get<std::int64_t>());
-    }
-  }
+  row.workers = DecodeTimes(json, "left_ms");
+  row.restarted = DecodeTimes(json, "restarted_ms");
   return row;
 }
 
@@ -97,6 +122,12 @@
     // What the former owner said at its end is later knowledge.
     state.unresponsive_until.emplace(worker, state.owned_since + left);
   }
+  for (const auto& [worker, left] : row.restarted) {
+    record.restarted.insert(worker);
+    if (row.fence == former_fence) {
+      state.restarted_until.emplace(worker, state.owned_since + left);
+    }
+  }
 }
 
 auto NextUnresponsiveRow(ShardState& state, TimePoint now)
@@ -107,7 +138,8 @@
   }
   UnresponsiveRow row = MakeRow(state, now);
   const bool current = NamesSameWorkers(record, row) &&
-                       (row.workers.empty() || now < record.next_refresh);
+                       ((row.workers.empty() && row.restarted.empty()) ||
+                        now < record.next_refresh);
   if (current) {
     return std::nullopt;
   }
@@ -130,6 +162,10 @@
   for (const auto& [worker, left] : row.workers) {
     record.named.insert(worker);
   }
+  record.restarted.clear();
+  for (const auto& [worker, left] : row.restarted) {
+    record.restarted.insert(worker);
+  }
 }
 
 auto ApplyRowNotStored(ShardState& state, TimePoint now) -> void {
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fireflythread/base/assert.h"
+#include "fireflythread/jobs/task_state.h"
 
 namespace fireflythread {
 namespace {
@@ -19,6 +20,13 @@
   return left * 100 / (100 - limits.slow_clock_percent) + limits.stop_time;
 }
 
+/// Returns when the leases have certainly expired that a new incarnation of a
+/// worker may have got until `until` by orders with deadlines on the former
+/// one's clock, which it shortens to its longest lease.
+auto RestartExpiry(const ShardState& state, TimePoint until) -> TimePoint {
+  return until + MaxLeaseDuration(state.limits, state.limits.max_run_lease);
+}
+
 /// Returns when every lease given to the worker's known incarnation has
 /// certainly expired.
 auto IncarnationLeaseExpiry(const ShardState& state, const ShardWorker& worker)
@@ -48,16 +56,36 @@
 /// worker has certainly expired.
 auto LeaseExpiry(const ShardState& state, const ShardWorker& worker)
     -> TimePoint {
-  const TimePoint expiry = IncarnationLeaseExpiry(state, worker);
-  if (!worker.restart_noticed_at) {
-    return expiry;
+  TimePoint expiry = IncarnationLeaseExpiry(state, worker);
+  if (worker.restart_noticed_at) {
+    expiry = std::max(expiry, RestartExpiry(state, *worker.restart_noticed_at));
+  }
+  // A former owner may have given a lease that is longer than this owner's
+  // first reading of the clock suggests.
+  for (const auto* known :
+       {&state.unresponsive_until, &state.restarted_until}) {
+    const auto until = known->find(worker.view.id);
+    if (until != known->end()) {
+      expiry = std::max(expiry, until->second);
+    }
   }
-  // The new incarnation may have got orders with deadlines on the former one's
-  // clock, which it shortens to its longest lease.
-  const TimePoint restart_expiry =
-      *worker.restart_noticed_at +
-      MaxLeaseDuration(state.limits, state.limits.max_run_lease);
-  return std::max(expiry, restart_expiry);
+  return expiry;
+}
+
+/// Returns whether a start of this owner may have reached an incarnation of the
+/// worker that the owner does not know.
+auto MayBeOfUnknownIncarnation(const TaskState& task) -> bool {
+  return !task.inherited && (task.phase == RunPhase::kStarting ||
+                             task.phase == RunPhase::kUnresolved);
+}
+
+auto RunExpiry(const ShardState& state,
+               const ShardWorker& worker,
+               const TaskState& task) -> TimePoint {
+  const TimePoint expiry = LeaseExpiry(state, worker);
+  return MayBeOfUnknownIncarnation(task)
+             ? std::max(expiry, RestartExpiry(state, task.since))
+             : expiry;
 }
 
 }  // namespace
@@ -104,14 +132,33 @@
   return now >= LeaseExpiry(state, worker);
 }
 
+auto HasRunExpired(const ShardState& state,
+                   const ShardWorker& worker,
+                   const TaskState& task,
+                   TimePoint now) -> bool {
+  return now >= RunExpiry(state, worker, task);
+}
+
 auto TimeUntilLeaseExpiry(const ShardState& state,
                           const ShardWorker& worker,
                           TimePoint now) -> milliseconds {
-  const auto left =
-      std::chrono::ceil<milliseconds>(LeaseExpiry(state, worker) - now);
+  TimePoint expiry = LeaseExpiry(state, worker);
+  for (const TaskName& name : worker.tasks) {
+    expiry = std::max(expiry, RunExpiry(state, worker, TaskOf(state, name)));
+  }
+  const auto left = std::chrono::ceil<milliseconds>(expiry - now);
   return std::max(left, milliseconds(0));
 }
 
+auto MayHoldLongLease(const ShardState& state,
+                      const ShardWorker& worker,
+                      TimePoint now) -> bool {
+  return (worker.restart_noticed_at &&
+          now < RestartExpiry(state, *worker.restart_noticed_at)) ||
+         (worker.start_unanswered_at &&
+          now < RestartExpiry(state, *worker.start_unanswered_at));
+}
+
 auto ApplyFormerOwnerEnd(
     ShardState& state,
     const std::map<WorkerId, milliseconds>& unresponsive_workers,
@@ -128,7 +175,9 @@
     -> std::map<WorkerId, milliseconds> {
   std::map<WorkerId, milliseconds> unresponsive;
   for (const auto& [id, worker] : state.workers) {
-    if (worker.tasks.empty() || (worker.clock && worker.failed_polls == 0)) {
+    const bool answers = worker.clock && worker.failed_polls == 0;
+    if (worker.tasks.empty() ||
+        (answers && !MayHoldLongLease(state, worker, now))) {
       continue;
     }
     unresponsive.emplace(id, TimeUntilLeaseExpiry(state, worker, now));
--- a/src/fireflythread/jobs/worker_lease.h
+++ b/src/fireflythread/jobs/worker_lease.h
@@ -39,6 +39,20 @@
                                    const ShardWorker& worker,
                                    TimePoint now) -> bool;
 
+/// Returns whether the lease of one run of an unresponsive worker has certainly
+/// expired. A run whose start was not answered may be one of an incarnation
+/// that this owner does not know, whose lease lasts longer.
+[[nodiscard]] auto HasRunExpired(const ShardState& state,
+                                 const ShardWorker& worker,
+                                 const TaskState& task,
+                                 TimePoint now) -> bool;
+
+/// Returns whether the worker may hold a lease that is longer than those that
+/// owners give: its incarnation has begun lately, or may have.
+[[nodiscard]] auto MayHoldLongLease(const ShardState& state,
+                                    const ShardWorker& worker,
+                                    TimePoint now) -> bool;
+
 /// Returns the time until every lease of an unresponsive worker has certainly
 /// expired, rounded up; 0 when they have.
 [[nodiscard]] auto TimeUntilLeaseExpiry(const ShardState& state,
@@ -54,9 +68,10 @@
     const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers,
     TimePoint now) -> void;
 
-/// Returns the unresponsive workers with runs and those whose runs were
-/// released lately, with the time until their leases have certainly expired,
-/// which the next owner of the shard needs to know.
+/// Returns the workers with runs that are unresponsive or may hold a long
+/// lease, and those whose runs were released lately, with the time until their
+/// leases have certainly expired, which the next owner of the shard needs to
+/// know.
 [[nodiscard]] auto UnresponsiveWorkers(const ShardState& state, TimePoint now)
     -> std::map<WorkerId, std::chrono::milliseconds>;
 
