Tell a worker only once which completions it may forget

Callers could see a task run again after it was done.

Cause: last_seen says up to which number a worker may forget completions, but not of which incarnation, and each poll carried it. A poll that the network holds up for seconds, or one that is sent while a start is on its way, can be carried out by a new incarnation that numbers its completions from 1: it forgets one that nobody has seen, and its next report shows neither a run nor a completion.

Change: a poll carries the number only while no answered poll has carried it, and not while a start has waited for its answer for longer than usual.

Left: a poll with news that is carried out seconds late, by an incarnation that began after it was sent and whose run has already ended.

--- a/src/fireflythread/jobs/shard_worker.h
+++ b/src/fireflythread/jobs/shard_worker.h
@@ -46,6 +46,11 @@
   /// are stored.
   std::uint64_t last_applied_completion = 0;
   std::uint64_t last_stored_completion = 0;
+  /// Number up to which an answered poll has told the worker that it may forget
+  /// completions.
+  std::uint64_t acknowledged_completion = 0;
+  /// The same for the poll in flight.
+  std::uint64_t acknowledging_completion = 0;
   TaskSize used;
   /// Tasks with a run that may exist on this worker.
   std::set<TaskName> tasks;
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -1,6 +1,7 @@
 #include "fireflythread/jobs/shard_workers.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "fireflythread/jobs/given_up_run.h"
@@ -11,6 +12,10 @@
 namespace fireflythread {
 namespace {
 
+/// Time within which starts are usually answered. Tasks work longer than that,
+/// so none of these starts has a completion yet.
+constexpr std::chrono::milliseconds kUsualAnswerTime{100};
+
 /// Releases the runs of a worker that certainly do not exist any more.
 auto ReleaseExpired(ShardState& state, ShardWorker& worker, TimePoint now)
     -> void {
@@ -158,6 +163,33 @@
   }
 }
 
+/// Returns whether a start that got no answer, or none for longer than usual,
+/// may have reached a new incarnation of the worker.
+auto HasUnansweredStart(const ShardState& state,
+                        const ShardWorker& worker,
+                        TimePoint now) -> bool {
+  return worker.start_unanswered_at ||
+         std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                     [&](const TaskName& name) -> bool {
+                       const TaskState& task = TaskOf(state, name);
+                       return task.phase == RunPhase::kStarting &&
+                              now - task.since >= kUsualAnswerTime;
+                     });
+}
+
+/// Returns the number up to which the next poll lets the worker forget
+/// completions. The poll may be carried out late, by a new incarnation that
+/// numbers its completions anew, so it has no number without need.
+auto NumberToAcknowledge(const ShardState& state,
+                         const ShardWorker& worker,
+                         TimePoint now) -> std::uint64_t {
+  const bool news =
+      worker.last_stored_completion > worker.acknowledged_completion;
+  return news && !HasUnansweredStart(state, worker, now)
+             ? worker.last_stored_completion
+             : 0;
+}
+
 /// Returns whether a report of the worker could change anything. A worker
 /// without runs that gets no starts either need not be polled.
 auto NeedsPoll(const ShardWorker& worker) -> bool {
@@ -210,6 +242,8 @@
     -> void {
   worker.last_applied_completion = 0;
   worker.last_stored_completion = 0;
+  worker.acknowledged_completion = 0;
+  worker.acknowledging_completion = 0;
   DropFromSnapshot(state, worker.view.id);
   worker.clock.reset();
   worker.latest_deadline = {};
@@ -252,10 +286,8 @@
   poll.worker = worker.view.id;
   poll.address = worker.view.address;
   poll.fence = state.fence;
-  // A start without an answer may have reached a new incarnation, whose
-  // completions have numbers that the former one used already.
-  poll.last_seen =
-      worker.start_unanswered_at ? 0 : worker.last_stored_completion;
+  poll.last_seen = NumberToAcknowledge(state, worker, now);
+  worker.acknowledging_completion = poll.last_seen;
   const bool busy = !worker.tasks.empty();
   // An extension without an answer may still take effect, so each further one
   // would delay the time at which the worker's leases must have expired.
@@ -304,6 +336,8 @@
   if (worker.start_unanswered_at && *worker.start_unanswered_at <= sent_at) {
     worker.start_unanswered_at.reset();
   }
+  worker.acknowledged_completion =
+      std::max(worker.acknowledged_completion, worker.acknowledging_completion);
   ApplyClockReading(worker, report.clock, now);
   if (!worker.confirmed) {
     // A former owner's lease may extend to this deadline; it cannot be extended
