Hold a restarted worker's runs for orders that are carried out late

Callers could see tasks run twice at once, under one owner.

Cause: the hold of a restarted worker's runs, its longest lease from when the restart was noticed, left out that an order sent before that moment may be carried out seconds later; its lease begins then.

Change: the hold adds the time for which an order without an answer may still be carried out, 5 s. It concerns only runs of a worker that restarted within the last 15.6 s and does not answer.

--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -12,6 +12,8 @@
   std::chrono::milliseconds run_lease{6000};
   /// Longest lease that a worker grants; it shortens longer ones.
   std::chrono::milliseconds max_run_lease{10000};
+  /// Time for which an order without an answer may still be carried out.
+  std::chrono::milliseconds late_order{5000};
   /// An owner that cannot reach the store extends leases for at most this long
   /// after it sent the last renewal that the store confirmed.
   std::chrono::milliseconds extend_without_store{6000};
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -23,10 +23,16 @@
 /// Returns when the leases have certainly expired that a new incarnation of a
 /// worker may have got until `until` by orders with deadlines on the former
 /// one's clock, which it shortens to its longest lease.
-auto RestartExpiry(const ShardState& state, TimePoint until) -> TimePoint {
+auto LongLeaseExpiry(const ShardState& state, TimePoint until) -> TimePoint {
   return until + MaxLeaseDuration(state.limits, state.limits.max_run_lease);
 }
 
+/// Returns the same for an incarnation that was noticed at `noticed_at`: orders
+/// sent before may have been carried out later.
+auto RestartExpiry(const ShardState& state, TimePoint noticed_at) -> TimePoint {
+  return LongLeaseExpiry(state, noticed_at + state.limits.late_order);
+}
+
 /// Returns when every lease given to the worker's known incarnation has
 /// certainly expired.
 auto IncarnationLeaseExpiry(const ShardState& state, const ShardWorker& worker)
@@ -84,7 +90,7 @@
                const TaskState& task) -> TimePoint {
   const TimePoint expiry = LeaseExpiry(state, worker);
   return MayBeOfUnknownIncarnation(task)
-             ? std::max(expiry, RestartExpiry(state, task.since))
+             ? std::max(expiry, LongLeaseExpiry(state, task.since))
              : expiry;
 }
 
@@ -156,7 +162,7 @@
   return (worker.restart_noticed_at &&
           now < RestartExpiry(state, *worker.restart_noticed_at)) ||
          (worker.start_unanswered_at &&
-          now < RestartExpiry(state, *worker.start_unanswered_at));
+          now < LongLeaseExpiry(state, *worker.start_unanswered_at));
 }
 
 auto ApplyFormerOwnerEnd(
