Let the next report decide on a start that is refused as old

A worker refuses a start as old when this run or a later one was stopped or ended there. The owner took each refusal for a run that never began and planned the next one; but the very run may have been carried out by an earlier copy of the order, and ended. Its completion was then dropped as one of an older run.

Now the run counts as one without an answer: the next report lists its end, or it is stopped. A stop that is refused as old counts as confirmed, since it was sent again for ever until now.

--- a/src/fireflythread/jobs/shard_orders.cc
+++ b/src/fireflythread/jobs/shard_orders.cc
@@ -100,6 +100,9 @@
             std::min(worker->next_poll, now + state.limits.poll_spacing);
       }
       break;
+    case OrderVerdict::kOldRun:
+      // An earlier copy of the order may have been carried out, and the run may
+      // have ended since: the next report tells.
     case OrderVerdict::kUnknown:
       ApplyUnknownStart(*task, worker, now);
       break;
@@ -157,7 +160,9 @@
     return;
   }
   task->stop_in_flight = false;
-  if (reply.verdict == OrderVerdict::kDone) {
+  // After kOldRun the run has ended already.
+  if (reply.verdict == OrderVerdict::kDone ||
+      reply.verdict == OrderVerdict::kOldRun) {
     task->stop_confirmed = true;
     task->stop_confirmed_at = now;
     ShardWorker* worker = WorkerOf(state, stop.worker);
