Pass a hold on to the owner after the next, and bound unacknowledged completions

Cause: what the former owner said of a restarted worker was applied, but not passed on. An owner that is replaced soon after its takeover, or before it has loaded the jobs, left the worker out of its row and its release, and the owner after it counted the usual lease. And a start that is still held for the longest lease was passed on with no time left. Beside it, acknowledgements could wait for as long as starts are always on their way, past the 500 completions that a worker lists.

Change: MayHoldLongLease() and UnresponsiveWorkers() include what was inherited, also without jobs; the time left covers the runs that are still held; 100 completions are acknowledged in any case.

The simulation now hands over what a released shard tells.

--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <utility>
 
 #include "fireflythread/jobs/given_up_run.h"
@@ -16,6 +17,9 @@
 /// so none of these starts has a completion yet.
 constexpr std::chrono::milliseconds kUsualAnswerTime{100};
 
+/// With so many completions to forget, a worker is told so in any case.
+constexpr std::uint64_t kManyCompletions = 100;
+
 /// Releases the runs of a worker that certainly do not exist any more.
 auto ReleaseExpired(ShardState& state, ShardWorker& worker, TimePoint now)
     -> void {
@@ -185,7 +189,11 @@
                          TimePoint now) -> std::uint64_t {
   const bool news =
       worker.last_stored_completion > worker.acknowledged_completion;
-  return news && !HasUnansweredStart(state, worker, now)
+  // Starts may be on their way all the time, and a worker lists no more than a
+  // certain number of completions.
+  const bool many = worker.last_stored_completion >=
+                    worker.acknowledged_completion + kManyCompletions;
+  return news && (many || !HasUnansweredStart(state, worker, now))
              ? worker.last_stored_completion
              : 0;
 }
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -33,6 +33,11 @@
   return LongLeaseExpiry(state, noticed_at + state.limits.late_order);
 }
 
+auto TimeLeft(TimePoint until, TimePoint now) -> milliseconds {
+  return std::max(std::chrono::ceil<milliseconds>(until - now),
+                  milliseconds(0));
+}
+
 /// Returns when every lease given to the worker's known incarnation has
 /// certainly expired.
 auto IncarnationLeaseExpiry(const ShardState& state, const ShardWorker& worker)
@@ -58,6 +63,21 @@
   return last_lease + MaxLeaseDuration(limits, limits.run_lease);
 }
 
+/// Returns until when the runs of a worker must be held by what the former
+/// owner said of it; the epoch if it said nothing.
+auto InheritedHold(const ShardState& state, const WorkerId& worker)
+    -> TimePoint {
+  TimePoint hold;
+  for (const auto* known :
+       {&state.unresponsive_until, &state.restarted_until}) {
+    const auto until = known->find(worker);
+    if (until != known->end()) {
+      hold = std::max(hold, until->second);
+    }
+  }
+  return hold;
+}
+
 /// Returns when every lease that this or a former owner gave to an unresponsive
 /// worker has certainly expired.
 auto LeaseExpiry(const ShardState& state, const ShardWorker& worker)
@@ -68,14 +88,7 @@
   }
   // A former owner may have given a lease that is longer than this owner's
   // first reading of the clock suggests.
-  for (const auto* known :
-       {&state.unresponsive_until, &state.restarted_until}) {
-    const auto until = known->find(worker.view.id);
-    if (until != known->end()) {
-      expiry = std::max(expiry, until->second);
-    }
-  }
-  return expiry;
+  return std::max(expiry, InheritedHold(state, worker.view.id));
 }
 
 /// Returns whether a start of this owner may have reached an incarnation of the
@@ -149,20 +162,21 @@
                           const ShardWorker& worker,
                           TimePoint now) -> milliseconds {
   TimePoint expiry = LeaseExpiry(state, worker);
-  for (const TaskName& name : worker.tasks) {
-    expiry = std::max(expiry, RunExpiry(state, worker, TaskOf(state, name)));
+  if (expiry <= now) {
+    // Only runs that may be of an unknown incarnation are still held.
+    for (const TaskName& name : worker.tasks) {
+      expiry = std::max(expiry, RunExpiry(state, worker, TaskOf(state, name)));
+    }
   }
-  const auto left = std::chrono::ceil<milliseconds>(expiry - now);
-  return std::max(left, milliseconds(0));
+  return TimeLeft(expiry, now);
 }
 
 auto MayHoldLongLease(const ShardState& state,
                       const ShardWorker& worker,
                       TimePoint now) -> bool {
-  return (worker.restart_noticed_at &&
-          now < RestartExpiry(state, *worker.restart_noticed_at)) ||
-         (worker.start_unanswered_at &&
-          now < LongLeaseExpiry(state, *worker.start_unanswered_at));
+  return now < InheritedHold(state, worker.view.id) ||
+         (worker.restart_noticed_at &&
+          now < RestartExpiry(state, *worker.restart_noticed_at));
 }
 
 auto ApplyFormerOwnerEnd(
@@ -188,6 +202,16 @@
     }
     unresponsive.emplace(id, TimeUntilLeaseExpiry(state, worker, now));
   }
+  // This owner may have to pass on what it was told before it has loaded the
+  // jobs.
+  for (const auto* known :
+       {&state.unresponsive_until, &state.restarted_until}) {
+    for (const auto& [id, until] : *known) {
+      if (now < until) {
+        unresponsive.emplace(id, TimeLeft(InheritedHold(state, id), now));
+      }
+    }
+  }
   for (const auto& [id, until] : state.released_until) {
     unresponsive.emplace(id, milliseconds(0));
   }
--- a/src/fireflythread/jobs/worker_lease.h
+++ b/src/fireflythread/jobs/worker_lease.h
@@ -48,7 +48,7 @@
                                  TimePoint now) -> bool;
 
 /// Returns whether the worker may hold a lease that is longer than those that
-/// owners give: its incarnation has begun lately, or may have.
+/// owners give: its incarnation was noticed lately, by this or a former owner.
 [[nodiscard]] auto MayHoldLongLease(const ShardState& state,
                                     const ShardWorker& worker,
                                     TimePoint now) -> bool;
--- a/test/fireflythread/jobs/acknowledgement_test.cc
+++ b/test/fireflythread/jobs/acknowledgement_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <cstdint>
+#include <vector>
 
 #include "test/fireflythread/jobs/shard_fixture.h"
 
@@ -66,5 +67,25 @@
   CHECK(NextNumber(shard) == 1);
 }
 
+TEST_CASE("Many completions are acknowledged although starts wait", "[jobs]") {
+  // Guards against a worker that must remember more completions than it lists,
+  // because there is always a start on its way.
+  ShardFixture shard(1);
+  shard.AddJob("a", ShardFixture::Step(100, 50));
+  const auto starts = shard.StartAll();
+  REQUIRE(starts.size() == 100);
+  std::vector<RunCompletion> ended;
+  for (const StartCommand& start : starts) {
+    ended.push_back(
+        ShardFixture::Ended(start, ended.size() + 1, RunResult::kDone));
+  }
+  shard.Report("w0", {}, ended);
+  Store(shard);
+  shard.AddJob("b", ShardFixture::Step(1, 1000));
+  REQUIRE(shard.PlanAndStore().size() == 1);
+  shard.Advance(milliseconds(150));
+  CHECK(NextNumber(shard) == 100);
+}
+
 }  // namespace
 }  // namespace fireflythread::test
--- a/test/fireflythread/jobs/restarted_lease_test.cc
+++ b/test/fireflythread/jobs/restarted_lease_test.cc
@@ -132,6 +132,53 @@
   CHECK_FALSE(NextUnresponsiveRow(owner.state, owner.now));
 }
 
+TEST_CASE("A hold is passed on by an owner that was told of it", "[jobs]") {
+  // Guards against the same when two owners are replaced one after the other.
+  RestartedShard former_owner;
+  former_owner.AcceptAfterRestart();
+  const WorkerId worker(former_owner.worker);
+  ShardFixture second = TakeOver(former_owner);
+  second.state.restarted_until[worker] = second.now + milliseconds(14'000);
+  SECTION("that has heard of the worker") {
+    WorkerReport report;
+    report.clock = former_owner.ClockOf(former_owner.worker);
+    report.started_at = milliseconds(2);
+    report.running = {ShardFixture::Running(former_owner.start)};
+    ApplyReport(second.state, worker, report, second.now, second.now);
+  }
+  SECTION("that has not heard of the worker") {}
+  SECTION("that has not loaded the jobs") {
+    second.state.jobs.clear();
+    second.state.workers.clear();
+  }
+  second.Advance(milliseconds(1000));
+  const auto named = UnresponsiveWorkers(second.state, second.now);
+  REQUIRE(named.contains(worker));
+  CHECK(named.at(worker) >= milliseconds(13'000));
+  if (!second.state.jobs.empty()) {
+    ApplyUnresponsiveRow(second.state, {}, 0, 0);
+    const auto row = NextUnresponsiveRow(second.state, second.now);
+    REQUIRE(row);
+    CHECK(row->restarted.contains(worker));
+  }
+}
+
+TEST_CASE("A start that is still held is passed on with the time left",
+          "[jobs]") {
+  // Guards against an owner that tells the next one that a lease is over while
+  // it still holds a run for it.
+  RestartedShard owner;
+  owner.Advance(milliseconds(1000));
+  ApplyStartReply(owner.state, owner.start, {OrderVerdict::kUnknown},
+                  owner.now);
+  ApplyPollFailure(owner.state, owner.start.worker, owner.now);
+  owner.Advance(milliseconds(6600));
+  ExpireWorkers(owner.state, owner.now);
+  REQUIRE_FALSE(owner.Task("a", 0).worker.empty());
+  const auto named = UnresponsiveWorkers(owner.state, owner.now);
+  CHECK(named.at(owner.start.worker) >= milliseconds(3500));
+}
+
 TEST_CASE("A start without an answer is held for the longest lease", "[jobs]") {
   // Guards against two runs: the start may have reached a new incarnation of
   // which the owner has not heard, and which is cut off since.
--- a/test/fireflythread/jobs/run_simulation.cc
+++ b/test/fireflythread/jobs/run_simulation.cc
@@ -187,6 +187,11 @@
   orders.terms.stretch = 1.5;
   orders.terms.latency_objective = milliseconds(600);
   owner->state.queues.emplace(orders.name, orders);
+  if (former_stopped) {
+    for (const auto& [worker, left] : this->owners.back()->named) {
+      owner->state.unresponsive_until[worker] = this->now + left;
+    }
+  }
   this->owners.push_back(owner);
   ApplyWorkers(owner->state, this->Views(), this->now);
   this->After(this->DrawTime(5, 400), [this, owner] {
--- a/test/fireflythread/jobs/run_simulation.h
+++ b/test/fireflythread/jobs/run_simulation.h
@@ -47,6 +47,8 @@
     bool dead = false;
     bool loaded = false;
     bool released = false;
+    /// After a release, what it tells the next owner.
+    std::map<WorkerId, Milliseconds> named;
     TimePoint paused_until;
     TimePoint cut_from_store_until;
     /// When the last renewal that the store confirmed was sent.
--- a/test/fireflythread/jobs/run_simulation_faults.cc
+++ b/test/fireflythread/jobs/run_simulation_faults.cc
@@ -3,6 +3,7 @@
 
 #include "fireflythread/jobs/shard_orders.h"
 #include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/jobs/worker_lease.h"
 #include "test/fireflythread/jobs/run_simulation.h"
 
 namespace fireflythread::test {
@@ -141,6 +142,7 @@
     case 2:
       owner->dead = true;
       owner->released = this->Chance(50);
+      owner->named = UnresponsiveWorkers(owner->state, this->now);
       break;
     case 3:
       this->After(this->DrawTime(0, 1500), [this] { this->ShareViews(); });
