Count the longest lease of a worker that began shortly before a takeover

Callers could see tasks run twice at once.

A poll of the former owner with a deadline on the clock of the incarnation before gives a new one the longest lease, and it holds for all runs there. The next owner's first report doesn't tell the deadline; it assumed the usual 6 s.

Change: a first report whose clock shows an incarnation younger than the longest lease and the time of late orders together counts the longest lease. It matters only until the owner's own extensions reach that deadline, 4 s later.

--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -167,6 +167,16 @@
   }
 }
 
+/// Returns the longest time for which a former owner's lease may last of a
+/// worker that reports `clock`. The clock of an incarnation starts at 0; a
+/// young one may have got orders with deadlines on the clock of the one before.
+auto LongestFormerLease(const ShardLimits& limits,
+                        std::chrono::milliseconds clock)
+    -> std::chrono::milliseconds {
+  const bool young = clock < limits.max_run_lease + limits.late_order;
+  return young ? limits.max_run_lease : limits.run_lease;
+}
+
 /// Returns whether a start that got no answer, or none for longer than usual,
 /// may have reached a new incarnation of the worker.
 auto HasUnansweredStart(const ShardState& state,
@@ -351,7 +361,8 @@
     // A former owner's lease may extend to this deadline; it cannot be extended
     // any more.
     worker.latest_deadline =
-        std::max(worker.latest_deadline, report.clock + state.limits.run_lease);
+        std::max(worker.latest_deadline,
+                 report.clock + LongestFormerLease(state.limits, report.clock));
   }
   worker.confirmed = true;
   ApplyCompletions(state, worker, report, now);
--- a/test/fireflythread/jobs/restarted_lease_test.cc
+++ b/test/fireflythread/jobs/restarted_lease_test.cc
@@ -132,6 +132,31 @@
   CHECK_FALSE(NextUnresponsiveRow(owner.state, owner.now));
 }
 
+TEST_CASE("A new owner counts the longest lease of a young incarnation",
+          "[jobs]") {
+  // Guards against two runs after a restart that no owner has noticed: an order
+  // of the former owner gave the new incarnation a longer lease than usual.
+  RestartedShard former_owner;
+  const std::string worker = former_owner.worker;
+  ShardFixture successor = TakeOver(former_owner);
+  WorkerReport report;
+  report.running = {ShardFixture::Running(former_owner.start)};
+  SECTION("young") {
+    report.clock = milliseconds(900);
+    ApplyReport(successor.state, WorkerId(worker), report, successor.now,
+                successor.now);
+    CHECK(IsHeldAfter(successor, worker, milliseconds(10'000)));
+    CHECK_FALSE(IsHeldAfter(successor, worker, milliseconds(700)));
+  }
+  SECTION("old") {
+    report.clock = milliseconds(60'000);
+    ApplyReport(successor.state, WorkerId(worker), report, successor.now,
+                successor.now);
+    CHECK(IsHeldAfter(successor, worker, milliseconds(6000)));
+    CHECK_FALSE(IsHeldAfter(successor, worker, milliseconds(700)));
+  }
+}
+
 TEST_CASE("A hold is passed on by an owner that was told of it", "[jobs]") {
   // Guards against the same when two owners are replaced one after the other.
   RestartedShard former_owner;
