Read and write the times of leases in one place

The same loop stood in the rows of shards, of entries and of unresponsive workers. A time below 0 in a shard's row, which no version writes, is now left out there too.

--- a/src/fireflythread/jobs/unresponsive_workers.cc
+++ b/src/fireflythread/jobs/unresponsive_workers.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "fireflythread/jobs/lease_times.h"
 #include "fireflythread/jobs/worker_lease.h"
 
 namespace fireflythread {
@@ -11,7 +12,6 @@
 
 using std::chrono::milliseconds;
 using Json = nlohmann::json;
-using WorkerTimes = std::map<WorkerId, milliseconds>;
 
 /// Period at which a row that names workers is stored again. A new owner may
 /// hold their runs for longer than necessary by this time.
@@ -45,7 +45,7 @@
   return row;
 }
 
-auto AreKeysOf(const std::set<WorkerId>& names, const WorkerTimes& times)
+auto AreKeysOf(const std::set<WorkerId>& names, const LeaseTimes& times)
     -> bool {
   return std::equal(names.begin(), names.end(), times.begin(), times.end(),
                     [](const WorkerId& named, const auto& entry) -> bool {
@@ -59,35 +59,12 @@
          AreKeysOf(record.restarted, row.restarted);
 }
 
-auto EncodeTimes(const WorkerTimes& times) -> Json {
-  Json json = Json::object();
-  for (const auto& [worker, left] : times) {
-    json[worker.value] = left.count();
-  }
-  return json;
-}
-
-/// Returns the times of an object; none if it is missing or not an object.
-auto DecodeTimes(const Json& row, const char* name) -> WorkerTimes {
-  WorkerTimes times;
-  const auto object = row.find(name);
-  if (object == row.end() || !object->is_object()) {
-    return times;
-  }
-  for (const auto& [worker, left] : object->items()) {
-    if (left.is_number_unsigned()) {
-      times[WorkerId(worker)] = milliseconds(left.get<std::int64_t>());
-    }
-  }
-  return times;
-}
-
 }  // namespace
 
 auto EncodeUnresponsiveRow(const UnresponsiveRow& row) -> std::string {
   return Json{{"fence", row.fence},
-              {"left_ms", EncodeTimes(row.workers)},
-              {"restarted_ms", EncodeTimes(row.restarted)}}
+              {"left_ms", EncodeLeaseTimes(row.workers)},
+              {"restarted_ms", EncodeLeaseTimes(row.restarted)}}
       .dump();
 }
 
@@ -102,8 +79,8 @@
     return row;
   }
   row.fence = fence->get<std::uint64_t>();
-  row.workers = DecodeTimes(json, "left_ms");
-  row.restarted = DecodeTimes(json, "restarted_ms");
+  row.workers = DecodeLeaseTimes(json, "left_ms");
+  row.restarted = DecodeLeaseTimes(json, "restarted_ms");
   return row;
 }
 
--- a/src/fireflythread/jobs/worker_lease.cc
+++ b/src/fireflythread/jobs/worker_lease.cc
@@ -33,6 +33,7 @@
   return LongLeaseExpiry(state, noticed_at + state.limits.late_order);
 }
 
+/// Returns the time from `now` until `until`, rounded up, but no less than 0.
 auto TimeLeft(TimePoint until, TimePoint now) -> milliseconds {
   return std::max(std::chrono::ceil<milliseconds>(until - now),
                   milliseconds(0));
@@ -98,6 +99,7 @@
                              task.phase == RunPhase::kUnresolved);
 }
 
+/// Returns when the lease of one run has certainly expired.
 auto RunExpiry(const ShardState& state,
                const ShardWorker& worker,
                const TaskState& task) -> TimePoint {
--- a/src/fireflythread/ownership/ended_ownerships.cc
+++ b/src/fireflythread/ownership/ended_ownerships.cc
@@ -13,26 +13,13 @@
 /// than any lease.
 constexpr milliseconds kEndedOwnershipRetention{12000};
 
-auto EncodeLeaseTimes(const EndedOwnership& ended, TimePoint now) -> Json {
+/// Returns the times of an ended ownership, counted from `now`.
+auto TimesFrom(const EndedOwnership& ended, TimePoint now) -> LeaseTimes {
   const auto elapsed =
       std::chrono::duration_cast<milliseconds>(now - ended.ended_at);
-  Json times = Json::object();
-  for (const auto& [worker, left] : ended.unresponsive_workers) {
-    times[worker.value] = std::max(left - elapsed, milliseconds(0)).count();
-  }
-  return times;
-}
-
-auto DecodeLeaseTimes(const Json& ended) -> LeaseTimes {
-  LeaseTimes times;
-  const auto found = ended.find("left_ms");
-  if (found == ended.end() || !found->is_object()) {
-    return times;
-  }
-  for (const auto& [worker, left] : found->items()) {
-    if (left.is_number_unsigned()) {
-      times[WorkerId(worker)] = milliseconds(left.get<std::int64_t>());
-    }
+  LeaseTimes times = ended.unresponsive_workers;
+  for (auto& [worker, left] : times) {
+    left = std::max(left - elapsed, milliseconds(0));
   }
   return times;
 }
@@ -48,8 +35,9 @@
 auto EncodeEndedOwnerships(const OwnershipState& state, TimePoint now) -> Json {
   Json shards = Json::object();
   for (const auto& [shard, ended] : state.ended) {
-    shards[shard.value] = {{"fence", ended.fence},
-                           {"left_ms", EncodeLeaseTimes(ended, now)}};
+    shards[shard.value] = {
+        {"fence", ended.fence},
+        {"left_ms", EncodeLeaseTimes(TimesFrom(ended, now))}};
   }
   return shards;
 }
@@ -66,8 +54,9 @@
         !ended["fence"].is_number_unsigned()) {
       continue;
     }
-    shards[ShardName(shard)] = {
-        ended["fence"].get<std::uint64_t>(), {}, DecodeLeaseTimes(ended)};
+    shards[ShardName(shard)] = {ended["fence"].get<std::uint64_t>(),
+                                {},
+                                DecodeLeaseTimes(ended, "left_ms")};
   }
   return shards;
 }
--- a/src/fireflythread/ownership/ended_ownerships.h
+++ b/src/fireflythread/ownership/ended_ownerships.h
@@ -1,22 +1,19 @@
 #ifndef FIREFLYTHREAD_OWNERSHIP_ENDED_OWNERSHIPS_H_
 #define FIREFLYTHREAD_OWNERSHIP_ENDED_OWNERSHIPS_H_
 
-#include <chrono>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/jobs/lease_times.h"
 #include "fireflythread/ownership/ended_ownership.h"
 #include "fireflythread/ownership/former_owner.h"
 #include "fireflythread/ownership/ownership_state.h"
 
 namespace fireflythread {
 
-/// Workers with the time after which their leases have certainly expired.
-using LeaseTimes = std::map<WorkerId, std::chrono::milliseconds>;
-
 /// Removes the ended ownerships of this entry whose leases have all expired.
 auto RemoveOldEndedOwnerships(OwnershipState& state, TimePoint now) -> void;
 
--- a/src/fireflythread/ownership/ownership.cc
+++ b/src/fireflythread/ownership/ownership.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fireflythread/jobs/job_tables.h"
+#include "fireflythread/jobs/lease_times.h"
 #include "fireflythread/ownership/ended_ownerships.h"
 #include "fireflythread/ownership/placement.h"
 
@@ -13,22 +14,6 @@
 
 using Json = nlohmann::json;
 
-auto ReadUnresponsiveWorkers(const Json& json)
-    -> std::map<WorkerId, std::chrono::milliseconds> {
-  std::map<WorkerId, std::chrono::milliseconds> workers;
-  const auto unresponsive = json.find("silent_ms");
-  if (unresponsive == json.end() || !unresponsive->is_object()) {
-    return workers;
-  }
-  for (const auto& [worker, remaining] : unresponsive->items()) {
-    if (remaining.is_number_integer()) {
-      workers[WorkerId(worker)] =
-          std::chrono::milliseconds(remaining.get<std::int64_t>());
-    }
-  }
-  return workers;
-}
-
 auto ReadPeer(const Json& json) -> std::string {
   const auto peer = json.find("peer");
   return peer != json.end() && peer->is_string() ? peer->get<std::string>()
@@ -148,7 +133,7 @@
   shard.owner = EntryId(json.value("owner", std::string()));
   shard.incarnation = json.value("incarnation", std::uint64_t{0});
   shard.version = row.version;
-  shard.unresponsive_workers = ReadUnresponsiveWorkers(json);
+  shard.unresponsive_workers = DecodeLeaseTimes(json, "silent_ms");
 }
 
 auto MakeRenewal(const OwnershipState& state, TimePoint now) -> Transaction {
@@ -210,16 +195,14 @@
     std::uint64_t token,
     const std::map<WorkerId, std::chrono::milliseconds>& unresponsive_workers)
     -> Transaction {
-  Json unresponsive = Json::object();
-  for (const auto& [worker, remaining] : unresponsive_workers) {
-    unresponsive[worker.value] = remaining.count();
-  }
   Transaction transaction;
   transaction.conditions.push_back(
       {std::string(kShardTable), shard.value, token});
   transaction.writes.push_back(
       {std::string(kShardTable), shard.value,
-       Json{{"owner", ""}, {"incarnation", 0}, {"silent_ms", unresponsive}}
+       Json{{"owner", ""},
+            {"incarnation", 0},
+            {"silent_ms", EncodeLeaseTimes(unresponsive_workers)}}
            .dump()});
   return transaction;
 }
