--- a/test/soak/restarted_worker_case.py
+++ b/test/soak/restarted_worker_case.py
@@ -78,6 +78,10 @@
     site = soak_site.Site(folder, random.Random(1), 4, 12)
     try:
         faults = await play(site, signal.Signals[args.end])
+    except asyncio.CancelledError:
+        if site.starved:
+            raise standin.NotRun(f"the stand-ins were starved for {site.starved:.1f} s")
+        raise
     finally:
         for entry in site.entries:
             await entry.kill()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -186,6 +186,10 @@
     try:
         breaches = await play(site, load, plan, args.seconds, args.rate)
         keep = keep or bool(breaches)
+    except asyncio.CancelledError:
+        if site.starved:
+            raise standin.NotRun(f"the stand-ins were starved for {site.starved:.1f} s")
+        raise
     finally:
         plan.thaw_all()
         for entry in site.entries:
--- a/test/soak/soak_site.py
+++ b/test/soak/soak_site.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "review"))
@@ -15,6 +16,8 @@
 standin.ROOT = os.path.abspath(os.environ.get("SOAK_ROOT", standin.ROOT))
 
 ZONES = ("z0", "z1", "z2")
+# The stand-ins answer within this time, or the soak could not run, in seconds.
+MAX_LAG_S = 3.0
 
 
 def entry_program():
@@ -249,6 +252,7 @@
         self.rng = rng
         self.senders = Senders()
         self.crashes = []
+        self.starved = None
         self.store = Store(self.record, self.senders)
         self.machines = standin.MachineService(self)
         self.services = ["desk", "archive"]
@@ -263,7 +267,21 @@
                         for n in range(entry_count)]
         self.senders.entries = self.entries
 
+    async def _watch_lag(self):
+        """Ends the soak when the stand-ins themselves get too little processor
+        time: what they would see then says nothing about the entries."""
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(0.1)
+            lag = time.monotonic() - began - 0.1
+            if lag > MAX_LAG_S:
+                self.starved = lag
+                self.main_task.cancel()
+                return
+
     async def start(self, entries=None):
+        self.main_task = asyncio.current_task()
+        self.lag_watch = asyncio.ensure_future(self._watch_lag())
         await self.store.http.start()
         await self.machines.http.start()
         for worker in self.workers:
