Log why a step waits, and what each pool has and needs

`step_waits` counts the workers that would have room without their finite tasks and those that leave; `pool_status` gives VMs and need of each pool and its parts.

The long-running tasks of a worker are counted when they are assigned, in place of a walk over all jobs for each published load.

--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -6,6 +6,7 @@
 
 #include "fireflythread/duties/duties.h"
 #include "fireflythread/duties/duty_limits.h"
+#include "fireflythread/duties/pool_supply.h"
 #include "fireflythread/jobs/pool_part.h"
 
 namespace fireflythread {
@@ -62,55 +63,6 @@
   }
 }
 
-/// A pool's VMs at one step. Counted once for all pools and updated with each
-/// move, as the list of VMs is long.
-struct PoolSupply {
-  /// VMs of the pool, including those that move to it and excluding those that
-  /// move away.
-  int vms = 0;
-  /// VMs in upkeep, or drained for it.
-  int upkeeps = 0;
-  /// VMs of each part, by its index: those with a worker that stays.
-  std::vector<int> parts;
-};
-
-using PoolSupplies = std::map<ServiceName, PoolSupply>;
-
-auto PartCount(const DutyState& state, const ServiceName& pool) -> int {
-  const auto count = state.part_counts.find(pool);
-  return count == state.part_counts.end() ? 1 : count->second;
-}
-
-/// Returns the number of VMs of the part that a VM's worker belongs to.
-auto PartSupplyOf(PoolSupply& supply, const MachineView& machine) -> int& {
-  const auto count = static_cast<int>(supply.parts.size());
-  return supply
-      .parts[static_cast<std::size_t>(PartOfWorker(machine.worker, count))];
-}
-
-auto CountSupplies(const DutyState& state) -> PoolSupplies {
-  PoolSupplies supplies;
-  for (const auto& [vm, machine] : state.machines) {
-    PoolSupply& supply = supplies[machine.pool];
-    supply.parts.resize(
-        static_cast<std::size_t>(PartCount(state, machine.pool)));
-    ++supply.vms;
-    if (!state.duties.contains(vm) && !machine.worker.empty()) {
-      ++PartSupplyOf(supply, machine);
-    }
-  }
-  for (const auto& [vm, duty] : state.duties) {
-    const auto machine = state.machines.find(vm);
-    if (duty.wave) {
-      ++supplies[duty.from].upkeeps;
-    } else if (machine != state.machines.end()) {
-      --supplies[machine->second.pool].vms;
-      ++supplies[duty.target].vms;
-    }
-  }
-  return supplies;
-}
-
 auto LargestWorker(const DutyState& state) -> std::int64_t {
   std::int64_t largest = 1;
   for (const auto& [vm, machine] : state.machines) {
--- /dev/null
+++ b/src/fireflythread/duties/pool_supply.cc
@@ -0,0 +1,43 @@
+#include "fireflythread/duties/pool_supply.h"
+
+#include <cstddef>
+
+#include "fireflythread/jobs/pool_part.h"
+
+namespace fireflythread {
+
+auto PartCount(const DutyState& state, const ServiceName& pool) -> int {
+  const auto count = state.part_counts.find(pool);
+  return count == state.part_counts.end() ? 1 : count->second;
+}
+
+auto PartSupplyOf(PoolSupply& supply, const MachineView& machine) -> int& {
+  const auto count = static_cast<int>(supply.parts.size());
+  return supply
+      .parts[static_cast<std::size_t>(PartOfWorker(machine.worker, count))];
+}
+
+auto CountSupplies(const DutyState& state) -> PoolSupplies {
+  PoolSupplies supplies;
+  for (const auto& [vm, machine] : state.machines) {
+    PoolSupply& supply = supplies[machine.pool];
+    supply.parts.resize(
+        static_cast<std::size_t>(PartCount(state, machine.pool)));
+    ++supply.vms;
+    if (!state.duties.contains(vm) && !machine.worker.empty()) {
+      ++PartSupplyOf(supply, machine);
+    }
+  }
+  for (const auto& [vm, duty] : state.duties) {
+    const auto machine = state.machines.find(vm);
+    if (duty.wave) {
+      ++supplies[duty.from].upkeeps;
+    } else if (machine != state.machines.end()) {
+      --supplies[machine->second.pool].vms;
+      ++supplies[duty.target].vms;
+    }
+  }
+  return supplies;
+}
+
+}  // namespace fireflythread
--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -61,6 +61,7 @@
 DutyTask::DutyTask(Environment env, std::uint64_t token)
     : environment(std::move(env)),
       fence(token),
+      monitor(this->environment.logger),
       wave_loader(environment.store,
                   {std::string(kWaveTable), std::string(kDutyShard)},
                   [this](const std::vector<Row>& rows, std::uint64_t) {
@@ -225,6 +226,7 @@
                                           this->fence);
   this->RecordOrders();
   this->StoreWaves();
+  this->monitor.Report(this->state, now);
 }
 
 auto DutyTask::RecordOrders() -> void {
--- a/src/fireflythread/entry/duty_task.h
+++ b/src/fireflythread/entry/duty_task.h
@@ -12,6 +12,7 @@
 #include "fireflythread/duties/duties.h"
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/drain_table.h"
+#include "fireflythread/entry/duty_monitor.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/range_loader.h"
 #include "fireflythread/jobs/configuration.h"
@@ -98,6 +99,7 @@
   Environment environment;
   std::uint64_t fence;
   DutyState state;
+  DutyMonitor monitor;
   std::map<std::int64_t, WaveRequest> declared;
   std::map<std::int64_t, std::set<VmId>> stored_done;
   RangeLoader wave_loader;
--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -86,7 +86,9 @@
                      {"need_memory_mb", waiting->need.memory_mb},
                      {"usable", waiting->usable_workers},
                      {"fitting", waiting->fitting_workers},
+                     {"fitting_without_finite", waiting->emptying_workers},
                      {"with_long_running", waiting->long_running_workers},
+                     {"leaving", waiting->leaving_workers},
                      {"most_free_millicores", waiting->max_free.millicores},
                      {"most_free_memory_mb", waiting->max_free.memory_mb}});
 }
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -3,6 +3,27 @@
 #include "fireflythread/base/assert.h"
 
 namespace fireflythread {
+namespace {
+
+auto AllocateCapacity(ShardWorker& worker, const JobStep& step) -> void {
+  const TaskSize capacity = RequiredCapacity(step);
+  worker.used = Plus(worker.used, capacity);
+  if (step.long_running) {
+    worker.long_running_used = Plus(worker.long_running_used, capacity);
+    ++worker.long_running_tasks;
+  }
+}
+
+auto FreeUpCapacity(ShardWorker& worker, const JobStep& step) -> void {
+  const TaskSize capacity = RequiredCapacity(step);
+  worker.used = Minus(worker.used, capacity);
+  if (step.long_running) {
+    worker.long_running_used = Minus(worker.long_running_used, capacity);
+    --worker.long_running_tasks;
+  }
+}
+
+}  // namespace
 
 auto FindTask(ShardState& state, const TaskName& name) -> TaskState* {
   const auto job = state.jobs.find(name.job);
@@ -41,7 +62,7 @@
   target.view.id = worker;
   const bool inserted = target.tasks.insert(name).second;
   FIREFLYTHREAD_ASSERT(inserted, "a task has one run at a time");
-  target.used = Plus(target.used, RequiredCapacity(StepOf(state, name)));
+  AllocateCapacity(target, StepOf(state, name));
   ShardJob& job = state.jobs.at(name.job);
   task->worker = worker;
   SetPhase(job, name, phase);
@@ -63,8 +84,7 @@
                        "a released task must have a worker");
   const std::size_t erased = worker->second.tasks.erase(name);
   FIREFLYTHREAD_ASSERT(erased == 1, "the worker must have the task");
-  worker->second.used =
-      Minus(worker->second.used, RequiredCapacity(StepOf(state, name)));
+  FreeUpCapacity(worker->second, StepOf(state, name));
   state.stopping.erase(name);
   ShardJob& job = state.jobs.at(name.job);
   task->worker = WorkerId();
--- a/src/fireflythread/jobs/shard_worker.h
+++ b/src/fireflythread/jobs/shard_worker.h
@@ -52,6 +52,9 @@
   /// The same for the poll in flight.
   std::uint64_t acknowledging_completion = 0;
   TaskSize used;
+  /// The part of `used` that long-running tasks take, and their number.
+  TaskSize long_running_used;
+  int long_running_tasks = 0;
   /// Tasks with a run that may exist on this worker.
   std::set<TaskName> tasks;
   /// No runs are started on the worker before this time.
--- a/src/fireflythread/jobs/waiting_step.cc
+++ b/src/fireflythread/jobs/waiting_step.cc
@@ -19,20 +19,22 @@
 };
 
 /// Returns how long a waiting task has waited. A task without a run has waited
-/// since the job could begin.
-auto WaitOf(const ShardJob& job,
+/// since the job could begin. When a former owner saw a run end is not known.
+auto WaitOf(const ShardState& state,
+            const ShardJob& job,
             const TaskState& task,
             int occurrence,
             WallTime wall_now,
             TimePoint now) -> Duration {
   if (task.run > 0) {
-    return now - task.since;
+    return now - std::max(task.since, state.owned_since);
   }
   return wall_now -
          std::max(job.request.accepted_at, DueAt(job.request, occurrence));
 }
 
-auto LongestWaitIn(const ShardJob& job,
+auto LongestWaitIn(const ShardState& state,
+                   const ShardJob& job,
                    int occurrence,
                    int step,
                    WallTime wall_now,
@@ -43,14 +45,16 @@
     const TaskState& task =
         job.progress.tasks[TaskIndex(job, occurrence, step, index)];
     if (task.phase == RunPhase::kWaiting && now >= task.not_before) {
-      longest = std::max(longest, WaitOf(job, task, occurrence, wall_now, now));
+      longest = std::max(longest,
+                         WaitOf(state, job, task, occurrence, wall_now, now));
     }
   }
   return longest;
 }
 
 /// Replaces the candidate by a step of the job that has waited longer.
-auto ConsiderJob(const ShardJob& job,
+auto ConsiderJob(const ShardState& state,
+                 const ShardJob& job,
                  WallTime wall_now,
                  TimePoint now,
                  Candidate& longest) -> void {
@@ -67,7 +71,7 @@
         continue;
       }
       const Duration waited =
-          LongestWaitIn(job, occurrence, step, wall_now, now);
+          LongestWaitIn(state, job, occurrence, step, wall_now, now);
       if (waited > longest.waited) {
         longest = {&job, occurrence, step, waited};
       }
@@ -81,13 +85,16 @@
   waiting.usable_workers = static_cast<int>(usable.workers.size());
   waiting.max_free = usable.max_free;
   for (const UsableWorker& each : usable.workers) {
+    const ShardWorker& worker = *each.worker;
+    const TaskSize without_finite =
+        Minus(worker.view.capacity, worker.long_running_used);
     waiting.fitting_workers += Fits(waiting.need, each.free) ? 1 : 0;
-    const auto& tasks = each.worker->tasks;
-    const bool long_running = std::any_of(
-        tasks.begin(), tasks.end(), [&state](const TaskName& name) -> bool {
-          return StepOf(state, name).long_running;
-        });
-    waiting.long_running_workers += long_running ? 1 : 0;
+    waiting.emptying_workers += Fits(waiting.need, without_finite) ? 1 : 0;
+    waiting.long_running_workers += worker.long_running_tasks > 0 ? 1 : 0;
+  }
+  for (const auto& [id, worker] : state.workers) {
+    const bool leaves = worker.drain_requested || worker.view.draining;
+    waiting.leaving_workers += worker.listed && leaves ? 1 : 0;
   }
 }
 
@@ -100,7 +107,7 @@
   Candidate longest;
   for (const auto& [id, job] : state.jobs) {
     if (job.waiting > 0 && !IsFinal(job.progress.state)) {
-      ConsiderJob(job, wall_now, now, longest);
+      ConsiderJob(state, job, wall_now, now, longest);
     }
   }
   if (longest.job == nullptr || longest.waited < min_wait) {
--- a/src/fireflythread/jobs/waiting_step.h
+++ b/src/fireflythread/jobs/waiting_step.h
@@ -25,10 +25,14 @@
   /// What one task needs on one worker.
   TaskSize need;
   /// Workers that may get starts, those of them that have room for one of the
-  /// tasks, and those that run a task of a long-running step.
+  /// tasks, those that would have it if their finite tasks ended, and those
+  /// that run a task of a long-running step.
   int usable_workers = 0;
   int fitting_workers = 0;
+  int emptying_workers = 0;
   int long_running_workers = 0;
+  /// Workers that get no starts because they are to leave.
+  int leaving_workers = 0;
   /// The most that any usable worker has free, of each resource.
   TaskSize max_free;
 };
