Reserve a worker that becomes empty for a task without room

Now the room of long-running tasks counts as taken, and the emptiest worker is chosen, which stays the emptiest since nothing else starts there. The new test failed before.

--- a/src/fireflythread/jobs/usable_workers.cc
+++ b/src/fireflythread/jobs/usable_workers.cc
@@ -20,6 +20,10 @@
   return Minus(worker.view.capacity, worker.used);
 }
 
+auto CapacityWithoutFinite(const ShardWorker& worker) -> TaskSize {
+  return Minus(worker.view.capacity, worker.long_running_used);
+}
+
 auto MaxOfEach(const TaskSize& left, const TaskSize& right) -> TaskSize {
   return {std::max(left.millicores, right.millicores),
           std::max(left.memory_mb, right.memory_mb),
@@ -30,10 +34,11 @@
   // Below any need, which is never negative.
   constexpr TaskSize kNothing{-1, -1, -1};
   usable.max_free = kNothing;
-  usable.max_total = kNothing;
+  usable.max_without_finite = kNothing;
   for (const UsableWorker& each : usable.workers) {
     usable.max_free = MaxOfEach(usable.max_free, each.free);
-    usable.max_total = MaxOfEach(usable.max_total, each.worker->view.capacity);
+    usable.max_without_finite = MaxOfEach(usable.max_without_finite,
+                                          CapacityWithoutFinite(*each.worker));
   }
   usable.cost.workers += static_cast<std::int64_t>(usable.workers.size());
 }
@@ -51,7 +56,8 @@
 
 auto MissesFor(UsableWorkers& usable, CapacityRule rule)
     -> std::vector<CapacityNeed>& {
-  return rule == CapacityRule::kFree ? usable.free_misses : usable.total_misses;
+  return rule == CapacityRule::kFree ? usable.free_misses
+                                     : usable.without_finite_misses;
 }
 
 /// Returns how many tasks fit into the capacity of one resource.
@@ -87,6 +93,7 @@
   found->free = FreeCapacity(*found->worker);
   if (!Fits(found->free, before)) {
     usable.free_misses.clear();
+    usable.without_finite_misses.clear();
   }
   UpdateMaxima(usable);
 }
@@ -102,17 +109,17 @@
 
 auto CapacityUnder(const UsableWorker& worker, CapacityRule rule) -> TaskSize {
   return rule == CapacityRule::kFree ? worker.free
-                                     : worker.worker->view.capacity;
+                                     : CapacityWithoutFinite(*worker.worker);
 }
 
 auto IsKnownMiss(const UsableWorkers& usable,
                  const CapacityNeed& need,
                  CapacityRule rule) -> bool {
   const bool free = rule == CapacityRule::kFree;
-  if (!Fits(need.each, free ? usable.max_free : usable.max_total)) {
+  if (!Fits(need.each, free ? usable.max_free : usable.max_without_finite)) {
     return true;
   }
-  const auto& misses = free ? usable.free_misses : usable.total_misses;
+  const auto& misses = free ? usable.free_misses : usable.without_finite_misses;
   return std::any_of(
       misses.begin(), misses.end(), [&need](const CapacityNeed& miss) -> bool {
         return miss.count <= need.count && Fits(miss.each, need.each) &&
--- a/src/fireflythread/jobs/usable_workers.h
+++ b/src/fireflythread/jobs/usable_workers.h
@@ -14,8 +14,9 @@
 namespace fireflythread {
 
 /// Which capacity of a worker is compared with a need: the free capacity
-/// (kFree), or all capacity as if its present tasks had ended.
-enum class CapacityRule : std::uint8_t { kFree, kTotal };
+/// (kFree), or that which is left once its finite tasks have ended
+/// (kWithoutFinite).
+enum class CapacityRule : std::uint8_t { kFree, kWithoutFinite };
 
 /// A worker that may get starts.
 struct UsableWorker {
@@ -43,11 +44,11 @@
   /// Maximum of each resource over all workers, so that a larger need is
   /// rejected without a search of the workers.
   TaskSize max_free;
-  TaskSize max_total;
+  TaskSize max_without_finite;
   /// Needs for which no worker was found. Free capacity only shrinks within a
   /// planning step, so equal and larger needs find no worker either.
   std::vector<CapacityNeed> free_misses;
-  std::vector<CapacityNeed> total_misses;
+  std::vector<CapacityNeed> without_finite_misses;
   PlanCost cost;
 };
 
--- a/src/fireflythread/jobs/worker_choice.cc
+++ b/src/fireflythread/jobs/worker_choice.cc
@@ -64,6 +64,8 @@
   const UsableWorker* best = nullptr;
   std::tuple<bool, int, std::int64_t> best_score;
   bool has_capacity = false;
+  const bool prefers_free =
+      step.long_running || rule == CapacityRule::kWithoutFinite;
   for (const UsableWorker& each : usable.workers) {
     const ShardWorker& worker = *each.worker;
     ++usable.cost.workers;
@@ -79,7 +81,7 @@
     const std::tuple<bool, int, std::int64_t> score = {
         !rack.empty() && worker.view.rack == rack,
         -std::min(worker.failures_in_row, 1),
-        step.long_running ? each.free.millicores : -each.free.millicores,
+        prefers_free ? each.free.millicores : -each.free.millicores,
     };
     if (best == nullptr || score > best_score) {
       best = &each;
@@ -103,7 +105,7 @@
 auto ChooseWorkerToReserve(const ShardState& state,
                            UsableWorkers& usable,
                            const TaskName& name) -> std::optional<WorkerId> {
-  return Choose(state, usable, name, CapacityRule::kTotal);
+  return Choose(state, usable, name, CapacityRule::kWithoutFinite);
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/worker_choice.h
+++ b/src/fireflythread/jobs/worker_choice.h
@@ -20,8 +20,9 @@
     -> std::optional<WorkerId>;
 
 /// Returns the worker that is expected to have enough capacity for a task
-/// soonest: as ChooseWorker(), but the capacity that its present tasks use
-/// counts as free.
+/// soonest: that with the most free capacity of those that have enough once
+/// their finite tasks have ended. While nothing else starts there it stays the
+/// one, as only its free capacity grows.
 [[nodiscard]] auto ChooseWorkerToReserve(const ShardState& state,
                                          UsableWorkers& usable,
                                          const TaskName& name)
--- a/test/fireflythread/jobs/reference_plan.cc
+++ b/test/fireflythread/jobs/reference_plan.cc
@@ -57,6 +57,19 @@
   return "";
 }
 
+/// Returns the capacity that a worker has once its finite tasks have ended.
+auto WithoutFinite(const ShardState& state, const ShardWorker& worker)
+    -> TaskSize {
+  TaskSize capacity = worker.view.capacity;
+  for (const TaskName& name : worker.tasks) {
+    const JobStep& step = StepOf(state, name);
+    if (step.long_running) {
+      capacity = Minus(capacity, RequiredCapacity(step));
+    }
+  }
+  return capacity;
+}
+
 auto Choose(const ShardState& state,
             const TaskName& name,
             const std::set<WorkerId>& reserved,
@@ -73,7 +86,7 @@
   for (const auto& [id, worker] : state.workers) {
     const TaskSize free = Minus(worker.view.capacity, worker.used);
     const TaskSize capacity =
-        rule == CapacityRule::kFree ? free : worker.view.capacity;
+        rule == CapacityRule::kFree ? free : WithoutFinite(state, worker);
     if (!IsUsable(worker, now) || reserved.contains(id) ||
         !HasLabel(worker.view, step.required_label) ||
         !Fits(needed, capacity)) {
@@ -86,7 +99,9 @@
     const std::tuple<bool, int, std::int64_t> score = {
         !rack.empty() && worker.view.rack == rack,
         -std::min(worker.failures_in_row, 1),
-        step.long_running ? free.millicores : -free.millicores,
+        step.long_running || rule == CapacityRule::kWithoutFinite
+            ? free.millicores
+            : -free.millicores,
     };
     if (!best || score > best_score) {
       best = id;
@@ -213,7 +228,7 @@
                    std::set<WorkerId>& reserved,
                    TimePoint now) -> void {
   if (const auto worker =
-          Choose(state, name, reserved, CapacityRule::kTotal, now)) {
+          Choose(state, name, reserved, CapacityRule::kWithoutFinite, now)) {
     reserved.insert(*worker);
   }
 }
--- a/test/fireflythread/jobs/shard_plan_test.cc
+++ b/test/fireflythread/jobs/shard_plan_test.cc
@@ -116,6 +116,33 @@
   CHECK(used.size() == 3);
 }
 
+TEST_CASE("A worker that becomes empty is reserved for a large task",
+          "[jobs]") {
+  // Guards against a reservation on a worker whose long-running task never ends
+  // while small tasks fill the gaps of the others.
+  ShardFixture shard(2);
+  JobStep long_running_step = ShardFixture::Step(1, 2000);
+  long_running_step.long_running = true;
+  shard.AddJob("lasting", long_running_step);
+  REQUIRE(shard.StartAll().size() == 1);
+  shard.AddJob("running", ShardFixture::Step(8, 1000));
+  const auto running = shard.StartAll();
+  REQUIRE(running.size() == 8);
+  shard.AddJob("large", ShardFixture::Step(1, 7000));
+  shard.AddJob("small", ShardFixture::Step(1, 1000));
+  CHECK(shard.StartAll().empty());
+  std::vector<RunCompletion> ended;
+  for (const StartCommand& start : running) {
+    if (start.worker == WorkerId("w1")) {
+      ended.push_back(
+          ShardFixture::Ended(start, ended.size() + 1, RunResult::kDone));
+    }
+  }
+  shard.Report("w1", {}, ended);
+  (void)shard.StartAll();
+  CHECK(shard.Task("large", 0).worker == WorkerId("w1"));
+}
+
 TEST_CASE("Arriving work shows a peak whose waiting jobs are late", "[jobs]") {
   // A peak above the pool's capacity: late jobs do not count as waiting, so the
   // demand would seem to end while the peak lasts.
