Publish the late work that waits, and take the ready steps out of the planner

The load of a shard names its late waiting work apart from that in time; nothing uses it yet. Rows of older versions lack it and count as 0.

--- a/src/fireflythread/duties/measure_load.cc
+++ b/src/fireflythread/duties/measure_load.cc
@@ -1,8 +1,8 @@
 #include "fireflythread/duties/measure_load.h"
 
 #include "fireflythread/jobs/shard_jobs.h"
-#include "fireflythread/jobs/shard_plan.h"
 #include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/jobs/waiting_work.h"
 
 namespace fireflythread {
 
@@ -10,7 +10,9 @@
     -> PoolLoad {
   PoolLoad load;
   load.fence = shard.fence;
-  load.waiting_millicores = WaitingMillicores(shard, wall_now, now);
+  const WaitingWork waiting = MeasureWaitingWork(shard, wall_now, now);
+  load.waiting_millicores = waiting.millicores;
+  load.late_waiting_millicores = waiting.late_millicores;
   load.late_millicores = LateMillicores(shard, wall_now);
   load.arriving_millicores = ArrivingMillicores(shard, now);
   for (const auto& [id, worker] : shard.workers) {
--- a/src/fireflythread/duties/pool_load.cc
+++ b/src/fireflythread/duties/pool_load.cc
@@ -14,6 +14,7 @@
   return Json{{"pool", load.pool.value},
               {"fence", load.fence},
               {"waiting_millicores", load.waiting_millicores},
+              {"late_waiting_millicores", load.late_waiting_millicores},
               {"late_millicores", load.late_millicores},
               {"arriving_millicores", load.arriving_millicores},
               {"workers", std::move(workers)}}
@@ -27,6 +28,9 @@
     load.pool = ServiceName(json.at("pool").get<std::string>());
     load.fence = json.at("fence").get<std::uint64_t>();
     load.waiting_millicores = json.at("waiting_millicores").get<std::int64_t>();
+    // Older versions don't write it.
+    load.late_waiting_millicores =
+        json.value("late_waiting_millicores", std::int64_t{0});
     load.late_millicores = json.at("late_millicores").get<std::int64_t>();
     load.arriving_millicores =
         json.at("arriving_millicores").get<std::int64_t>();
@@ -49,6 +53,7 @@
       continue;
     }
     sum.waiting_millicores += part.waiting_millicores;
+    sum.late_waiting_millicores += part.late_waiting_millicores;
     sum.late_millicores += part.late_millicores;
     sum.arriving_millicores += part.arriving_millicores;
     sum.workers.insert(part.workers.begin(), part.workers.end());
--- a/src/fireflythread/duties/pool_load.h
+++ b/src/fireflythread/duties/pool_load.h
@@ -26,8 +26,10 @@
   ServiceName pool;
   /// Fencing token of the owner that measured the load.
   std::uint64_t fence = 0;
-  /// Demand of the tasks that could start now if there were free capacity.
+  /// Demand of the finite tasks that could start now if there were free
+  /// capacity, in jobs that can still meet their deadlines and in late ones.
   std::int64_t waiting_millicores = 0;
+  std::int64_t late_waiting_millicores = 0;
   /// Usage of the finite tasks that run in jobs that are already late. It is
   /// included in the usage of the workers.
   std::int64_t late_millicores = 0;
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -3,40 +3,16 @@
 #include <algorithm>
 #include <optional>
 #include <queue>
-#include <tuple>
 #include <utility>
 #include <vector>
 
-#include "fireflythread/jobs/job_urgency.h"
+#include "fireflythread/jobs/ready_step.h"
 #include "fireflythread/jobs/usable_workers.h"
 #include "fireflythread/jobs/worker_choice.h"
 
 namespace fireflythread {
 namespace {
 
-/// A step of one occurrence that is ready to run.
-struct ReadyStep {
-  ShardJob* job = nullptr;
-  int occurrence = 0;
-  int step = 0;
-  /// Long-running tasks come first: time without them cannot be made up.
-  bool finite = false;
-  int priority = 0;
-  /// The job is not expected to meet its deadline any more. Jobs that can still
-  /// be in time go first, because a late result is worth little: otherwise, in
-  /// an overload, each job would wait until it is late as well.
-  bool late = false;
-  WallTime deadline;
-  /// Position in the order of job ids, occurrences and steps, which breaks ties
-  /// between otherwise equal steps.
-  std::size_t position = 0;
-
-  [[nodiscard]] auto Key() const {
-    return std::make_tuple(this->finite, this->late, this->priority,
-                           this->deadline, this->position);
-  }
-};
-
 /// Makes the step that runs first the top of the heap.
 struct RunsLater {
   auto operator()(const ReadyStep& left, const ReadyStep& right) const -> bool {
@@ -47,68 +23,6 @@
 using ReadyQueue =
     std::priority_queue<ReadyStep, std::vector<ReadyStep>, RunsLater>;
 
-auto SpecOf(const ReadyStep& ready) -> const JobStep& {
-  return ready.job->request.steps[static_cast<std::size_t>(ready.step)];
-}
-
-auto MakeReadyStep(ShardJob& job,
-                   const QueueTerms& terms,
-                   int occurrence,
-                   int step,
-                   WallTime wall_now) -> ReadyStep {
-  ReadyStep ready;
-  ready.job = &job;
-  ready.occurrence = occurrence;
-  ready.step = step;
-  ready.finite = !SpecOf(ready).long_running;
-  ready.priority = terms.priority;
-  ready.deadline = DeadlineOf(job, terms, occurrence);
-  ready.late =
-      ready.finite &&
-      wall_now + job.remaining_critical_paths[static_cast<std::size_t>(step)] >
-          ready.deadline;
-  return ready;
-}
-
-/// Adds the steps of a job that are ready and have a waiting task.
-auto CollectReadyStepsOf(ShardJob& job,
-                         const QueueTerms& terms,
-                         WallTime wall_now,
-                         std::vector<ReadyStep>& ready) -> void {
-  const auto steps = static_cast<int>(job.request.steps.size());
-  const int occurrences = OccurrenceCount(job.request);
-  for (int occurrence = job.first_unfinished; occurrence < occurrences;
-       ++occurrence) {
-    if (DueAt(job.request, occurrence) > wall_now) {
-      return;
-    }
-    for (int step = 0; step < steps; ++step) {
-      if (TallyOf(job, occurrence, step).waiting > 0 &&
-          AreDependenciesDone(job, occurrence, step)) {
-        ready.push_back(MakeReadyStep(job, terms, occurrence, step, wall_now));
-        ready.back().position = ready.size();
-      }
-    }
-  }
-}
-
-/// Returns the ready steps in no particular order. All waiting tasks of a step
-/// may still be delayed by a failure.
-auto CollectReadySteps(ShardState& state, WallTime wall_now)
-    -> std::vector<ReadyStep> {
-  std::vector<ReadyStep> ready;
-  for (auto& [id, job] : state.jobs) {
-    if (job.waiting == 0 || IsFinal(job.progress.state)) {
-      continue;
-    }
-    if (const QueueTerms* terms = TermsOf(state, job)) {
-      CollectReadyStepsOf(job, *terms, wall_now, ready);
-    }
-  }
-  state.plan_cost.steps += static_cast<std::int64_t>(ready.size());
-  return ready;
-}
-
 /// Returns a lower limit of the steps' needs, for each resource.
 auto MinNeed(const std::vector<ReadyStep>& ready) -> TaskSize {
   TaskSize minimum =
@@ -122,10 +36,6 @@
   return minimum;
 }
 
-auto MayRun(const TaskState& task, TimePoint now) -> bool {
-  return task.phase == RunPhase::kWaiting && now >= task.not_before;
-}
-
 auto PlanTask(ShardState& state,
               UsableWorkers& usable,
               const TaskName& name,
@@ -271,40 +181,6 @@
   return !Fits(min_need, usable.max_free);
 }
 
-auto HasTaskToRun(const ReadyStep& ready, TimePoint now) -> bool {
-  for (int index = 0; index < SpecOf(ready).count; ++index) {
-    if (MayRun(ready.job->progress.tasks[TaskIndex(*ready.job, ready.occurrence,
-                                                   ready.step, index)],
-               now)) {
-      return true;
-    }
-  }
-  return false;
-}
-
-/// Returns the cores, in thousandths, of a job's finite tasks that run in late
-/// occurrences.
-auto LateMillicoresOf(const ShardJob& job,
-                      const QueueTerms& terms,
-                      WallTime wall_now) -> std::int64_t {
-  std::int64_t late = 0;
-  const auto steps = static_cast<int>(job.request.steps.size());
-  const int occurrences = OccurrenceCount(job.request);
-  for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
-    const WallTime deadline = DeadlineOf(job, terms, occurrence);
-    for (int step = 0; step < steps; ++step) {
-      const auto position = static_cast<std::size_t>(step);
-      const JobStep& spec = job.request.steps[position];
-      // The remaining time of the running step itself is unknown.
-      if (!spec.long_running && !spec.filler &&
-          wall_now + job.remaining_critical_paths[position + 1] > deadline) {
-        late += spec.size.millicores * CountAssigned(job, occurrence, step);
-      }
-    }
-  }
-  return late;
-}
-
 }  // namespace
 
 auto PlanRuns(ShardState& state, WallTime wall_now, TimePoint now) -> void {
@@ -330,29 +206,4 @@
   state.plan_cost.workers += usable.cost.workers;
 }
 
-auto WaitingMillicores(ShardState& state, WallTime wall_now, TimePoint now)
-    -> std::int64_t {
-  std::int64_t waiting = 0;
-  for (const ReadyStep& ready : CollectReadySteps(state, wall_now)) {
-    const JobStep& step = SpecOf(ready);
-    if (!ready.late && !step.filler && HasTaskToRun(ready, now)) {
-      waiting += step.size.millicores *
-                 TallyOf(*ready.job, ready.occurrence, ready.step).waiting;
-    }
-  }
-  return waiting;
-}
-
-auto LateMillicores(const ShardState& state, WallTime wall_now)
-    -> std::int64_t {
-  std::int64_t late = 0;
-  for (const auto& [id, job] : state.jobs) {
-    const QueueTerms* terms = TermsOf(state, job);
-    if (job.assigned > 0 && terms != nullptr) {
-      late += LateMillicoresOf(job, *terms, wall_now);
-    }
-  }
-  return late;
-}
-
 }  // namespace fireflythread
--- a/test/fireflythread/jobs/plan_equivalence_test.cc
+++ b/test/fireflythread/jobs/plan_equivalence_test.cc
@@ -9,6 +9,7 @@
 #include "fireflythread/base/random.h"
 #include "fireflythread/duties/measure_load.h"
 #include "fireflythread/jobs/drain.h"
+#include "fireflythread/jobs/waiting_work.h"
 #include "test/fireflythread/jobs/reference_plan.h"
 #include "test/fireflythread/jobs/shard_fixture.h"
 
@@ -233,9 +234,8 @@
       CAPTURE(seed, round);
       shard.SimulateEvents();
       REQUIRE(AreCountsRight(shard.state));
-      REQUIRE(
-          WaitingMillicores(shard.state, shard.wall_now, shard.now) ==
-          ReferenceWaitingMillicores(shard.state, shard.wall_now, shard.now));
+      REQUIRE(MeasureWaitingWork(shard.state, shard.wall_now, shard.now) ==
+              ReferenceWaitingWork(shard.state, shard.wall_now, shard.now));
       REQUIRE(LateMillicores(shard.state, shard.wall_now) ==
               ReferenceLateMillicores(shard.state, shard.wall_now));
       REQUIRE(LongRunningTasks(shard) ==
--- a/test/fireflythread/jobs/reference_plan.cc
+++ b/test/fireflythread/jobs/reference_plan.cc
@@ -342,21 +342,22 @@
   }
 }
 
-auto ReferenceWaitingMillicores(ShardState& state,
-                                WallTime wall_now,
-                                TimePoint now) -> std::int64_t {
-  std::int64_t waiting = 0;
+auto ReferenceWaitingWork(ShardState& state, WallTime wall_now, TimePoint now)
+    -> WaitingWork {
+  WaitingWork waiting;
   for (const ReadyStep& ready : CollectReadySteps(state, wall_now, now)) {
     const JobStep& step =
         ready.job->request.steps[static_cast<std::size_t>(ready.step)];
-    if (ready.late || step.filler) {
+    if (step.filler) {
       continue;
     }
     for (int index = 0; index < step.count; ++index) {
       const TaskState& task = ready.job->progress.tasks[TaskIndex(
           *ready.job, ready.occurrence, ready.step, index)];
       if (task.phase == RunPhase::kWaiting) {
-        waiting += step.size.millicores;
+        std::int64_t& sum =
+            ready.late ? waiting.late_millicores : waiting.millicores;
+        sum += step.size.millicores;
       }
     }
   }
--- a/test/fireflythread/jobs/reference_plan.h
+++ b/test/fireflythread/jobs/reference_plan.h
@@ -5,6 +5,7 @@
 #include <map>
 
 #include "fireflythread/jobs/shard_state.h"
+#include "fireflythread/jobs/waiting_work.h"
 
 namespace fireflythread::test {
 
@@ -13,10 +14,10 @@
 auto ReferencePlanRuns(ShardState& state, WallTime wall_now, TimePoint now)
     -> void;
 
-/// Reference implementation of WaitingMillicores().
-[[nodiscard]] auto ReferenceWaitingMillicores(ShardState& state,
-                                              WallTime wall_now,
-                                              TimePoint now) -> std::int64_t;
+/// Reference implementation of MeasureWaitingWork().
+[[nodiscard]] auto ReferenceWaitingWork(ShardState& state,
+                                        WallTime wall_now,
+                                        TimePoint now) -> WaitingWork;
 
 /// Reference implementation of LateMillicores().
 [[nodiscard]] auto ReferenceLateMillicores(const ShardState& state,
--- a/test/fireflythread/jobs/shard_plan_test.cc
+++ b/test/fireflythread/jobs/shard_plan_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "fireflythread/base/random.h"
+#include "fireflythread/jobs/waiting_work.h"
 #include "test/fireflythread/jobs/shard_fixture.h"
 
 namespace fireflythread::test {
@@ -154,7 +155,8 @@
   // 15 jobs of 4 tasks, each a second on one core, in 1.5 s.
   CHECK(ArrivingMillicores(shard.state, shard.now) == 40000);
   shard.wall_now += milliseconds(60000);
-  CHECK(WaitingMillicores(shard.state, shard.wall_now, shard.now) == 0);
+  CHECK(MeasureWaitingWork(shard.state, shard.wall_now, shard.now).millicores ==
+        0);
   CHECK(ArrivingMillicores(shard.state, shard.now) == 40000);
   shard.Advance(milliseconds(1600));
   CHECK(ArrivingMillicores(shard.state, shard.now) == 0);
--- a/test/fireflythread/jobs/shard_runs_test.cc
+++ b/test/fireflythread/jobs/shard_runs_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "fireflythread/jobs/shard_plan.h"
+#include "fireflythread/jobs/waiting_work.h"
 #include "test/fireflythread/jobs/shard_fixture.h"
 
 namespace fireflythread::test {
@@ -171,7 +172,8 @@
   ShardFixture shard(1);
   shard.AddJob("a", ShardFixture::Step(2, 1000));
   shard.state.queues.clear();
-  CHECK(WaitingMillicores(shard.state, shard.wall_now, shard.now) == 2000);
+  CHECK(MeasureWaitingWork(shard.state, shard.wall_now, shard.now).millicores ==
+        2000);
   CHECK(shard.StartAll().size() == 2);
   shard.wall_now += std::chrono::hours(1);
   CHECK(LateMillicores(shard.state, shard.wall_now) == 2000);
