Bring idle VMs to pools and parts for late work that waits

Late work that waits is now need of the second rank: it keeps VMs from the spare pool, and idle VMs of the spare pool come for it after all work in time of all pools. It takes no VM from another pool and keeps none that another pool needs for work in time. The needs are measured in a module of their own.

--- a/src/fireflythread/duties/duty_state.h
+++ b/src/fireflythread/duties/duty_state.h
@@ -12,6 +12,7 @@
 #include "fireflythread/base/time.h"
 #include "fireflythread/duties/machine_view.h"
 #include "fireflythread/duties/pool_load.h"
+#include "fireflythread/duties/pool_need.h"
 #include "fireflythread/jobs/wave_request.h"
 
 namespace fireflythread {
@@ -57,22 +58,6 @@
   bool completed = false;
 };
 
-/// The number of workers that a pool needs for its current load.
-struct PoolNeed {
-  /// Workers for the jobs that can still meet their deadline.
-  int needed = 0;
-  /// Workers with long-running tasks.
-  int long_running_workers = 0;
-  /// Workers for all jobs, including late ones. Late jobs may use workers that
-  /// no other pool needs.
-  int needed_with_late_work = 0;
-  /// Workers that each part of the pool needs for itself, by the part's index.
-  std::vector<int> part_needs;
-  /// When the pool's need fell below its number of VMs; valid while `low`.
-  TimePoint low_since;
-  bool low = false;
-};
-
 /// The state of the entry that moves and maintains VMs.
 struct DutyState {
   TimePoint owned_since;
--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -6,63 +6,13 @@
 
 #include "fireflythread/duties/duties.h"
 #include "fireflythread/duties/duty_limits.h"
+#include "fireflythread/duties/pool_need.h"
 #include "fireflythread/duties/pool_supply.h"
 #include "fireflythread/jobs/pool_part.h"
 
 namespace fireflythread {
 namespace {
 
-/// Returns the number of workers that serve `millicores` with the headroom of
-/// the default capacity profile, plus the reserve.
-auto RequiredWorkers(std::int64_t millicores, std::int64_t worker_millicores)
-    -> int {
-  const std::int64_t usable = worker_millicores * kTargetUsePercent / 100;
-  const std::int64_t workers = (millicores + usable - 1) / usable;
-  return static_cast<int>(workers) + kReserveWorkers;
-}
-
-/// Computes how many workers a pool needs for its running and waiting tasks.
-auto MeasureNeed(const PoolLoad& load,
-                 std::int64_t worker_millicores,
-                 PoolNeed& need) -> void {
-  std::int64_t used = load.waiting_millicores;
-  int long_running_workers = 0;
-  for (const auto& [id, worker] : load.workers) {
-    used += worker.used_millicores;
-    long_running_workers += worker.long_running_tasks > 0 ? 1 : 0;
-  }
-  const std::int64_t in_time =
-      std::max(used - load.late_millicores, load.arriving_millicores);
-  need.needed = std::max(RequiredWorkers(in_time, worker_millicores),
-                         long_running_workers);
-  need.long_running_workers = long_running_workers;
-  need.needed_with_late_work =
-      std::max(RequiredWorkers(used, worker_millicores), need.needed);
-}
-
-/// Computes how many workers each part of a pool needs, without the reserve of
-/// the whole pool.
-auto MeasurePartNeeds(const DutyState& state,
-                      const ServiceName& pool,
-                      std::int64_t worker_millicores,
-                      PoolNeed& need) -> void {
-  const auto count = state.part_counts.find(pool);
-  need.part_needs.clear();
-  if (count == state.part_counts.end()) {
-    return;
-  }
-  for (int index = 0; index < count->second; ++index) {
-    PoolNeed part;
-    const auto load =
-        state.shard_loads.find(ShardOf({pool, index, count->second}));
-    if (load != state.shard_loads.end()) {
-      MeasureNeed(load->second, worker_millicores, part);
-      part.needed -= kReserveWorkers;
-    }
-    need.part_needs.push_back(std::max(part.needed, part.long_running_workers));
-  }
-}
-
 auto LargestWorker(const DutyState& state) -> std::int64_t {
   std::int64_t largest = 1;
   for (const auto& [vm, machine] : state.machines) {
@@ -159,12 +109,14 @@
   return (BaseSize(state, pool) * kMinRetainedPercent + 99) / 100;
 }
 
-/// Returns whether a part of a pool can spare a VM. The jobs of a part run on
-/// its own workers only, so each part keeps what it needs and its share of what
-/// the pool keeps.
+/// Returns whether a part of a pool can spare a VM for a target. The jobs of a
+/// part run on its own workers only, so each part keeps what it needs and its
+/// share of what the pool keeps. Late work keeps workers from the spare pool
+/// only.
 auto CanPartSpare(const DutyState& state,
                   PoolSupply& supply,
-                  const MachineView& machine) -> bool {
+                  const MachineView& machine,
+                  const ServiceName& target) -> bool {
   const int count = PartCount(state, machine.pool);
   const auto need = state.needs.find(machine.pool);
   if (count == 1 || machine.worker.empty() || need == state.needs.end()) {
@@ -173,8 +125,10 @@
   const auto index =
       static_cast<std::size_t>(PartOfWorker(machine.worker, count));
   const int share = RetainedVms(state, machine.pool) / count;
-  const std::vector<int>& needs = need->second.part_needs;
-  const int needed = index < needs.size() ? needs[index] : 0;
+  const std::vector<PartNeed>& needs = need->second.part_needs;
+  const PartNeed part = index < needs.size() ? needs[index] : PartNeed{};
+  const int needed =
+      target == state.spare_pool ? part.needed_with_late_work : part.needed;
   return PartSupplyOf(supply, machine) > std::max(share, needed);
 }
 
@@ -193,7 +147,7 @@
       break;
     }
     if (from != state.spare_pool &&
-        !CanPartSpare(state, supplies[from], *candidate.machine)) {
+        !CanPartSpare(state, supplies[from], *candidate.machine, target)) {
       continue;
     }
     BeginMove(state, supplies, *candidate.machine, target, now);
@@ -241,7 +195,7 @@
     int& left = lendable[candidate.machine->pool];
     const ServiceName& donor = candidate.machine->pool;
     if (count > 0 && left > 0 &&
-        CanPartSpare(state, supplies[donor], *candidate.machine)) {
+        CanPartSpare(state, supplies[donor], *candidate.machine, target)) {
       BeginMove(state, supplies, *candidate.machine, target, now);
       --left;
       --count;
@@ -249,6 +203,46 @@
   }
 }
 
+/// Starts moves to the pools that lack VMs for work that can be in time.
+auto ServeWorkInTime(DutyState& state, PoolSupplies& supplies, TimePoint now)
+    -> void {
+  for (const auto& [pool, need] : state.needs) {
+    int lacking = need.needed - supplies[pool].vms;
+    if (lacking <= 0) {
+      continue;
+    }
+    lacking -= MoveUpTo(state, supplies, state.spare_pool, pool, lacking, now);
+    if (lacking > 0) {
+      Borrow(state, supplies, pool, lacking, now);
+    }
+  }
+}
+
+/// Starts moves to the pools that lack VMs for late work, of VMs that no pool
+/// needs.
+auto ServeLateWork(DutyState& state, PoolSupplies& supplies, TimePoint now)
+    -> void {
+  for (const auto& [pool, need] : state.needs) {
+    const int lacking = need.needed_with_late_work - supplies[pool].vms;
+    if (lacking > 0) {
+      MoveUpTo(state, supplies, state.spare_pool, pool, lacking, now);
+    }
+  }
+}
+
+/// Starts moves to the spare pool from the pools that keep more than they need.
+auto ReleaseSurplus(DutyState& state, PoolSupplies& supplies, TimePoint now)
+    -> void {
+  for (const auto& [pool, need] : state.needs) {
+    const int wanted =
+        std::max(need.needed_with_late_work, BaseSize(state, pool));
+    const int surplus = supplies[pool].vms - wanted;
+    if (surplus > 0 && need.low && now - need.low_since >= kReleaseAfter) {
+      MoveUpTo(state, supplies, pool, state.spare_pool, surplus, now);
+    }
+  }
+}
+
 auto UpdateNeeds(DutyState& state, PoolSupplies& supplies, TimePoint now)
     -> void {
   const std::int64_t largest = LargestWorker(state);
@@ -258,8 +252,7 @@
       continue;
     }
     PoolNeed& need = state.needs[pool];
-    MeasureNeed(load->second, largest, need);
-    MeasurePartNeeds(state, pool, largest, need);
+    MeasureNeed(state, pool, largest, need);
     const int wanted =
         std::max(need.needed_with_late_work, BaseSize(state, pool));
     const bool low = wanted < supplies[pool].vms;
@@ -278,24 +271,9 @@
   }
   PoolSupplies supplies = CountSupplies(state);
   UpdateNeeds(state, supplies, now);
-  for (const auto& [pool, need] : state.needs) {
-    int lacking = need.needed - supplies[pool].vms;
-    if (lacking <= 0) {
-      continue;
-    }
-    lacking -= MoveUpTo(state, supplies, state.spare_pool, pool, lacking, now);
-    if (lacking > 0) {
-      Borrow(state, supplies, pool, lacking, now);
-    }
-  }
-  for (const auto& [pool, need] : state.needs) {
-    const int wanted =
-        std::max(need.needed_with_late_work, BaseSize(state, pool));
-    const int surplus = supplies[pool].vms - wanted;
-    if (surplus > 0 && need.low && now - need.low_since >= kReleaseAfter) {
-      MoveUpTo(state, supplies, pool, state.spare_pool, surplus, now);
-    }
-  }
+  ServeWorkInTime(state, supplies, now);
+  ServeLateWork(state, supplies, now);
+  ReleaseSurplus(state, supplies, now);
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/entry/duty_monitor.cc
+++ b/src/fireflythread/entry/duty_monitor.cc
@@ -4,6 +4,8 @@
 #include <fmt/ranges.h>
 
 #include <chrono>
+#include <string>
+#include <vector>
 
 #include "fireflythread/duties/pool_supply.h"
 
@@ -12,6 +14,15 @@
 
 constexpr std::chrono::seconds kReportPeriod{1};
 
+auto FormatNeeds(const std::vector<PartNeed>& parts) -> std::string {
+  std::vector<int> needs;
+  needs.reserve(parts.size());
+  for (const PartNeed& part : parts) {
+    needs.push_back(part.needed_with_late_work);
+  }
+  return fmt::format("{}", fmt::join(needs, ","));
+}
+
 }  // namespace
 
 DutyMonitor::DutyMonitor(const Logger& log) : logger(log) {}
@@ -34,8 +45,7 @@
          {"needed_with_late_work", need.needed_with_late_work},
          {"with_long_running", need.long_running_workers},
          {"vms_of_parts", fmt::format("{}", fmt::join(supply.parts, ","))},
-         {"needed_by_parts",
-          fmt::format("{}", fmt::join(need.part_needs, ","))},
+         {"needed_by_parts", FormatNeeds(need.part_needs)},
          {"spare_vms", spare.vms}});
   }
 }
--- a/test/fireflythread/duties/pool_room_test.cc
+++ b/test/fireflythread/duties/pool_room_test.cc
@@ -127,8 +127,13 @@
     this->pools.Advance(kFinishTime);
   }
 
-  [[nodiscard]] auto JobsWithoutCause() const -> std::vector<JobId> {
-    return this->pools.JobsWithoutCause(kMaxIdleTime);
+  /// Returns why each job waits that has no cause to.
+  [[nodiscard]] auto JobsWithoutCause() const -> std::vector<std::string> {
+    std::vector<std::string> waiting;
+    for (const JobId& id : this->pools.JobsWithoutCause(kMaxIdleTime)) {
+      waiting.push_back(this->pools.Describe(id));
+    }
+    return waiting;
   }
 
  private:
@@ -183,8 +188,9 @@
   for (int seed = first; seed < first + count; ++seed) {
     RandomTraffic traffic(static_cast<std::uint64_t>(seed));
     traffic.Play();
-    CAPTURE(seed);
-    CHECK(traffic.JobsWithoutCause().empty());
+    const std::vector<std::string> waiting = traffic.JobsWithoutCause();
+    CAPTURE(seed, waiting);
+    CHECK(waiting.empty());
   }
 }
 
--- a/test/fireflythread/duties/pool_simulation.cc
+++ b/test/fireflythread/duties/pool_simulation.cc
@@ -1,5 +1,7 @@
 #include "test/fireflythread/duties/pool_simulation.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -11,6 +13,7 @@
 #include "fireflythread/jobs/shard_plan.h"
 #include "fireflythread/jobs/shard_record.h"
 #include "fireflythread/jobs/shard_workers.h"
+#include "fireflythread/jobs/waiting_step.h"
 
 namespace fireflythread::test {
 namespace {
@@ -324,6 +327,31 @@
   return jobs;
 }
 
+auto PoolSimulation::Describe(const JobId& id) const -> std::string {
+  for (const auto& [name, shard] : this->shards) {
+    const auto job = shard.state.jobs.find(id);
+    if (job == shard.state.jobs.end()) {
+      continue;
+    }
+    const auto waiting = FindLongestWait(shard.state, milliseconds(0),
+                                         this->wall_now, this->now);
+    const auto need = this->duties.needs.find(shard.part.pool);
+    const JobStep& step = job->second.request.steps.front();
+    return fmt::format(
+        "{} needs {} millicores; shard {}: {} usable workers, {} with "
+        "long-running tasks, {} leaving, at most {} millicores free; pool: {} "
+        "VMs, needed {}, with late work {}; spare pool: {} VMs",
+        id.value, step.size.millicores, name.value,
+        waiting ? waiting->usable_workers : -1,
+        waiting ? waiting->long_running_workers : -1,
+        waiting ? waiting->leaving_workers : -1,
+        waiting ? waiting->max_free.millicores : -1,
+        this->CountVms(shard.part.pool), need->second.needed,
+        need->second.needed_with_late_work, this->CountVms(SpareName()));
+  }
+  return id.value + " is not open";
+}
+
 auto PoolSimulation::IsDone(const ServiceName& pool, const JobId& id) const
     -> bool {
   const Shard& shard = this->FindShard(pool, id);
--- a/test/fireflythread/duties/pool_simulation.h
+++ b/test/fireflythread/duties/pool_simulation.h
@@ -46,6 +46,9 @@
   /// less than half of their cores in use.
   [[nodiscard]] auto JobsWithoutCause(std::chrono::milliseconds time) const
       -> std::vector<JobId>;
+  /// Returns why a job of JobsWithoutCause() waits: its need and the VMs of its
+  /// part and of its pool.
+  [[nodiscard]] auto Describe(const JobId& id) const -> std::string;
   /// Returns the number of VMs of a pool, without those that are on their way.
   [[nodiscard]] auto CountVms(const ServiceName& pool) const -> int;
   /// Returns how many VMs of a part run no long-running task.
