Count the VMs that tasks need which fit beside no long-running task

The need of a pool was the sum of its cores, so VMs with long-running tasks counted as room for everything. As only VMs without long-running tasks may leave, a pool comes into this state by itself after each peak.

--- a/src/fireflythread/duties/pool_need.cc
+++ b/src/fireflythread/duties/pool_need.cc
@@ -12,9 +12,14 @@
 
 /// What a load needs, without a reserve.
 struct LoadNeed {
+  /// Workers for the sum of the cores.
   int in_time = 0;
   int with_late_work = 0;
   int long_running_workers = 0;
+  /// Workers with long-running tasks and those that tasks need which fit beside
+  /// none.
+  int kept = 0;
+  int kept_with_late_work = 0;
 };
 
 /// Returns the number of workers that serve `millicores` with the headroom of
@@ -39,14 +44,16 @@
   need.in_time = WorkersFor(in_time, worker_millicores);
   need.with_late_work =
       std::max(WorkersFor(all, worker_millicores), need.in_time);
+  need.kept = need.long_running_workers + load.whole_workers;
+  need.kept_with_late_work = need.kept + load.late_whole_workers;
   return need;
 }
 
 auto MeasurePartNeed(const PoolLoad& load, std::int64_t worker_millicores)
     -> PartNeed {
   const LoadNeed need = MeasureLoadNeed(load, worker_millicores);
-  return {std::max(need.in_time, need.long_running_workers),
-          std::max(need.with_late_work, need.long_running_workers)};
+  return {std::max(need.in_time, need.kept),
+          std::max(need.with_late_work, need.kept_with_late_work)};
 }
 
 /// Returns the needs of a pool's parts; none while the pool's number of parts
@@ -75,10 +82,10 @@
   const LoadNeed load =
       MeasureLoadNeed(state.loads.at(pool), worker_millicores);
   need.long_running_workers = load.long_running_workers;
-  need.needed =
-      std::max(load.in_time + kReserveWorkers, load.long_running_workers);
+  need.needed = std::max(load.in_time + kReserveWorkers, load.kept);
   need.needed_with_late_work =
-      std::max(load.with_late_work + kReserveWorkers, need.needed);
+      std::max({load.with_late_work + kReserveWorkers, load.kept_with_late_work,
+                need.needed});
   need.part_needs = MeasurePartNeeds(state, pool, worker_millicores);
 }
 
