Leave some workers of a shard without long-running tasks

Long-running tasks went to the worker with the most room, so in time one ran on each, and none was left that could become empty for a task that needs a whole worker, or that could leave the pool.

An eighth of a shard's workers stays without them while others have room; a step that is spread over more workers takes them too. Shards of fewer than eight workers spread them over all, as before.

--- a/src/fireflythread/jobs/worker_choice.cc
+++ b/src/fireflythread/jobs/worker_choice.cc
@@ -50,6 +50,23 @@
   return first == nullptr ? "" : state.workers.at(*first).view.rack;
 }
 
+/// One worker in this many stays without long-running tasks while others have
+/// room for them: what runs for ever would else take each of them in time, and
+/// a task that needs a whole worker would find none.
+constexpr int kWholeDivisor = 8;
+
+/// Returns whether a long-running task leaves enough workers without such tasks
+/// if it takes one of them.
+auto MayTakeWhole(UsableWorkers& usable) -> bool {
+  int whole = 0;
+  for (const UsableWorker& each : usable.workers) {
+    ++usable.cost.workers;
+    whole += each.worker->long_running_tasks == 0 ? 1 : 0;
+  }
+  const auto workers = static_cast<int>(usable.workers.size());
+  return whole > workers / kWholeDivisor;
+}
+
 auto Choose(const ShardState& state,
             UsableWorkers& usable,
             const TaskName& name,
@@ -62,10 +79,11 @@
   }
   const std::string rack = PreferredRack(state, job, name, step);
   const UsableWorker* best = nullptr;
-  std::tuple<bool, int, std::int64_t> best_score;
+  std::tuple<bool, int, bool, std::int64_t> best_score;
   bool has_capacity = false;
   const bool prefers_free =
       step.long_running || rule == CapacityRule::kWithoutFinite;
+  const bool spares_whole = step.long_running && !MayTakeWhole(usable);
   for (const UsableWorker& each : usable.workers) {
     const ShardWorker& worker = *each.worker;
     ++usable.cost.workers;
@@ -78,9 +96,10 @@
         CountSiblings(worker, name) >= step.max_per_worker) {
       continue;
     }
-    const std::tuple<bool, int, std::int64_t> score = {
+    const std::tuple<bool, int, bool, std::int64_t> score = {
         !rack.empty() && worker.view.rack == rack,
         -std::min(worker.failures_in_row, 1),
+        !spares_whole || worker.long_running_tasks > 0,
         prefers_free ? each.free.millicores : -each.free.millicores,
     };
     if (best == nullptr || score > best_score) {
--- a/src/fireflythread/jobs/worker_choice.h
+++ b/src/fireflythread/jobs/worker_choice.h
@@ -11,9 +11,9 @@
 /// Returns the worker for a task's next run: a usable worker with the required
 /// label and enough free capacity that is not reserved and holds fewer tasks of
 /// the step than allowed. Workers near the data are preferred. Long-running
-/// tasks are spread; finite tasks are packed, so that idle workers can leave
-/// for another pool at once. Returns no value when no worker can take the task
-/// now.
+/// tasks are spread, but leave some workers without any; finite tasks are
+/// packed, so that idle workers can leave for another pool at once. Returns no
+/// value when no worker can take the task now.
 [[nodiscard]] auto ChooseWorker(const ShardState& state,
                                 UsableWorkers& usable,
                                 const TaskName& name)
--- a/test/fireflythread/jobs/reference_plan.cc
+++ b/test/fireflythread/jobs/reference_plan.cc
@@ -70,6 +70,29 @@
   return capacity;
 }
 
+auto HasLongRunning(const ShardState& state, const ShardWorker& worker)
+    -> bool {
+  return std::any_of(worker.tasks.begin(), worker.tasks.end(),
+                     [&](const TaskName& name) -> bool {
+                       return StepOf(state, name).long_running;
+                     });
+}
+
+/// Returns whether more than an eighth of the workers run no long-running task.
+auto MayTakeWhole(const ShardState& state,
+                  const std::set<WorkerId>& reserved,
+                  TimePoint now) -> bool {
+  int workers = 0;
+  int whole = 0;
+  for (const auto& [id, worker] : state.workers) {
+    if (IsUsable(worker, now) && !reserved.contains(id)) {
+      ++workers;
+      whole += HasLongRunning(state, worker) ? 0 : 1;
+    }
+  }
+  return whole > workers / 8;
+}
+
 auto Choose(const ShardState& state,
             const TaskName& name,
             const std::set<WorkerId>& reserved,
@@ -82,7 +105,9 @@
   }
   const std::string rack = PreferredRack(state, name, step);
   std::optional<WorkerId> best;
-  std::tuple<bool, int, std::int64_t> best_score;
+  std::tuple<bool, int, bool, std::int64_t> best_score;
+  const bool spares_whole =
+      step.long_running && !MayTakeWhole(state, reserved, now);
   for (const auto& [id, worker] : state.workers) {
     const TaskSize free = Minus(worker.view.capacity, worker.used);
     const TaskSize capacity =
@@ -96,9 +121,10 @@
         CountSiblings(worker, name) >= step.max_per_worker) {
       continue;
     }
-    const std::tuple<bool, int, std::int64_t> score = {
+    const std::tuple<bool, int, bool, std::int64_t> score = {
         !rack.empty() && worker.view.rack == rack,
         -std::min(worker.failures_in_row, 1),
+        !spares_whole || HasLongRunning(state, worker),
         step.long_running || rule == CapacityRule::kWithoutFinite
             ? free.millicores
             : -free.millicores,
