Count as many workers as long-running tasks must be spread over

A long-running step with one task a worker was need by its cores only: 24 tasks of 4.8 cores are 4 workers.

The owner publishes one number, the workers that its shard needs whatever its tasks' cores add up to, in place of those for large tasks alone.

--- a/src/fireflythread/duties/pool_load.cc
+++ b/src/fireflythread/duties/pool_load.cc
@@ -17,8 +17,8 @@
               {"late_waiting_millicores", load.late_waiting_millicores},
               {"late_millicores", load.late_millicores},
               {"arriving_millicores", load.arriving_millicores},
-              {"whole_workers", load.whole_workers},
-              {"late_whole_workers", load.late_whole_workers},
+              {"min_workers", load.min_workers},
+              {"min_workers_with_late_work", load.min_workers_with_late_work},
               {"workers", std::move(workers)}}
       .dump();
 }
@@ -33,8 +33,9 @@
     // Older versions don't write these.
     load.late_waiting_millicores =
         json.value("late_waiting_millicores", std::int64_t{0});
-    load.whole_workers = json.value("whole_workers", 0);
-    load.late_whole_workers = json.value("late_whole_workers", 0);
+    load.min_workers = json.value("min_workers", 0);
+    load.min_workers_with_late_work =
+        json.value("min_workers_with_late_work", 0);
     load.late_millicores = json.at("late_millicores").get<std::int64_t>();
     load.arriving_millicores =
         json.at("arriving_millicores").get<std::int64_t>();
@@ -60,8 +61,8 @@
     sum.late_waiting_millicores += part.late_waiting_millicores;
     sum.late_millicores += part.late_millicores;
     sum.arriving_millicores += part.arriving_millicores;
-    sum.whole_workers += part.whole_workers;
-    sum.late_whole_workers += part.late_whole_workers;
+    sum.min_workers += part.min_workers;
+    sum.min_workers_with_late_work += part.min_workers_with_late_work;
     sum.workers.insert(part.workers.begin(), part.workers.end());
   }
   return sum;
--- a/src/fireflythread/duties/pool_load.h
+++ b/src/fireflythread/duties/pool_load.h
@@ -36,10 +36,10 @@
   /// Capacity that the recent rate of accepted jobs needs. `waiting_millicores`
   /// leaves out jobs that are already late, so it understates a load peak.
   std::int64_t arriving_millicores = 0;
-  /// Workers without long-running tasks that finite tasks need which fit beside
-  /// none, and those that waiting tasks of late jobs need on top.
-  int whole_workers = 0;
-  int late_whole_workers = 0;
+  /// Number of workers that are needed whatever the tasks' cores add up to,
+  /// without and with waiting tasks of late jobs.
+  int min_workers = 0;
+  int min_workers_with_late_work = 0;
   std::map<WorkerId, WorkerLoad> workers;
 
   auto operator==(const PoolLoad&) const -> bool = default;
--- a/src/fireflythread/duties/pool_need.cc
+++ b/src/fireflythread/duties/pool_need.cc
@@ -16,8 +16,7 @@
   int in_time = 0;
   int with_late_work = 0;
   int long_running_workers = 0;
-  /// Workers with long-running tasks and those that tasks need which fit beside
-  /// none.
+  /// Workers that are needed whatever the cores add up to.
   int kept = 0;
   int kept_with_late_work = 0;
 };
@@ -44,8 +43,10 @@
   need.in_time = WorkersFor(in_time, worker_millicores);
   need.with_late_work =
       std::max(WorkersFor(all, worker_millicores), need.in_time);
-  need.kept = need.long_running_workers + load.whole_workers;
-  need.kept_with_late_work = need.kept + load.late_whole_workers;
+  // Owners of older versions publish no minimum.
+  need.kept = std::max(need.long_running_workers, load.min_workers);
+  need.kept_with_late_work =
+      std::max(need.kept, load.min_workers_with_late_work);
   return need;
 }
 
@@ -53,7 +54,8 @@
     -> PartNeed {
   const LoadNeed need = MeasureLoadNeed(load, worker_millicores);
   return {std::max(need.in_time, need.kept),
-          std::max(need.with_late_work, need.kept_with_late_work)};
+          std::max(need.with_late_work, need.kept_with_late_work), need.kept,
+          need.kept_with_late_work};
 }
 
 /// Returns the needs of a pool's parts; none while the pool's number of parts
--- a/src/fireflythread/duties/pool_need.h
+++ b/src/fireflythread/duties/pool_need.h
@@ -14,6 +14,9 @@
 struct PartNeed {
   int needed = 0;
   int needed_with_late_work = 0;
+  /// Workers that are needed whatever the cores add up to.
+  int min_workers = 0;
+  int min_workers_with_late_work = 0;
 };
 
 /// The number of workers that a pool needs for its current load.
--- a/src/fireflythread/jobs/min_workers.cc
+++ b/src/fireflythread/jobs/min_workers.cc
@@ -1,4 +1,4 @@
-#include "fireflythread/jobs/whole_workers.h"
+#include "fireflythread/jobs/min_workers.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -14,12 +14,13 @@
 /// share a worker.
 constexpr std::int64_t kPartsOfWorker = 1000;
 
-/// What workers have for finite tasks.
+/// What the workers that stay have once their finite tasks have ended.
 struct Room {
   /// The largest worker.
   TaskSize whole;
   /// What each worker with long-running tasks has beside them.
   std::vector<TaskSize> beside;
+  int workers = 0;
 };
 
 auto IsStaying(const ShardWorker& worker) -> bool {
@@ -36,6 +37,7 @@
     if (Fits(room.whole, worker.view.capacity)) {
       room.whole = worker.view.capacity;
     }
+    room.workers += IsStaying(worker) ? 1 : 0;
     if (worker.long_running_tasks > 0 && IsStaying(worker)) {
       room.beside.push_back(
           Minus(worker.view.capacity, worker.long_running_used));
@@ -86,20 +88,65 @@
       }));
 }
 
+/// Returns how many tasks of a long-running step find no worker that stays,
+/// also once all finite tasks have ended.
+auto CountHomeless(const ShardState& state, const ReadyStep& ready) -> int {
+  const JobStep& step = SpecOf(ready);
+  const TaskSize need = RequiredCapacity(step);
+  int homeless = TallyOf(*ready.job, ready.occurrence, ready.step).waiting;
+  for (const auto& [id, worker] : state.workers) {
+    TaskSize room = Minus(worker.view.capacity, worker.long_running_used);
+    const TaskName first{ready.job->request.id, ready.occurrence, ready.step,
+                         0};
+    int places = step.max_per_worker > 0
+                     ? step.max_per_worker - CountSiblings(worker, first)
+                     : homeless;
+    while (IsStaying(worker) && places > 0 && homeless > 0 &&
+           Fits(need, room)) {
+      room = Minus(room, need);
+      --places;
+      --homeless;
+    }
+  }
+  return homeless;
+}
+
+/// Returns how many further workers a long-running step needs.
+auto CountLackingFor(const ShardState& state,
+                     const Room& room,
+                     const ReadyStep& ready) -> int {
+  const JobStep& step = SpecOf(ready);
+  const TaskSize need = RequiredCapacity(step);
+  if (!Fits(need, room.whole)) {
+    return 0;
+  }
+  std::int64_t on_each = TasksOnWhole(room, need);
+  if (step.max_per_worker > 0) {
+    on_each = std::min<std::int64_t>(on_each, step.max_per_worker);
+  }
+  const int homeless = CountHomeless(state, ready);
+  return static_cast<int>((homeless + on_each - 1) / on_each);
+}
+
 }  // namespace
 
-auto CountWholeWorkers(ShardState& state, WallTime wall_now, TimePoint now)
-    -> WholeWorkers {
+auto CountMinWorkers(ShardState& state, WallTime wall_now, TimePoint now)
+    -> MinWorkers {
   const Room room = MeasureRoom(state);
-  if (room.beside.empty()) {
-    return {};
-  }
   std::int64_t in_time = 0;
   std::int64_t late = 0;
+  int lacking = 0;
   for (const ReadyStep& ready : CollectReadySteps(state, wall_now)) {
+    if (!HasTaskToRun(ready, now)) {
+      continue;
+    }
+    if (!ready.finite) {
+      // Tasks of several steps share the workers that come.
+      lacking = std::max(lacking, CountLackingFor(state, room, ready));
+      continue;
+    }
     const TaskSize need = RequiredCapacity(SpecOf(ready));
-    if (!ready.finite || !NeedsWholeWorker(room, need) ||
-        !HasTaskToRun(ready, now)) {
+    if (room.beside.empty() || !NeedsWholeWorker(room, need)) {
       continue;
     }
     const int waiting =
@@ -108,7 +155,12 @@
         waiting * kPartsOfWorker / TasksOnWhole(room, need);
     (ready.late ? late : in_time) += parts;
   }
-  return {CountRunning(state, room) + RoundUp(in_time), RoundUp(late)};
+  const auto long_running = static_cast<int>(room.beside.size());
+  const int whole =
+      room.beside.empty() ? 0 : CountRunning(state, room) + RoundUp(in_time);
+  const int spread = lacking > 0 ? room.workers + lacking : 0;
+  return {std::max(long_running + whole, spread),
+          std::max(long_running + whole + RoundUp(late), spread)};
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/min_workers.h
+++ b/src/fireflythread/jobs/min_workers.h
@@ -1,30 +1,27 @@
-#ifndef FIREFLYTHREAD_JOBS_WHOLE_WORKERS_H_
-#define FIREFLYTHREAD_JOBS_WHOLE_WORKERS_H_
+#ifndef FIREFLYTHREAD_JOBS_MIN_WORKERS_H_
+#define FIREFLYTHREAD_JOBS_MIN_WORKERS_H_
 
 #include "fireflythread/base/time.h"
 #include "fireflythread/jobs/shard_state.h"
 
 namespace fireflythread {
 
-/// The number of workers without long-running tasks that finite tasks need. A
-/// task counts if it fits on no worker beside the long-running tasks there, so
-/// that the sum of the free cores says nothing about it. 0 in a shard without
-/// long-running tasks.
-struct WholeWorkers {
-  /// For the tasks of jobs that can still meet their deadlines.
+/// The number of workers that a shard needs whatever its tasks' cores add up
+/// to: those with long-running tasks, those for finite tasks that fit on no
+/// worker beside them, and as many as long-running tasks must be spread over.
+struct MinWorkers {
+  /// For long-running tasks and jobs that can still meet their deadlines.
   int in_time = 0;
-  /// For the waiting tasks of late jobs.
-  int late = 0;
+  /// For the waiting tasks of late jobs too.
+  int with_late_work = 0;
 
-  auto operator==(const WholeWorkers&) const -> bool = default;
+  auto operator==(const MinWorkers&) const -> bool = default;
 };
 
-/// Counts the workers for the tasks that wait, and those on which such tasks
-/// run.
-[[nodiscard]] auto CountWholeWorkers(ShardState& state,
-                                     WallTime wall_now,
-                                     TimePoint now) -> WholeWorkers;
+[[nodiscard]] auto CountMinWorkers(ShardState& state,
+                                   WallTime wall_now,
+                                   TimePoint now) -> MinWorkers;
 
 }  // namespace fireflythread
 
-#endif  // FIREFLYTHREAD_JOBS_WHOLE_WORKERS_H_
+#endif  // FIREFLYTHREAD_JOBS_MIN_WORKERS_H_
--- a/src/fireflythread/jobs/shard_worker.h
+++ b/src/fireflythread/jobs/shard_worker.h
@@ -70,6 +70,11 @@
   TimePoint reported_at;
 };
 
+/// Returns the number of tasks of one step of one occurrence on a worker, that
+/// of `name`.
+[[nodiscard]] auto CountSiblings(const ShardWorker& worker,
+                                 const TaskName& name) -> int;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_JOBS_SHARD_WORKER_H_
--- a/src/fireflythread/jobs/worker_choice.cc
+++ b/src/fireflythread/jobs/worker_choice.cc
@@ -13,19 +13,6 @@
                                     label) != view.labels.end();
 }
 
-/// Returns the number of tasks of the same step and occurrence on a worker.
-auto CountSiblings(const ShardWorker& worker, const TaskName& name) -> int {
-  const TaskName first{name.job, name.occurrence, name.step, 0};
-  int count = 0;
-  for (auto next = worker.tasks.lower_bound(first);
-       next != worker.tasks.end() && next->job == name.job &&
-       next->occurrence == name.occurrence && next->step == name.step;
-       ++next) {
-    ++count;
-  }
-  return count;
-}
-
 /// Returns the rack where other tasks of the step run, that of the first worker
 /// by id; empty when there is none or the step may be spread.
 auto PreferredRack(const ShardState& state,
--- a/test/fireflythread/jobs/reference_plan.cc
+++ b/test/fireflythread/jobs/reference_plan.cc
@@ -20,7 +20,7 @@
 }
 
 /// Returns the number of tasks of the same step and occurrence on a worker.
-auto CountSiblings(const ShardWorker& worker, const TaskName& name) -> int {
+auto CountTasksOfStep(const ShardWorker& worker, const TaskName& name) -> int {
   const TaskName first{name.job, name.occurrence, name.step, 0};
   int count = 0;
   for (auto next = worker.tasks.lower_bound(first);
@@ -50,7 +50,7 @@
     return "";
   }
   for (const auto& [id, worker] : state.workers) {
-    if (CountSiblings(worker, name) > 0) {
+    if (CountTasksOfStep(worker, name) > 0) {
       return worker.view.rack;
     }
   }
@@ -118,7 +118,7 @@
       continue;
     }
     if (step.max_per_worker > 0 &&
-        CountSiblings(worker, name) >= step.max_per_worker) {
+        CountTasksOfStep(worker, name) >= step.max_per_worker) {
       continue;
     }
     const std::tuple<bool, int, bool, std::int64_t> score = {
