Bring VMs to the parts of a pool that lack them

What a pool got was decided by its need as a whole.

Each part's need is now compared with its own VMs. A part that lacks workers whatever its cores add up to gets VMs from the spare pool, as many as the pool has parts for each, since a VM that joins belongs to any of them. For late work that can't run at all otherwise, other pools lend idle VMs that they don't need, and idle VMs of other parts go through the spare pool to become those of any part.

--- a/src/fireflythread/duties/pool_moves.cc
+++ b/src/fireflythread/duties/pool_moves.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <utility>
 #include <vector>
@@ -94,6 +95,7 @@
   PoolSupply& supply = supplies[machine.pool];
   --supply.vms;
   ++supplies[target].vms;
+  supply.returning += target == state.spare_pool ? 1 : 0;
   if (!machine.worker.empty()) {
     --PartSupplyOf(supply, machine);
   }
@@ -172,11 +174,16 @@
   return supply.vms - upkeeps - keep;
 }
 
+/// Which VMs a pool may borrow: all that others can lend, for work in time, or
+/// only those that run nothing and that no work needs, for late work.
+enum class Lending : std::uint8_t { kAll, kIdle };
+
 /// Starts moves of up to `count` VMs from all pools that can lend some, those
 /// with the lowest usage first.
 auto Borrow(DutyState& state,
             PoolSupplies& supplies,
             const ServiceName& target,
+            Lending lending,
             int count,
             TimePoint now) -> void {
   std::vector<MovableMachine> movable;
@@ -185,6 +192,10 @@
     lendable[donor] = donor == target
                           ? 0
                           : CountLendable(state, supplies[donor], donor, need);
+    if (lending == Lending::kIdle) {
+      lendable[donor] = std::min(
+          lendable[donor], supplies[donor].vms - need.needed_with_late_work);
+    }
     if (lendable[donor] > 0) {
       const auto some = MovableMachines(state, donor, now);
       movable.insert(movable.end(), some.begin(), some.end());
@@ -194,7 +205,9 @@
   for (const MovableMachine& candidate : movable) {
     int& left = lendable[candidate.machine->pool];
     const ServiceName& donor = candidate.machine->pool;
-    if (count > 0 && left > 0 &&
+    const bool may_go =
+        lending == Lending::kAll || candidate.used_millicores == 0;
+    if (count > 0 && left > 0 && may_go &&
         CanPartSpare(state, supplies[donor], *candidate.machine, target)) {
       BeginMove(state, supplies, *candidate.machine, target, now);
       --left;
@@ -203,30 +216,76 @@
   }
 }
 
+/// What the parts of a pool lack in sum, although the pool as a whole may have
+/// enough.
+struct PartLack {
+  /// Workers that are needed in time whatever the cores add up to.
+  int in_time = 0;
+  int with_late_work = 0;
+  /// Workers without which no task of some late jobs can run.
+  int blocked_late_work = 0;
+};
+
+auto MeasurePartLack(const PoolNeed& need, const PoolSupply& supply)
+    -> PartLack {
+  PartLack lack;
+  const std::size_t parts =
+      std::min(need.part_needs.size(), supply.parts.size());
+  for (std::size_t index = 0; index < parts; ++index) {
+    const PartNeed& part = need.part_needs[index];
+    const int vms = supply.parts[index];
+    lack.in_time += std::max(0, part.min_workers - vms);
+    lack.with_late_work += std::max(0, part.needed_with_late_work - vms);
+    lack.blocked_late_work +=
+        std::max(0, part.min_workers_with_late_work - vms);
+  }
+  return lack;
+}
+
+/// Returns how many VMs to bring for parts that lack some. A VM that joins a
+/// pool belongs to any of its parts, so as many as there are parts bring one to
+/// each on average.
+auto CountToBring(int lack, const PoolSupply& supply) -> int {
+  const auto parts = static_cast<int>(supply.parts.size());
+  return lack * parts - CountArriving(supply);
+}
+
 /// Starts moves to the pools that lack VMs for work that can be in time.
 auto ServeWorkInTime(DutyState& state, PoolSupplies& supplies, TimePoint now)
     -> void {
   for (const auto& [pool, need] : state.needs) {
-    int lacking = need.needed - supplies[pool].vms;
-    if (lacking <= 0) {
+    const PoolSupply& supply = supplies[pool];
+    const int for_parts =
+        CountToBring(MeasurePartLack(need, supply).in_time, supply);
+    int lacking = need.needed - supply.vms;
+    if (std::max(lacking, for_parts) <= 0) {
       continue;
     }
-    lacking -= MoveUpTo(state, supplies, state.spare_pool, pool, lacking, now);
+    lacking -= MoveUpTo(state, supplies, state.spare_pool, pool,
+                        std::max(lacking, for_parts), now);
     if (lacking > 0) {
-      Borrow(state, supplies, pool, lacking, now);
+      Borrow(state, supplies, pool, Lending::kAll, lacking, now);
     }
   }
 }
 
 /// Starts moves to the pools that lack VMs for late work, of VMs that no pool
-/// needs.
+/// needs. Only work that can't run at all otherwise gets VMs of other pools.
 auto ServeLateWork(DutyState& state, PoolSupplies& supplies, TimePoint now)
     -> void {
   for (const auto& [pool, need] : state.needs) {
-    const int lacking = need.needed_with_late_work - supplies[pool].vms;
-    if (lacking > 0) {
-      MoveUpTo(state, supplies, state.spare_pool, pool, lacking, now);
+    const PoolSupply& supply = supplies[pool];
+    const PartLack lack = MeasurePartLack(need, supply);
+    const int lacking =
+        std::max({need.needed_with_late_work - supply.vms,
+                  lack.with_late_work - CountArriving(supply),
+                  CountToBring(lack.blocked_late_work, supply)});
+    if (lacking <= 0) {
+      continue;
     }
+    MoveUpTo(state, supplies, state.spare_pool, pool, lacking, now);
+    const int blocked = lack.blocked_late_work - CountArriving(supply);
+    Borrow(state, supplies, pool, Lending::kIdle, blocked, now);
   }
 }
 
@@ -243,6 +302,30 @@
   }
 }
 
+/// Sends idle VMs of parts that need fewer to the spare pool while other parts
+/// of the same pool lack some: when they come back, each belongs to any of the
+/// parts.
+auto ReturnMisplaced(DutyState& state, PoolSupplies& supplies, TimePoint now)
+    -> void {
+  for (const auto& [pool, need] : state.needs) {
+    PoolSupply& supply = supplies[pool];
+    const PartLack lack = MeasurePartLack(need, supply);
+    int count = std::max(lack.with_late_work - CountArriving(supply),
+                         CountToBring(lack.blocked_late_work, supply)) -
+                supply.returning;
+    if (count <= 0) {
+      continue;
+    }
+    for (const MovableMachine& candidate : MovableMachines(state, pool, now)) {
+      if (count > 0 && candidate.used_millicores == 0 &&
+          CanPartSpare(state, supply, *candidate.machine, state.spare_pool)) {
+        BeginMove(state, supplies, *candidate.machine, state.spare_pool, now);
+        --count;
+      }
+    }
+  }
+}
+
 auto UpdateNeeds(DutyState& state, PoolSupplies& supplies, TimePoint now)
     -> void {
   const std::int64_t largest = LargestWorker(state);
@@ -274,6 +357,7 @@
   ServeWorkInTime(state, supplies, now);
   ServeLateWork(state, supplies, now);
   ReleaseSurplus(state, supplies, now);
+  ReturnMisplaced(state, supplies, now);
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/duties/pool_supply.cc
+++ b/src/fireflythread/duties/pool_supply.cc
@@ -1,6 +1,8 @@
 #include "fireflythread/duties/pool_supply.h"
 
+#include <algorithm>
 #include <cstddef>
+#include <numeric>
 
 #include "fireflythread/jobs/pool_part.h"
 
@@ -17,6 +19,12 @@
       .parts[static_cast<std::size_t>(PartOfWorker(machine.worker, count))];
 }
 
+auto CountArriving(const PoolSupply& supply) -> int {
+  const int settled =
+      std::accumulate(supply.parts.begin(), supply.parts.end(), 0);
+  return std::max(0, supply.vms - supply.upkeeps - settled);
+}
+
 auto CountSupplies(const DutyState& state) -> PoolSupplies {
   PoolSupplies supplies;
   for (const auto& [vm, machine] : state.machines) {
@@ -30,6 +38,9 @@
   }
   for (const auto& [vm, duty] : state.duties) {
     const auto machine = state.machines.find(vm);
+    if (!duty.wave && duty.target == state.spare_pool) {
+      ++supplies[duty.from].returning;
+    }
     if (duty.wave) {
       ++supplies[duty.from].upkeeps;
     } else if (machine != state.machines.end()) {
--- a/src/fireflythread/duties/pool_supply.h
+++ b/src/fireflythread/duties/pool_supply.h
@@ -17,12 +17,18 @@
   int vms = 0;
   /// VMs in upkeep, or drained for it.
   int upkeeps = 0;
+  /// VMs that leave for the spare pool.
+  int returning = 0;
   /// VMs of each part, by its index: those with a worker that stays.
   std::vector<int> parts;
 };
 
 using PoolSupplies = std::map<ServiceName, PoolSupply>;
 
+/// Returns the number of VMs that are on their way to a pool. Which part each
+/// one will belong to is not known before its worker is.
+[[nodiscard]] auto CountArriving(const PoolSupply& supply) -> int;
+
 /// Counts the VMs of all pools at once, as the list of VMs is long.
 [[nodiscard]] auto CountSupplies(const DutyState& state) -> PoolSupplies;
 
