--- a/src/fireflythread/duties/pool_need.cc
+++ b/src/fireflythread/duties/pool_need.cc
@@ -53,9 +53,9 @@
 auto MeasurePartNeed(const PoolLoad& load, std::int64_t worker_millicores)
     -> PartNeed {
   const LoadNeed need = MeasureLoadNeed(load, worker_millicores);
-  return {std::max(need.in_time, need.kept),
-          std::max(need.with_late_work, need.kept_with_late_work), need.kept,
-          need.kept_with_late_work};
+  return {std::max(need.in_time, load.min_workers),
+          std::max(need.with_late_work, load.min_workers_with_late_work),
+          load.min_workers, load.min_workers_with_late_work};
 }
 
 /// Returns the needs of a pool's parts; none while the pool's number of parts
--- a/src/fireflythread/duties/pool_need.h
+++ b/src/fireflythread/duties/pool_need.h
@@ -10,7 +10,8 @@
 
 namespace fireflythread {
 
-/// The number of workers that a part of a pool needs for itself.
+/// The number of workers that a part of a pool needs for itself, of those that
+/// are not to leave.
 struct PartNeed {
   int needed = 0;
   int needed_with_late_work = 0;
--- a/src/fireflythread/jobs/min_workers.h
+++ b/src/fireflythread/jobs/min_workers.h
@@ -6,9 +6,10 @@
 
 namespace fireflythread {
 
-/// The number of workers that a shard needs whatever its tasks' cores add up
-/// to: those with long-running tasks, those for finite tasks that fit on no
-/// worker beside them, and as many as long-running tasks must be spread over.
+/// The number of workers that a shard needs, of those that are not to leave,
+/// whatever its tasks' cores add up to: those with long-running tasks, those
+/// for finite tasks that fit on no worker beside them, and as many as
+/// long-running tasks must be spread over.
 struct MinWorkers {
   /// For long-running tasks and jobs that can still meet their deadlines.
   int in_time = 0;
--- a/test/fireflythread/duties/late_work_moves_test.cc
+++ b/test/fireflythread/duties/late_work_moves_test.cc
@@ -126,6 +126,30 @@
   CHECK(CountMoves(fixture, "spare", "a") == 2);
 }
 
+TEST_CASE("VMs in upkeep are no lack of their part", "[duties]") {
+  // Guards against a wave that brings a VM for each one that it maintains.
+  PartsFixture fixture;
+  PoolLoad load;
+  load.pool = kPool;
+  load.min_workers = fixture.sizes[0] - 1;
+  load.min_workers_with_late_work = fixture.sizes[0] - 1;
+  for (int number = 0; number < 24; ++number) {
+    const WorkerId worker("w-a" + std::to_string(number));
+    if (PartOfWorker(worker, 2) == 0) {
+      load.workers[worker] = {1000, 1};
+    }
+  }
+  fixture.state.shard_loads[ShardOf({kPool, 0, 2})] = load;
+  Duty upkeep;
+  upkeep.worker = load.workers.begin()->first;
+  upkeep.vm = VmId(upkeep.worker.value.substr(2));
+  upkeep.from = kPool;
+  upkeep.wave = 1;
+  fixture.state.duties.emplace(upkeep.vm, upkeep);
+  PlanMoves(fixture.state, fixture.now);
+  CHECK(CountMoves(fixture, "spare", "a") == 0);
+}
+
 TEST_CASE("Idle VMs of other parts change part when no VM is spare",
           "[duties]") {
   // Guards against a part that lacks workers while other parts of its pool keep
