--- a/src/fireflythread/entry/duty_monitor.cc
+++ b/src/fireflythread/entry/duty_monitor.cc
@@ -14,13 +14,15 @@
 
 constexpr std::chrono::seconds kReportPeriod{1};
 
-auto FormatNeeds(const std::vector<PartNeed>& parts) -> std::string {
-  std::vector<int> needs;
-  needs.reserve(parts.size());
+/// Returns one number of each part, in their order: "12,14,9".
+auto FormatParts(const std::vector<PartNeed>& parts, int PartNeed::*number)
+    -> std::string {
+  std::vector<int> numbers;
+  numbers.reserve(parts.size());
   for (const PartNeed& part : parts) {
-    needs.push_back(part.needed_with_late_work);
+    numbers.push_back(part.*number);
   }
-  return fmt::format("{}", fmt::join(needs, ","));
+  return fmt::format("{}", fmt::join(numbers, ","));
 }
 
 }  // namespace
@@ -45,7 +47,10 @@
          {"needed_with_late_work", need.needed_with_late_work},
          {"with_long_running", need.long_running_workers},
          {"vms_of_parts", fmt::format("{}", fmt::join(supply.parts, ","))},
-         {"needed_by_parts", FormatNeeds(need.part_needs)},
+         {"needed_by_parts",
+          FormatParts(need.part_needs, &PartNeed::needed_with_late_work)},
+         {"lacking_by_parts",
+          FormatParts(need.part_needs, &PartNeed::lacking_with_late_work)},
          {"spare_vms", spare.vms}});
   }
 }
--- a/src/fireflythread/jobs/worker_choice.cc
+++ b/src/fireflythread/jobs/worker_choice.cc
@@ -39,7 +39,8 @@
 
 /// One worker in this many stays without long-running tasks while others have
 /// room for them: what runs for ever would else take each of them in time, and
-/// a task that needs a whole worker would find none.
+/// a task that needs a whole worker would find none. Fewer workers than this
+/// all take long-running tasks.
 constexpr int kWholeDivisor = 8;
 
 /// Returns whether a long-running task leaves enough workers without such tasks
