--- a/review/fleet_standin.py
+++ b/review/fleet_standin.py
@@ -243,6 +243,7 @@
                      "now_ms": self.now_ms()}
 
     async def _feed(self, request):
+        await asyncio.sleep(0.002)
         query = request.query
         after = int(query["after"])
         end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
@@ -250,7 +251,6 @@
             rows = self._changes_of(query["table"], after)
             left = end - time.monotonic()
             if rows or left <= 0:
-                await asyncio.sleep(0.002)
                 return 200, {"rows": rows, "ver": self.version, "now_ms": self.now_ms()}
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
