--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,6 +1,7 @@
-"""A client's large job: 1,990 tasks that checkpoint, and one short task beside
-them. Then small jobs come for the same queue."""
+"""The operator replaces a route by one of another name at the same host and
+path, which leads to another service. A client's request arrives again."""
 import asyncio
+import json
 import os
 import sys
 
@@ -9,61 +10,70 @@
 import fleet_standin as standin  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LARGE_WORK_S = 70
-FINISH_S = standin.BOUNDS["finish_s"]
+
+
+def write_config(site, version, route, service):
+    config = {"version": version, "routes": [
+        {"name": route, "host": site.host, "path_prefix": site.prefix, "service": service,
+         "priority": 0, "max_attempts": 4, "stretch": 3.0, "latency_slo_ms": 600}],
+        "services": [{"name": name, "rejects_overload": False} for name in ("desk", "yard")],
+        "limits": {}}
+    site.store.put("op", "", "config", json.dumps(config))
+    site.record.line(f"operator: version {version}, route {route} at {site.host}{site.prefix} "
+                     f"leads to {service}")
+
+
+class Site(standin.Site):
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        for worker in self.workers[len(self.workers) // 2:]:
+            worker.service = "yard"
+
+    def write_config(self, attempts=4):
+        write_config(self, 7, "quote", "desk")
+
+
+standin.Site = Site
 
 
 async def play(site):
-    first = await site.post(site.entries[0], [{"count": 1, "cpu": 50, "estimate_ms": 500}],
-                            "work_s=0.5 cpu=50")
-    await asyncio.sleep(3)
-    if (await site.state(site.entries[0], first))[1] != "completed":
-        raise standin.NotRun("the first job wasn't completed")
-    # 1,990 tasks of 0.05 cores are 100 of the pool's 288 cores.
-    wide = {"count": 1990, "cpu": 50, "estimate_ms": 70000}
+    twice = []
+
+    def watch(worker, run, body):
+        for _, other, known, _ in site.starts:
+            if known is run or known.task != run.task:
+                continue
+            if other.running.get(known.task) is known:
+                twice.append(f"{run.task} starts on {worker.id} ({worker.service}) while it runs "
+                             f"on {other.id} ({other.service})")
+            elif (known.task, known.run, "done") in site.acknowledged:
+                twice.append(f"{run.task} starts on {worker.id} ({worker.service}) after its end "
+                             f"`done` on {other.id} ({other.service}) was taken note of")
+
+    site.watchers.append(watch)
+    steps = [{"count": 2, "cpu": 500, "estimate_ms": 500},
+             {"count": 1, "cpu": 500, "estimate_ms": 6000, "after": [0]}]
+    spec = "work_s=0.5 work_s.1=9 cpu=500"
+    job = await site.post(site.entries[0], steps, spec)
+    await asyncio.sleep(2)
     if TROUBLE:
-        wide["checkpointing"] = True
-    spec = (f"work_s={LARGE_WORK_S} work_s.1=5 cpu=50 "
-            f"checkpoints={'1' if TROUBLE else '0'}")
-    large = await site.post(site.entries[1], [wide, {"count": 1, "cpu": 50,
-                                                     "estimate_ms": 5000}], spec)
-    await asyncio.sleep(9)
-    begun = sum(1 for start in site.starts if start[2].task.startswith(large))
-    site.record.line(f"{begun} tasks of the large job have begun")
-    if begun < 1991:
-        raise standin.NotRun("the large job hasn't begun")
-    small = []
-    for number in range(6):
-        small.append(await site.post(site.entries[number % 3],
-                                     [{"count": 1, "cpu": 50, "estimate_ms": 500}],
-                                     "work_s=0.5 cpu=50"))
-        await asyncio.sleep(0.3)
-    # `finish_s` after the end of the traffic, jobs are asked for.
-    await asyncio.sleep(FINISH_S)
-    used = sum(worker.used() for worker in site.workers)
-    room = sum(worker.cpu for worker in site.workers)
-    site.record.line(f"{used} of {room} thousandths of a core are in use")
-    idle = []
-    for job in small:
-        state = (await site.state(site.entries[0], job))[1]
-        begun = any(start[2].task.startswith(job) for start in site.starts)
-        if not begun and state != "completed":
-            idle.append(job)
-    if idle and used * 2 < room:
-        return (f"LOST: {len(idle)} of {len(small)} accepted jobs have had nothing running "
-                f"for over {FINISH_S} s, with {used} of {room} in use; store refused "
-                f"{sum(site.store.refused.values())} transactions")
-    return None
+        write_config(site, 9, "quote-2", "yard")
+    # Longer than `config_apply_ms`.
+    await asyncio.sleep(3)
+    status, _ = await site.entries[1].call("POST", site.prefix + job,
+                                           {"spec": spec, "steps": steps})
+    site.record.line(f"client POST {job} again at {site.entries[1].name}: {status}")
+    await asyncio.sleep(6)
+    await site.state(site.entries[2], job)
+    return f"TWICE: {len(twice)} starts; {'; '.join(twice)}" if twice else None
 
 
 class Run(standin.Run):
     def __init__(self, worker, body):
         super().__init__(worker, body)
         step = self.task.split(".")[2]
-        if f"work_s.{step}" in self.spec:
-            self.work_s = float(self.spec[f"work_s.{step}"])
-            self.checkpoints = False
+        self.work_s = float(self.spec.get(f"work_s.{step}", self.work_s))
 
 
 standin.Run = Run
-standin.run_case(FOLDER, play, entries=3, workers=9)
+standin.run_case(FOLDER, play, entries=3, workers=8)
