--- a/review/fleet_standin.py
+++ b/review/fleet_standin.py
@@ -28,6 +28,8 @@
     "upkeep_s": 2, "lease_ms": 3000, "notice_ms": 4500,
 }
 HEARTBEAT_S = 1.5
+# A worker's entry is removed after three heartbeat intervals of silence.
+LAPSE_S = 3 * HEARTBEAT_S
 ROW_BYTES = 65536
 MAX_ENTRIES = 100
 MAX_CALL_BYTES = 1_000_000
@@ -287,10 +289,8 @@
         self.cpu = int(spec.get("cpu", 0))
         self.lasts = spec.get("lasts") == "1"
         self.checkpoints = spec.get("checkpoints") == "1"
-        self.gang = int(spec.get("gang", 0))
         self.checkpoint = body.get("checkpoint", "")
         self.began = worker.site.record.now()
-        self.at_work_since = None if self.gang else self.began
         self.saved = 0
 
 
@@ -309,6 +309,7 @@
         self.up = False
         # A worker that the store doesn't reach, and the other way round.
         self.cut_from_store = False
+        self.beat_at = 0.0
         self.seq = 0
         self.tasks = []
         self._forget()
@@ -377,15 +378,11 @@
                 for run in list(self.running.values()):
                     self.end(run, "lapsed")
             for run in list(self.running.values()):
-                if run.gang:
-                    self.site.follow_gang(self, run, now)
-                if run.at_work_since is None or run.task not in self.running:
-                    continue
-                worked = now - run.at_work_since
+                worked = now - run.began
                 if run.checkpoints and int(worked / BOUNDS["checkpoint_s"]) > run.saved:
                     run.saved = int(worked / BOUNDS["checkpoint_s"])
                     run.checkpoint = "%08x%08x" % (int(worked * 1000), random.getrandbits(32))
-                if not run.lasts and worked >= run.work_s and not run.gang:
+                if not run.lasts and worked >= run.work_s:
                     self.end(run, "done")
 
     async def handle(self, request):
@@ -455,7 +452,7 @@
         last_seen = body.get("last_seen", 0)
         for row in self.ended:
             if row[0] <= last_seen:
-                self.site.note_acknowledged(row)
+                self.site.note_acknowledged(self, row, last_seen)
         self.ended = [row for row in self.ended if row[0] > last_seen]
         wait = min(body.get("wait_ms", 0), 2000) / 1000
         if wait and not self.ended:
@@ -596,7 +593,6 @@
         self.starts = []      # (time, worker id, task, run, worker used, worker cpu)
         self.ends = []        # (time, worker id, task, run, how)
         self.acknowledged = set()  # (task, run, how)
-        self.gangs = {}       # (job.occurrence.step, run) -> {task: (worker, run, checkpoint)}
         self.watchers = []
 
     # What workers see.
@@ -606,9 +602,6 @@
         self.record.line(
             f"{worker.id} starts {run.task} run {run.run} fence {body['fencing_token']}"
             f" checkpoint '{body.get('checkpoint', '')}', {worker.used()} of {worker.cpu} in use")
-        if run.gang:
-            key = (run.task.rsplit(".", 1)[0], run.run)
-            self.gangs.setdefault(key, {})[run.task] = (worker, run, body.get("checkpoint", ""))
         for watcher in self.watchers:
             watcher(worker, run, body)
 
@@ -616,11 +609,21 @@
         self.ends.append((self.record.now(), worker, run, how))
         self.record.line(f"{worker.id} ends {run.task} run {run.run}: {how}")
 
-    def note_acknowledged(self, row):
-        self.acknowledged.add((row[1], row[2], row[3]))
+    def note_acknowledged(self, worker, row, last_seen):
+        lapsed = worker.clock() > worker.deadline_ms
+        self.record.line(f"{worker.id} forgets end {row[0]} ({row[1]} run {row[2]}: {row[3]}) by "
+                         f"last_seen {last_seen}{', after its lease has lapsed' if lapsed else ''}")
+        if not lapsed:
+            self.acknowledged.add((row[1], row[2], row[3]))
 
-    def follow_gang(self, worker, run, now):
-        """Overridden by cases with gangs."""
+    async def _remove_silent(self):
+        while True:
+            await asyncio.sleep(0.1)
+            for worker in self.workers:
+                silent = time.monotonic() - worker.beat_at > LAPSE_S
+                if silent and self.store.get("servers", "", worker.id):
+                    self.store.drop("servers", "", worker.id)
+                    self.record.line(f"the entry of {worker.id} is removed")
 
     # What the operator and clients do.
 
@@ -662,6 +665,8 @@
         await self.cloud.http.start()
         for worker in self.workers:
             await worker.start()
+        await asyncio.sleep(0.1)
+        self.silence_watch = asyncio.ensure_future(self._remove_silent())
         self.write_config()
         for entry in self.entries:
             await entry.start()
@@ -692,6 +697,9 @@
     async def main():
         nonlocal site
         site = Site(case_folder, **site_options)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await asyncio.wait_for(site.start(), 45)
             return await asyncio.wait_for(play(site), limit_s - site.record.now())
@@ -700,7 +708,8 @@
 
     try:
         fault = asyncio.new_event_loop().run_until_complete(main())
-    except Exception as error:  # An error of the stand-ins is no broken rule.
+    except (Exception, asyncio.CancelledError) as error:
+        # An error of the stand-ins is no broken rule.
         print("could not run:", repr(error))
         if site:
             site.record.line(f"could not run: {error!r}")
