Decode organisations, their keys, weights and caps from the configuration

The configuration of two deployments lists organisations, which the program ignored. This adds the types, the decoding and the organisation in a job's row; nothing uses them yet.

--- a/src/fireflythread/base/ids.h
+++ b/src/fireflythread/base/ids.h
@@ -8,6 +8,7 @@
 using CellName = Id<struct CellTag>;
 using EntryId = Id<struct EntryTag>;
 using JobId = Id<struct JobTag>;
+using OrganisationName = Id<struct OrganisationTag>;
 using PoolName = Id<struct PoolTag>;
 using ProfileName = Id<struct ProfileTag>;
 using QueueId = Id<struct QueueIdTag>;
--- a/src/fireflythread/jobs/configuration.h
+++ b/src/fireflythread/jobs/configuration.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/jobs/organisation.h"
 #include "fireflythread/jobs/queue.h"
 
 namespace fireflythread {
@@ -24,6 +25,12 @@
   std::uint64_t version = 0;
   std::vector<Queue> queues;
   std::vector<PoolService> services;
+  /// Callers of queues that are not public must send an organisation's key. In
+  /// a configuration without organisations no keys are checked.
+  bool requires_keys = false;
+  std::vector<Organisation> organisations;
+  /// Entries of the list of organisations that could not be read.
+  int unreadable_organisations = 0;
 };
 
 /// Returns the queue with this host and the longest matching path prefix, or
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -30,6 +30,7 @@
 struct ShardWorker;
 struct StartCommand;
 struct StopCommand;
+struct Organisation;
 struct OrphanedCancel;
 struct TaskName;
 struct TaskState;
--- a/src/fireflythread/jobs/job_codec.cc
+++ b/src/fireflythread/jobs/job_codec.cc
@@ -175,6 +175,7 @@
             {"first_due_ms", ToMilliseconds(job.first_due)},
             {"interval_ms", job.interval.count()},
             {"accepted_ms", ToMilliseconds(job.accepted_at)}};
+  SetUnless(json, "organisation", job.organisation.value, std::string());
   if (job.terms) {
     json["terms"] = EncodeTerms(*job.terms);
   }
@@ -189,6 +190,8 @@
     job.id = id;
     job.queue = QueueId(json.value("queue_id", std::string()));
     job.queue_name = QueueName(json.at("queue").get<std::string>());
+    job.organisation =
+        OrganisationName(json.value("organisation", std::string()));
     job.spec = json.at("spec").get<std::string>();
     for (const Json& step : json.at("steps")) {
       job.steps.push_back(DecodeStep(step));
--- a/src/fireflythread/jobs/job_request.h
+++ b/src/fireflythread/jobs/job_request.h
@@ -20,6 +20,10 @@
   QueueId queue;
   /// The queue's name when the job was accepted.
   QueueName queue_name;
+  /// Organisation of the caller. Empty for a job of a public queue, of a
+  /// configuration without organisations or of an earlier version of the
+  /// program.
+  OrganisationName organisation;
   /// Opaque input that is passed to every task.
   std::string spec;
   std::vector<JobStep> steps;
--- a/src/fireflythread/jobs/queue.h
+++ b/src/fireflythread/jobs/queue.h
@@ -20,6 +20,8 @@
   /// Only some workers may run the steps of this queue's jobs; a policy service
   /// selects them.
   bool needs_advice = false;
+  /// Callers need no key, and jobs belong to no organisation.
+  bool is_public = false;
 };
 
 /// Returns the identity of a queue, by which its jobs and its rows in the store
--- a/test/fireflythread/jobs/job_codec_test.cc
+++ b/test/fireflythread/jobs/job_codec_test.cc
@@ -11,6 +11,7 @@
   JobRequest job;
   job.id = JobId("0123456789abcdef");
   job.queue = QueueId("orders.example/");
+  job.organisation = OrganisationName("north");
   job.spec = "text \"quoted\"";
   JobStep step;
   step.count = 3;
@@ -34,6 +35,7 @@
   CHECK(decoded->first_due == job.first_due);
   CHECK(decoded->terms == job.terms);
   CHECK(decoded->queue == job.queue);
+  CHECK(decoded->organisation == job.organisation);
 }
 
 TEST_CASE("Members of a step with default values are not in the row",
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -73,6 +73,32 @@
   CHECK(FaultOf(EntryWith("16000", "16000.0")) == "none");
 }
 
+TEST_CASE("A configuration's organisations are decoded", "[platform]") {
+  // Guards against organisations without limits or keys because of one entry
+  // that can't be read, and against keys that nobody asked for.
+  const auto configuration = DecodeConfiguration(
+      R"({"version":7,"routes":[{"name":"a","public":true},{"name":"b"}],)"
+      R"("tenants":[{"name":"north","api_keys":["k1",7,"","k2"],"weight":163,)"
+      R"("cap":{"cpu":5040380,"mem_mb":8485844,"gpu":0}},)"
+      R"({"name":"no cap"},{"api_keys":["k3"]},7,)"
+      R"({"name":"x","weight":-1},{"name":"y","cap":{"cpu":-1}}]})");
+  REQUIRE(configuration.has_value());
+  CHECK(configuration->requires_keys);
+  CHECK(configuration->queues.at(0).is_public);
+  CHECK_FALSE(configuration->queues.at(1).is_public);
+  REQUIRE(configuration->organisations.size() == 2);
+  CHECK(configuration->unreadable_organisations == 4);
+  const Organisation& north = configuration->organisations.at(0);
+  CHECK(north.name == OrganisationName("north"));
+  CHECK(north.api_keys == std::vector<std::string>{"k1", "k2"});
+  CHECK(north.weight == 163.0);
+  CHECK(north.cap == TaskSize{5040380, 8485844, 0});
+  CHECK_FALSE(HasCap(configuration->organisations.at(1)));
+  const auto without = DecodeConfiguration(R"({"version":7})");
+  REQUIRE(without.has_value());
+  CHECK_FALSE(without->requires_keys);
+}
+
 TEST_CASE("A worker's entry with an impossible time is left out",
           "[platform]") {
   for (const char* born : {"9e18", "1e300", "-1", "true", "77.5"}) {
