--- a/src/fireflythread/jobs/configuration.h
+++ b/src/fireflythread/jobs/configuration.h
@@ -28,7 +28,7 @@
   /// Callers of queues that are not public must send an organisation's key. In
   /// a configuration without organisations no keys are checked.
   bool requires_keys = false;
-  std::vector<Organisation> organisations;
+  std::vector<Organisation> organisations = {};
   /// Entries of the list of organisations that could not be read.
   int unreadable_organisations = 0;
 };
