--- a/src/fireflythread/entry/job_request_handler.cc
+++ b/src/fireflythread/entry/job_request_handler.cc
@@ -36,8 +36,20 @@
   std::vector<ShardName> shards;
   std::size_t next = 0;
   JobId job;
+  /// Organisation of the caller; no value where organisations are not checked.
+  std::optional<OrganisationName> caller;
   TimePoint deadline;
   StateCallback callback;
+
+  /// Returns whether the caller may learn of the job that a row belongs to. A
+  /// job without organisation belongs to everybody.
+  [[nodiscard]] auto MayRead(const std::string& row) const -> bool {
+    if (!this->caller) {
+      return true;
+    }
+    const OrganisationName owner = DecodeRowOrganisation(row);
+    return owner.empty() || owner == *this->caller;
+  }
 };
 
 JobRequestHandler::JobRequestHandler(TableStore& table_store, const Logger& log)
@@ -55,6 +67,7 @@
   submission.ended_key = ended_key;
   submission.other_shards = other_shards;
   submission.job = job.id;
+  submission.organisation = job.organisation;
   submission.value = EncodeJobRequest(job);
   submission.deadline = deadline;
   this->submitters.emplace(submission.number, std::move(callback));
@@ -99,6 +112,9 @@
     for (const Submission& submission : split.moved) {
       this->AnswerSubmission(submission, JobRequestOutcome::kMoved);
     }
+    for (const Submission& submission : split.foreign) {
+      this->AnswerSubmission(submission, JobRequestOutcome::kForeign);
+    }
     for (Submission& submission : split.unclear) {
       submission.uncertain = true;
       this->RetrySubmission(std::move(submission));
@@ -141,11 +157,13 @@
 
 auto JobRequestHandler::ReadState(std::vector<ShardName> shards,
                                   const JobId& job,
+                                  const std::optional<OrganisationName>& caller,
                                   TimePoint deadline,
                                   StateCallback callback) -> void {
   auto lookup = std::make_shared<Lookup>();
   lookup->shards = std::move(shards);
   lookup->job = job;
+  lookup->caller = caller;
   lookup->deadline = deadline;
   lookup->callback = std::move(callback);
   this->TryRead(lookup);
@@ -169,6 +187,10 @@
                             this->TryReadJob(lookup);
                             return;
                           }
+                          if (!lookup->MayRead(page->rows.front().value)) {
+                            lookup->callback(JobRequestOutcome::kNoJob);
+                            return;
+                          }
                           const auto state =
                               DecodeJobState(page->rows.front().value);
                           if (state) {
@@ -195,10 +217,14 @@
           return;
         }
         bool found = false;
+        bool readable = true;
         bool cancelled = false;
         for (const Row& row : page->rows) {
           const auto key = ParseJobTableKey(row.key);
-          found = found || (key && !key->is_cancel);
+          if (key && !key->is_cancel) {
+            found = true;
+            readable = lookup->MayRead(row.value);
+          }
           cancelled = cancelled || (key && key->is_cancel);
         }
         // A cancellation without a job row was stored while its job was moved.
@@ -206,6 +232,10 @@
           this->TryReadEnded(lookup);
           return;
         }
+        if (!readable) {
+          lookup->callback(JobRequestOutcome::kNoJob);
+          return;
+        }
         lookup->callback(cancelled ? JobState::kCancelled : JobState::kQueued);
       }));
 }
@@ -226,6 +256,10 @@
                             this->TryNextShard(lookup);
                             return;
                           }
+                          if (!lookup->MayRead(page->rows.front().value)) {
+                            lookup->callback(JobRequestOutcome::kNoJob);
+                            return;
+                          }
                           const auto ended =
                               DecodeEndedJob(page->rows.front().value);
                           if (ended) {
@@ -260,11 +294,13 @@
 
 auto JobRequestHandler::Cancel(std::vector<ShardName> shards,
                                const JobId& job,
+                               const std::optional<OrganisationName>& caller,
                                TimePoint deadline,
                                OutcomeCallback callback) -> void {
   auto lookup = std::make_shared<Lookup>();
   lookup->shards = std::move(shards);
   lookup->job = job;
+  lookup->caller = caller;
   lookup->deadline = deadline;
   // The callback holds only a weak reference, so that the lookup doesn't own
   // itself.
--- a/src/fireflythread/entry/job_request_handler.h
+++ b/src/fireflythread/entry/job_request_handler.h
@@ -34,7 +34,10 @@
   kNoJob,
   /// Nothing was stored or will be stored in this shard: the job's queue is
   /// assigned to another one.
-  kMoved
+  kMoved,
+  /// Nothing was stored or will be stored: another organisation has a job with
+  /// this id.
+  kForeign
 };
 
 /// Handles the callers' requests about jobs by reading and writing the store.
@@ -63,16 +66,20 @@
               OutcomeCallback callback) -> void;
 
   /// Reads a job's state, searching `shards` in their order. A job that has not
-  /// ended takes one or two reads of the store in its shard.
+  /// ended takes one or two reads of the store in its shard. With a caller's
+  /// organisation, a job of another one is not found.
   auto ReadState(std::vector<ShardName> shards,
                  const JobId& job,
+                 const std::optional<OrganisationName>& caller,
                  TimePoint deadline,
                  StateCallback callback) -> void;
 
   /// Stores the cancellation of a job. For a job that has ended, it is accepted
-  /// but not stored, as it would have no effect.
+  /// but not stored, as it would have no effect. With a caller's organisation,
+  /// a job of another one is not found.
   auto Cancel(std::vector<ShardName> shards,
               const JobId& job,
+              const std::optional<OrganisationName>& caller,
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
--- a/src/fireflythread/jobs/ended_batch.h
+++ b/src/fireflythread/jobs/ended_batch.h
@@ -17,6 +17,8 @@
   std::uint64_t version = 0;
   /// Version of the cancellation row; 0 when none is known.
   std::uint64_t cancel_version = 0;
+  /// Organisation of the job; empty for none.
+  OrganisationName organisation = {};
 };
 
 /// The row of an orphaned cancellation: its job has no other row in the job
--- a/src/fireflythread/jobs/ended_jobs.cc
+++ b/src/fireflythread/jobs/ended_jobs.cc
@@ -55,8 +55,9 @@
   const std::string& id = move.job.value;
   transaction.conditions.push_back(
       {std::string(kProgressTable), id, move.version, part});
-  transaction.writes.push_back({std::string(kEndedTable), id,
-                                EncodeEndedJob({move.state, wall_now}), part});
+  transaction.writes.push_back(
+      {std::string(kEndedTable), id,
+       EncodeEndedJob({move.state, wall_now, move.organisation}), part});
   transaction.writes.push_back(
       {std::string(kProgressTable), id, std::nullopt, part});
   transaction.writes.push_back({table, JobKey(move.job), std::nullopt, part});
@@ -176,7 +177,8 @@
       break;
     }
     const FinishedJob& job = state.finished.at(id);
-    batch.moves.push_back({id, job.state, job.version, job.cancel_version});
+    batch.moves.push_back(
+        {id, job.state, job.version, job.cancel_version, job.organisation});
     entries += kEntriesPerMove;
   }
   for (const auto& [id, version] : state.orphaned_cancels) {
--- a/src/fireflythread/jobs/finished_job.h
+++ b/src/fireflythread/jobs/finished_job.h
@@ -16,6 +16,8 @@
   std::uint64_t version = 0;
   /// Version of the cancellation row; 0 while none is known.
   std::uint64_t cancel_version = 0;
+  /// Organisation of the job; empty for none.
+  OrganisationName organisation = {};
 };
 
 /// A finished job whose rows were moved to the table of ended jobs.
--- a/src/fireflythread/jobs/job_codec.cc
+++ b/src/fireflythread/jobs/job_codec.cc
@@ -212,14 +212,16 @@
   }
 }
 
-auto EncodeJobProgress(const JobProgress& progress) -> std::string {
+auto EncodeJobProgress(const JobProgress& progress,
+                       const OrganisationName& organisation) -> std::string {
   Json tasks = Json::array();
   for (const TaskState& task : progress.tasks) {
     tasks.push_back(EncodeTask(task));
   }
-  return Json{{"state", static_cast<int>(progress.state)},
-              {"tasks", std::move(tasks)}}
-      .dump();
+  Json json{{"state", static_cast<int>(progress.state)},
+            {"tasks", std::move(tasks)}};
+  SetUnless(json, "organisation", organisation.value, std::string());
+  return json.dump();
 }
 
 auto DecodeJobProgress(std::string_view text, std::size_t task_count)
@@ -243,9 +245,10 @@
 }
 
 auto EncodeEndedJob(const EndedJob& ended) -> std::string {
-  return Json{{"state", static_cast<int>(ended.state)},
-              {"ended_ms", ToMilliseconds(ended.ended_at)}}
-      .dump();
+  Json json{{"state", static_cast<int>(ended.state)},
+            {"ended_ms", ToMilliseconds(ended.ended_at)}};
+  SetUnless(json, "organisation", ended.organisation.value, std::string());
+  return json.dump();
 }
 
 auto DecodeEndedJob(std::string_view text) -> std::optional<EndedJob> {
@@ -255,8 +258,9 @@
     if (!state || !IsFinal(*state)) {
       return std::nullopt;
     }
-    return EndedJob{*state,
-                    FromMilliseconds(json.at("ended_ms").get<std::int64_t>())};
+    return EndedJob{
+        *state, FromMilliseconds(json.at("ended_ms").get<std::int64_t>()),
+        OrganisationName(json.value("organisation", std::string()))};
   } catch (const Json::exception&) {
     return std::nullopt;
   }
@@ -270,6 +274,16 @@
   }
 }
 
+auto DecodeRowOrganisation(std::string_view text) -> OrganisationName {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) {
+    return {};
+  }
+  const auto found = json.find("organisation");
+  const bool is_text = found != json.end() && found->is_string();
+  return OrganisationName(is_text ? found->get<std::string>() : std::string());
+}
+
 auto JobStateName(JobState state) -> std::string_view {
   return kStateNames.at(static_cast<std::size_t>(state));
 }
--- a/src/fireflythread/jobs/job_codec.h
+++ b/src/fireflythread/jobs/job_codec.h
@@ -24,8 +24,9 @@
     -> std::optional<JobRequest>;
 
 /// Encodes the value of a job's progress row as JSON, with only the persistent
-/// members of each task.
-[[nodiscard]] auto EncodeJobProgress(const JobProgress& progress)
+/// members of each task. The organisation is that of the job, empty for none.
+[[nodiscard]] auto EncodeJobProgress(const JobProgress& progress,
+                                     const OrganisationName& organisation = {})
     -> std::string;
 
 /// Decodes the value of a progress row. Returns no value when the text is
@@ -47,6 +48,11 @@
 [[nodiscard]] auto DecodeJobState(std::string_view text)
     -> std::optional<JobState>;
 
+/// Returns the organisation of the job that a row of any of the job tables
+/// belongs to; empty for none and when the text is unreadable.
+[[nodiscard]] auto DecodeRowOrganisation(std::string_view text)
+    -> OrganisationName;
+
 /// Returns "queued", "running", "completed", "failed" or "cancelled".
 [[nodiscard]] auto JobStateName(JobState state) -> std::string_view;
 
--- a/src/fireflythread/jobs/shard_record.cc
+++ b/src/fireflythread/jobs/shard_record.cc
@@ -118,7 +118,8 @@
   while (!state.dirty.empty() && batch.records.size() < max_jobs) {
     const JobId id = NextDirty(state);
     ShardJob& job = state.jobs.at(id);
-    std::string value = EncodeJobProgress(job.progress);
+    std::string value =
+        EncodeJobProgress(job.progress, job.request.organisation);
     bytes += value.size();
     if (bytes > kMaxBatchBytes && !batch.records.empty()) {
       break;
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -133,7 +133,7 @@
   }
   const ShardJob& ended = job->second;
   state.finished[id] = {ended.progress.state, ended.version,
-                        ended.cancel_version};
+                        ended.cancel_version, ended.request.organisation};
   state.unmoved.insert(id);
   state.jobs.erase(job);
 }
--- a/src/fireflythread/jobs/submission_queue.cc
+++ b/src/fireflythread/jobs/submission_queue.cc
@@ -3,9 +3,11 @@
 #include <chrono>
 #include <cstddef>
 #include <iterator>
+#include <map>
 #include <set>
 #include <utility>
 
+#include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/queue_assignments.h"
 #include "fireflythread/platform/row.h"
@@ -56,6 +58,49 @@
       {std::string(kEndedTable), job.value, 0, shard.value});
 }
 
+/// The keys of a conflict's rows that exist: those of jobs, with their values,
+/// and those of assignments that have ended.
+struct PresentRows {
+  std::map<std::string, std::string> jobs;
+  std::set<std::string> ended_assignments;
+};
+
+auto FindPresent(const Conflict& conflict) -> PresentRows {
+  PresentRows present;
+  for (const Row& row : conflict.current) {
+    if (row.version == 0) {
+      continue;
+    }
+    if (row.table == kQueueAssignmentTable) {
+      present.ended_assignments.insert(row.key);
+    } else {
+      present.jobs.emplace(row.key, row.value);
+    }
+  }
+  return present;
+}
+
+/// Returns the value of the row that shows that a job exists, or null. The key
+/// of an ended job's row is the job's id.
+auto FindJobRow(const PresentRows& present, const JobId& job)
+    -> const std::string* {
+  auto row = present.jobs.find(JobKey(job));
+  if (row == present.jobs.end()) {
+    row = present.jobs.find(job.value);
+  }
+  return row == present.jobs.end() ? nullptr : &row->second;
+}
+
+/// Returns whether a row's job belongs to another organisation than the caller
+/// of a submission.
+auto IsForeign(const std::string& row, const Submission& submission) -> bool {
+  if (submission.organisation.empty()) {
+    return false;
+  }
+  const OrganisationName owner = DecodeRowOrganisation(row);
+  return !owner.empty() && owner != submission.organisation;
+}
+
 }  // namespace
 
 auto TakeExpired(SubmissionQueue& queue, TimePoint now)
@@ -118,31 +163,23 @@
 
 auto SplitConflict(std::vector<Submission> batch, const Conflict& conflict)
     -> ConflictSplit {
-  std::set<std::string> present;
-  std::set<std::string> ended_assignments;
-  for (const Row& row : conflict.current) {
-    if (row.version > 0) {
-      const bool is_ending = row.table == kQueueAssignmentTable;
-      (is_ending ? ended_assignments : present).insert(row.key);
-    }
-  }
+  const PresentRows present = FindPresent(conflict);
   ConflictSplit split;
   const bool single = batch.size() == 1;
   for (Submission& submission : batch) {
-    // The key of an ended job's row is the job's id.
-    const bool known = present.contains(JobKey(submission.job)) ||
-                       present.contains(submission.job.value);
-    if (!known && ended_assignments.contains(submission.ended_key)) {
+    const std::string* row = FindJobRow(present, submission.job);
+    if (row != nullptr) {
+      const bool foreign = IsForeign(*row, submission);
+      (foreign ? split.foreign : split.stored).push_back(std::move(submission));
+    } else if (present.ended_assignments.contains(submission.ended_key)) {
       split.moved.push_back(std::move(submission));
-    } else if (known) {
-      split.stored.push_back(std::move(submission));
     } else if (single) {
       split.unclear.push_back(std::move(submission));
     } else {
       split.again.push_back(std::move(submission));
     }
   }
-  if (split.stored.empty() && split.moved.empty()) {
+  if (split.stored.empty() && split.moved.empty() && split.foreign.empty()) {
     for (Submission& submission : split.again) {
       submission.alone = true;
     }
--- a/src/fireflythread/jobs/submission_queue.h
+++ b/src/fireflythread/jobs/submission_queue.h
@@ -23,6 +23,8 @@
   /// Other shards that may have accepted the same job before.
   std::vector<ShardName> other_shards;
   JobId job;
+  /// Organisation of the caller; empty for none.
+  OrganisationName organisation;
   /// Value of the job's row.
   std::string value;
   TimePoint deadline;
@@ -50,6 +52,8 @@
   /// Not stored, and never will be in this shard: its queue is assigned
   /// elsewhere.
   std::vector<Submission> moved;
+  /// Not stored: another organisation has a job with this id.
+  std::vector<Submission> foreign;
   /// The conflict does not tell why; the job may be stored.
   std::vector<Submission> unclear;
 };
--- a/test/fireflythread/entry/ended_jobs_task_test.cc
+++ b/test/fireflythread/entry/ended_jobs_task_test.cc
@@ -59,7 +59,8 @@
       -> std::variant<JobState, JobRequestOutcome> {
     JobRequestHandler handler(this->store, this->logger);
     std::optional<std::variant<JobState, JobRequestOutcome>> answer;
-    handler.ReadState({kShard}, JobId(id), ReadBootClock() + seconds(5),
+    handler.ReadState({kShard}, JobId(id), std::nullopt,
+                      ReadBootClock() + seconds(5),
                       [&answer](const auto& got) { answer = got; });
     REQUIRE(FakeTableStore::RunUntil([&] { return answer.has_value(); }));
     return *answer;
--- a/test/fireflythread/entry/job_request_handler_test.cc
+++ b/test/fireflythread/entry/job_request_handler_test.cc
@@ -43,9 +43,13 @@
     return ReadBootClock() + std::chrono::seconds(5);
   }
 
+  /// Organisation of the caller of all requests.
+  std::optional<OrganisationName> caller;
+
   auto ReadState(const std::string& job) -> Answer {
     std::optional<Answer> answer;
-    this->handler.ReadState({kShard, kOther}, JobId(job), Deadline(),
+    this->handler.ReadState({kShard, kOther}, JobId(job), this->caller,
+                            Deadline(),
                             [&answer](const Answer& got) { answer = got; });
     REQUIRE(FakeTableStore::RunUntil([&] { return answer.has_value(); }));
     return *answer;
@@ -56,6 +60,7 @@
     JobRequest request;
     request.id = JobId(job);
     request.queue = QueueId("orders");
+    request.organisation = this->caller.value_or(OrganisationName());
     std::optional<JobRequestOutcome> outcome;
     this->handler.Submit(kShard, "orders/3", others, request, Deadline(),
                          [&outcome](JobRequestOutcome got) { outcome = got; });
@@ -65,7 +70,7 @@
 
   auto Cancel(const std::string& job) -> JobRequestOutcome {
     std::optional<JobRequestOutcome> outcome;
-    this->handler.Cancel({kShard, kOther}, JobId(job), Deadline(),
+    this->handler.Cancel({kShard, kOther}, JobId(job), this->caller, Deadline(),
                          [&outcome](JobRequestOutcome got) { outcome = got; });
     REQUIRE(FakeTableStore::RunUntil([&] { return outcome.has_value(); }));
     return *outcome;
@@ -96,6 +101,49 @@
   CHECK(fixture.ReadState("c") == Answer(JobRequestOutcome::kNoJob));
 }
 
+TEST_CASE("A job of another organisation is as one that does not exist",
+          "[jobs]") {
+  // Guards against one organisation's key that reads, cancels or takes over
+  // another one's jobs, whichever table holds their rows.
+  JobRequestFixture fixture;
+  fixture.caller = OrganisationName("north");
+  REQUIRE(fixture.Submit("queued", {}) == JobRequestOutcome::kStored);
+  fixture.store.Put(
+      kProgressTable, kShard.value, "running",
+      EncodeJobProgress({JobState::kRunning, {}}, OrganisationName("north")));
+  fixture.store.Put(kEndedTable, kOther.value, "ended",
+                    EncodeEndedJob({JobState::kCompleted, WallTime(),
+                                    OrganisationName("north")}));
+  CHECK(fixture.ReadState("queued") == Answer(JobState::kQueued));
+  CHECK(fixture.ReadState("running") == Answer(JobState::kRunning));
+  CHECK(fixture.ReadState("ended") == Answer(JobState::kCompleted));
+  const auto rows = fixture.store.CountRows(JobTable(kShard));
+
+  fixture.caller = OrganisationName("south");
+  for (const char* job : {"queued", "running", "ended"}) {
+    INFO(job);
+    CHECK(fixture.ReadState(job) == Answer(JobRequestOutcome::kNoJob));
+    CHECK(fixture.Cancel(job) == JobRequestOutcome::kNoJob);
+  }
+  CHECK(fixture.Submit("queued", {}) == JobRequestOutcome::kForeign);
+  CHECK(fixture.Submit("ended", {kOther}) == JobRequestOutcome::kForeign);
+  CHECK(fixture.store.CountRows(JobTable(kShard)) == rows);
+  fixture.caller = OrganisationName();
+  CHECK(fixture.ReadState("running") == Answer(JobRequestOutcome::kNoJob));
+}
+
+TEST_CASE("A job without organisation is found by every caller", "[jobs]") {
+  // Guards against jobs of public queues and of earlier versions of the program
+  // that nobody can ask for.
+  JobRequestFixture fixture;
+  fixture.PutOpen("a");
+  fixture.PutEnded(kShard, "b");
+  fixture.caller = OrganisationName("south");
+  CHECK(fixture.ReadState("a") == Answer(JobState::kQueued));
+  CHECK(fixture.ReadState("b") == Answer(JobState::kCompleted));
+  CHECK(fixture.Submit("b", {}) == JobRequestOutcome::kStored);
+}
+
 TEST_CASE("The state of an open job takes at most two reads", "[jobs]") {
   JobRequestFixture fixture;
   fixture.PutOpen("a");
