Start jobs of organisations within their share first

A burst of one organisation made the jobs of all organisations of a queue late: the order of starts knew deadlines only. The owner of a shard counts the work that it started for each organisation, decaying with a half-life of 3 s, and lets those that got more than 1.5 times their share by weight among the competing ones wait behind the others of the same lateness and priority. Jobs whose result is of no use any more (three times their objective) go last. Both hold only where the configuration has organisations.

Tried and dropped: run times learned from the callers' estimates by a regression for each queue.

--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -118,6 +118,16 @@
   this->Wake();
 }
 
+auto ShardTask::SetOrganisations(const std::vector<Organisation>& organisations)
+    -> void {
+  std::map<OrganisationName, double> weights;
+  for (const Organisation& organisation : organisations) {
+    weights.emplace(organisation.name, organisation.weight);
+  }
+  fireflythread::SetOrganisations(this->state.shares, weights);
+  this->Wake();
+}
+
 auto ShardTask::SetWorkers(const WorkerDirectory::Workers& workers) -> void {
   std::vector<WorkerView> mine;
   for (const auto& [id, worker] : workers) {
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -69,6 +69,8 @@
   auto Start() -> void;
   /// Sets the queues of the configuration.
   auto SetQueues(std::map<QueueId, Queue> queues) -> void;
+  /// Sets the organisations of the configuration.
+  auto SetOrganisations(const std::vector<Organisation>& organisations) -> void;
   /// Applies the list of workers. It may contain workers of other shards, which
   /// are ignored.
   auto SetWorkers(const WorkerDirectory::Workers& workers) -> void;
--- a/src/fireflythread/jobs/ready_step.cc
+++ b/src/fireflythread/jobs/ready_step.cc
@@ -1,10 +1,17 @@
 #include "fireflythread/jobs/ready_step.h"
 
+#include <algorithm>
+#include <set>
+
 #include "fireflythread/jobs/job_urgency.h"
 
 namespace fireflythread {
 namespace {
 
+/// A result that comes later than this many times the latency objective is of
+/// no use to its caller.
+constexpr int kUsefulObjectives = 3;
+
 auto MakeReadyStep(ShardJob& job,
                    const QueueTerms& terms,
                    int occurrence,
@@ -24,9 +31,22 @@
   return ready;
 }
 
-/// Adds the steps of a job that are ready and have a waiting task.
+/// Returns whether a late step's job would end too late to be of use.
+auto IsExpired(const ReadyStep& ready, WallTime wall_now) -> bool {
+  const JobRequest& request = ready.job->request;
+  const WallTime begin =
+      std::max(DueAt(request, ready.occurrence), request.accepted_at);
+  const WallTime last_use =
+      begin + (ready.deadline - begin) * kUsefulObjectives;
+  const auto position = static_cast<std::size_t>(ready.step);
+  return wall_now + ready.job->remaining_critical_paths[position] > last_use;
+}
+
+/// Adds the steps of a job that are ready and have a waiting task. `competing`
+/// says that organisations compete for the workers.
 auto CollectReadyStepsOf(ShardJob& job,
                          const QueueTerms& terms,
+                         bool competing,
                          WallTime wall_now,
                          std::vector<ReadyStep>& ready) -> void {
   const auto steps = static_cast<int>(job.request.steps.size());
@@ -40,6 +60,8 @@
       if (TallyOf(job, occurrence, step).waiting > 0 &&
           AreDependenciesDone(job, occurrence, step)) {
         ready.push_back(MakeReadyStep(job, terms, occurrence, step, wall_now));
+        ready.back().expired =
+            competing && ready.back().late && IsExpired(ready.back(), wall_now);
         ready.back().position = ready.size();
       }
     }
@@ -55,18 +77,39 @@
 auto CollectReadySteps(ShardState& state, WallTime wall_now)
     -> std::vector<ReadyStep> {
   std::vector<ReadyStep> ready;
+  const bool competing = !state.shares.weights.empty();
   for (auto& [id, job] : state.jobs) {
     if (job.waiting == 0 || IsFinal(job.progress.state)) {
       continue;
     }
     if (const QueueTerms* terms = TermsOf(state, job)) {
-      CollectReadyStepsOf(job, *terms, wall_now, ready);
+      CollectReadyStepsOf(job, *terms, competing, wall_now, ready);
     }
   }
   state.plan_cost.steps += static_cast<std::int64_t>(ready.size());
   return ready;
 }
 
+auto MarkOverShare(const ShardState& state,
+                   std::vector<ReadyStep>& ready,
+                   TimePoint now) -> void {
+  if (state.shares.weights.empty()) {
+    return;
+  }
+  std::set<OrganisationName> competing;
+  for (const ReadyStep& each : ready) {
+    if (each.finite) {
+      competing.insert(each.job->request.organisation);
+    }
+  }
+  const std::set<OrganisationName> over =
+      FindOverShare(state.shares, competing, now);
+  for (ReadyStep& each : ready) {
+    each.over_share =
+        each.finite && over.contains(each.job->request.organisation);
+  }
+}
+
 auto MayRun(const TaskState& task, TimePoint now) -> bool {
   return task.phase == RunPhase::kWaiting && now >= task.not_before;
 }
--- a/src/fireflythread/jobs/ready_step.h
+++ b/src/fireflythread/jobs/ready_step.h
@@ -22,6 +22,11 @@
   /// be in time go first, because a late result is worth little: otherwise, in
   /// an overload, each job would wait until it is late as well.
   bool late = false;
+  /// The result of the job would be of no use any more. Decided only where
+  /// organisations compete.
+  bool expired = false;
+  /// The job's organisation got more than its share lately.
+  bool over_share = false;
   WallTime deadline;
   /// Position in the order of job ids, occurrences and steps, which breaks ties
   /// between otherwise equal steps.
@@ -29,8 +34,9 @@
 
   /// The step with the smallest key runs first.
   [[nodiscard]] auto Key() const {
-    return std::make_tuple(this->finite, this->late, this->priority,
-                           this->deadline, this->position);
+    return std::make_tuple(this->finite, this->late, this->expired,
+                           this->priority, this->over_share, this->deadline,
+                           this->position);
   }
 };
 
@@ -41,6 +47,12 @@
 [[nodiscard]] auto CollectReadySteps(ShardState& state, WallTime wall_now)
     -> std::vector<ReadyStep>;
 
+/// Marks the steps of organisations that got more than their share of the
+/// shard's workers lately.
+auto MarkOverShare(const ShardState& state,
+                   std::vector<ReadyStep>& ready,
+                   TimePoint now) -> void;
+
 /// Returns whether a task waits and may run now.
 [[nodiscard]] auto MayRun(const TaskState& task, TimePoint now) -> bool;
 
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -36,6 +36,17 @@
   return minimum;
 }
 
+/// Counts a started task towards its organisation's share. Fillers take only
+/// what is left over, and long-running tasks do not compete with finite ones.
+auto CountStart(ShardState& state, const ShardJob& job, int step, TimePoint now)
+    -> void {
+  const JobStep& spec = job.request.steps[static_cast<std::size_t>(step)];
+  if (!spec.long_running && !spec.filler) {
+    AddStartedWork(state.shares, job.request.organisation, spec.size.millicores,
+                   spec.estimate, now);
+  }
+}
+
 auto PlanTask(ShardState& state,
               UsableWorkers& usable,
               const TaskName& name,
@@ -48,6 +59,7 @@
   ShardJob& job = state.jobs.at(name.job);
   job.progress.state = JobState::kRunning;
   state.dirty.insert(name.job);
+  CountStart(state, job, name.step, now);
 }
 
 /// Reserves a worker for a task that must not wait behind the stream of short
@@ -170,6 +182,7 @@
   }
   for (const auto& [member, worker] : planned) {
     FindTask(state, member)->run = *run;
+    CountStart(state, *ready.job, ready.step, now);
   }
   ready.job->progress.state = JobState::kRunning;
   state.dirty.insert(ready.job->request.id);
@@ -189,6 +202,7 @@
   if (collected.empty()) {
     return;
   }
+  MarkOverShare(state, collected, now);
   UsableWorkers usable = FindUsableWorkers(state, now);
   ReserveForEviction(state, usable);
   const TaskSize min_need = MinNeed(collected);
--- a/test/fireflythread/jobs/peak_simulation.cc
+++ b/test/fireflythread/jobs/peak_simulation.cc
@@ -21,6 +21,30 @@
 PeakSimulation::PeakSimulation(const Load& peak_load)
     : load(peak_load), random(peak_load.seed), shard(peak_load.workers) {
   this->began_at = this->shard.now;
+  std::map<OrganisationName, double> weights;
+  for (const OrganisationLoad& organisation : peak_load.organisations) {
+    weights.emplace(organisation.name, organisation.weight);
+  }
+  SetOrganisations(this->shard.state.shares, weights);
+}
+
+auto PeakSimulation::DrawOrganisation() -> const OrganisationLoad* {
+  std::vector<const OrganisationLoad*> sending;
+  double demand = 0;
+  for (const OrganisationLoad& organisation : this->load.organisations) {
+    if (this->shard.now >= this->began_at + organisation.from) {
+      sending.push_back(&organisation);
+      demand += organisation.demand;
+    }
+  }
+  double drawn = demand * Fraction(this->random);
+  for (const OrganisationLoad* organisation : sending) {
+    drawn -= organisation->demand;
+    if (drawn <= 0) {
+      return organisation;
+    }
+  }
+  return nullptr;
 }
 
 auto PeakSimulation::AddArrivals() -> void {
@@ -32,6 +56,11 @@
     // A few jobs are several times as wide as most.
     const double width = Fraction(this->random);
     job.tasks = 2 + static_cast<int>(18 * width * width * width);
+    const OrganisationLoad* organisation = this->DrawOrganisation();
+    if (organisation != nullptr) {
+      job.organisation = OrganisationName(organisation->name);
+      job.tasks = organisation->tasks > 0 ? organisation->tasks : job.tasks;
+    }
     job.run_time =
         milliseconds(300 + static_cast<int>(700 * Fraction(this->random)));
     const double run_s = std::chrono::duration<double>(job.run_time).count();
@@ -49,7 +78,7 @@
             static_cast<double>(job.run_time.count()) * queue.terms.stretch));
     this->last_objective = std::max(this->last_objective, job.objective);
     const std::string id = "job" + std::to_string(this->jobs.size());
-    this->shard.AddJob(id, step);
+    this->shard.AddJob(id, step, job.organisation);
     this->jobs.emplace(JobId(id), job);
   }
 }
@@ -127,4 +156,17 @@
   return all == 0 ? 1.0 : static_cast<double>(in_time) / all;
 }
 
+auto PeakSimulation::InTimeShare(const std::string& organisation) const
+    -> double {
+  int all = 0;
+  int in_time = 0;
+  for (const auto& [id, job] : this->jobs) {
+    if (job.organisation.value == organisation) {
+      ++all;
+      in_time += job.in_time ? 1 : 0;
+    }
+  }
+  return all == 0 ? 1.0 : static_cast<double>(in_time) / all;
+}
+
 }  // namespace fireflythread::test
--- a/test/fireflythread/jobs/peak_simulation.h
+++ b/test/fireflythread/jobs/peak_simulation.h
@@ -17,6 +17,16 @@
 /// workers report each completion at once.
 class PeakSimulation {
  public:
+  /// An organisation with the weights of its claim and of what it sends.
+  struct OrganisationLoad {
+    std::string name;
+    double weight = 1.0;
+    double demand = 1.0;
+    /// Time after the beginning of the peak before which it sends nothing.
+    std::chrono::milliseconds from{0};
+    /// Tasks of each of its jobs; 0 for the usual mix.
+    int tasks = 0;
+  };
   struct Load {
     int workers = 9;
     /// Arriving work, as a multiple of the workers' capacity.
@@ -25,6 +35,8 @@
     /// Estimates are the run time times e to the power of a random number from
     /// -x to x.
     double estimate_error = 0.5;
+    /// Organisations that send the jobs; none where it is empty.
+    std::vector<OrganisationLoad> organisations;
     std::uint64_t seed = 1;
   };
 
@@ -41,6 +53,9 @@
   /// Returns the share of jobs that met their objective, among the jobs with at
   /// least this many tasks.
   [[nodiscard]] auto InTimeShare(int min_tasks) const -> double;
+  /// Returns the same for the jobs of one organisation.
+  [[nodiscard]] auto InTimeShare(const std::string& organisation) const
+      -> double;
 
  private:
   struct SimulatedJob {
@@ -49,6 +64,7 @@
     std::chrono::milliseconds run_time{0};
     TimePoint objective;
     bool in_time = false;
+    OrganisationName organisation;
   };
   struct ActiveRun {
     StartCommand start;
@@ -56,6 +72,8 @@
   };
 
   auto AddArrivals() -> void;
+  /// Draws the organisation of the next job by demand; null for none.
+  auto DrawOrganisation() -> const OrganisationLoad*;
   auto FinishRuns() -> void;
 
   Load load;
--- a/test/fireflythread/jobs/shard_fixture.cc
+++ b/test/fireflythread/jobs/shard_fixture.cc
@@ -38,9 +38,12 @@
   }
 }
 
-auto ShardFixture::AddJob(const std::string& id, const JobStep& step) -> void {
+auto ShardFixture::AddJob(const std::string& id,
+                          const JobStep& step,
+                          const OrganisationName& organisation) -> void {
   JobRequest request;
   request.id = JobId(id);
+  request.organisation = organisation;
   request.queue = QueueId("orders");
   request.steps = {step};
   request.accepted_at = this->wall_now;
--- a/test/fireflythread/jobs/shard_fixture.h
+++ b/test/fireflythread/jobs/shard_fixture.h
@@ -27,7 +27,9 @@
   auto Advance(milliseconds time) -> void { this->now += time; }
 
   /// Adds a job of one step.
-  auto AddJob(const std::string& id, const JobStep& step) -> void;
+  auto AddJob(const std::string& id,
+              const JobStep& step,
+              const OrganisationName& organisation = {}) -> void;
   [[nodiscard]] static auto Step(int count, int millicores) -> JobStep;
 
   /// Applies a report of a worker that lists only the given runs.
