Keep what an organisation has running within its cap over all pools

Each owner of a shard starts tasks by itself, so nothing kept an organisation within its cap over all workers. The owner of the duty shard now divides each cap into a grant for each shard; an owner starts tasks within its grant only and publishes what its runs hold and could start. The allocator counts for each shard the most that it may hold under any grant that it may still follow, so the sum stays within the cap when owners or allocators are lost, paused or replaced and writes are late. Without caps there are no rows and no calls.

--- a/src/fireflythread/entry/duty_task.cc
+++ b/src/fireflythread/entry/duty_task.cc
@@ -69,6 +69,12 @@
           [this] {
             this->environment.on_fenced(ShardName(std::string(kDutyShard)));
           }),
+      quota(this->environment.store,
+            this->environment.logger,
+            token,
+            [this] {
+              this->environment.on_fenced(ShardName(std::string(kDutyShard)));
+            }),
       wave_loader(environment.store,
                   {std::string(kWaveTable), std::string(kDutyShard)},
                   [this](const std::vector<Row>& rows, std::uint64_t) {
@@ -108,10 +114,18 @@
       this->state.pools.insert(service.name);
     }
   }
+  this->quota.SetOrganisations(configuration.organisations);
 }
 
 auto DutyTask::SetPoolParts(const PoolParts& parts) -> void {
   this->state.part_counts = parts.counts;
+  std::set<ShardName> shards;
+  for (const auto& [pool, count] : parts.counts) {
+    for (const PoolPart& part : PartsOf(parts, pool)) {
+      shards.insert(ShardOf(part));
+    }
+  }
+  this->quota.AddShards(shards);
 }
 
 auto DutyTask::SetWaves(const std::map<std::int64_t, WaveRequest>& waves)
--- a/src/fireflythread/entry/duty_task.h
+++ b/src/fireflythread/entry/duty_task.h
@@ -15,6 +15,7 @@
 #include "fireflythread/entry/duty_monitor.h"
 #include "fireflythread/entry/one_shot_timer.h"
 #include "fireflythread/entry/order_records.h"
+#include "fireflythread/entry/quota_allocator_task.h"
 #include "fireflythread/entry/range_loader.h"
 #include "fireflythread/jobs/configuration.h"
 #include "fireflythread/jobs/pool_parts.h"
@@ -105,6 +106,7 @@
   /// may carry out one without an answer after newer ones.
   std::map<std::int64_t, std::uint64_t> wave_versions;
   OrderRecords order_records;
+  QuotaAllocatorTask quota;
   RangeLoader wave_loader;
   RangeLoader order_loader;
   bool waves_loaded = false;
--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -63,6 +63,11 @@
                  this->environment.logger,
                  this->state,
                  [this] { this->CheckFence(); }),
+      quota(this->environment.store,
+            this->environment.logger,
+            this->state,
+            ShardOf(this->part),
+            [this] { this->Wake(); }),
       unresponsive_workers(this->environment.store,
                            this->state,
                            handover.former.fence,
@@ -125,6 +130,7 @@
     weights.emplace(organisation.name, organisation.weight);
   }
   fireflythread::SetOrganisations(this->state.shares, weights);
+  this->quota.SetOrganisations(organisations);
   this->Wake();
 }
 
@@ -300,6 +306,7 @@
     // Not before the jobs are loaded: until then no worker has runs, and the
     // row would lose what the former owner knew.
     this->unresponsive_workers.Step(now);
+    this->quota.Step(std::chrono::system_clock::now(), now);
   }
   this->Flush();
   this->MoveEndedJobs(now);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -17,6 +17,7 @@
 #include "fireflythread/entry/run_log.h"
 #include "fireflythread/entry/shard_monitor.h"
 #include "fireflythread/entry/shard_publisher.h"
+#include "fireflythread/entry/shard_quota_task.h"
 #include "fireflythread/entry/unresponsive_workers_task.h"
 #include "fireflythread/entry/worker_directory.h"
 #include "fireflythread/jobs/order_verdict.h"
@@ -151,6 +152,7 @@
   ShardMonitor monitor;
   RunLog run_log;
   EndedJobsTask ended_jobs;
+  ShardQuotaTask quota;
   UnresponsiveWorkersTask unresponsive_workers;
   std::unique_ptr<RangeLoader> progress_loader;
   std::unique_ptr<RangeLoader> job_loader;
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -100,7 +100,20 @@
   }
 }
 
-/// Returns whether all tasks that may run have a worker.
+/// Returns whether the cap of a job's organisation leaves this much, and notes
+/// the organisation if it doesn't.
+auto MayHoldMore(ShardState& state, const ShardJob& job, const TaskSize& more)
+    -> bool {
+  const OrganisationName& organisation = job.request.organisation;
+  const bool may_hold = MayHold(state.quota, organisation, more);
+  if (!may_hold) {
+    state.quota.blocked.insert(organisation);
+  }
+  return may_hold;
+}
+
+/// Returns whether all tasks that may run have a worker and their
+/// organisation's cap leaves room for them.
 auto PlanIndependentTasks(ShardState& state,
                           UsableWorkers& usable,
                           const ReadyStep& ready,
@@ -113,6 +126,9 @@
     if (!MayRun(task, now)) {
       continue;
     }
+    if (!MayHoldMore(state, *ready.job, step.size)) {
+      return false;
+    }
     const auto worker = ChooseWorker(state, usable, name);
     if (!worker) {
       // Without a reserved worker, small tasks would fill each gap before a
@@ -160,6 +176,12 @@
   if (!run) {
     return;
   }
+  const TaskSize gang{step.size.millicores * step.count,
+                      step.size.memory_mb * step.count,
+                      step.size.accelerators * step.count};
+  if (!MayHoldMore(state, *ready.job, gang)) {
+    return;
+  }
   if (!HasCapacityForAll(usable, need)) {
     RecordMiss(usable, need, CapacityRule::kFree);
     return;
@@ -198,6 +220,7 @@
 
 auto PlanRuns(ShardState& state, WallTime wall_now, TimePoint now) -> void {
   state.has_backlog = false;
+  state.quota.blocked.clear();
   std::vector<ReadyStep> collected = CollectReadySteps(state, wall_now);
   if (collected.empty()) {
     return;
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -81,6 +81,7 @@
   FIREFLYTHREAD_ASSERT(inserted, "a task has one run at a time");
   AllocateCapacity(target, StepOf(state, name));
   ShardJob& job = state.jobs.at(name.job);
+  AddHeld(state.quota, job.request.organisation, StepOf(state, name).size);
   task->worker = worker;
   SetPhase(job, name, phase);
   task->since = now;
@@ -104,6 +105,7 @@
   FreeUpCapacity(worker->second, StepOf(state, name));
   state.stopping.erase(name);
   ShardJob& job = state.jobs.at(name.job);
+  RemoveHeld(state.quota, job.request.organisation, StepOf(state, name).size);
   task->worker = WorkerId();
   SetPhase(job, name, task->done ? RunPhase::kDone : RunPhase::kWaiting);
   task->since = now;
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -14,6 +14,7 @@
 #include "fireflythread/jobs/completion_snapshot.h"
 #include "fireflythread/jobs/finished_job.h"
 #include "fireflythread/jobs/given_up_run.h"
+#include "fireflythread/jobs/organisation_quota.h"
 #include "fireflythread/jobs/organisation_shares.h"
 #include "fireflythread/jobs/plan_cost.h"
 #include "fireflythread/jobs/queue.h"
@@ -64,6 +65,7 @@
   UnresponsiveRecord unresponsive_record;
   std::map<QueueId, Queue> queues;
   OrganisationShares shares;
+  OrganisationQuota quota;
   std::map<JobId, ShardJob> jobs;
   /// Jobs that have ended and have no run left. They are kept while the feed
   /// may still deliver their rows, which would otherwise be mistaken for new
--- a/src/fireflythread/jobs/waiting_work.cc
+++ b/src/fireflythread/jobs/waiting_work.cc
@@ -36,7 +36,9 @@
   WaitingWork waiting;
   for (const ReadyStep& ready : CollectReadySteps(state, wall_now)) {
     const JobStep& step = SpecOf(ready);
-    if (step.filler || !HasTaskToRun(ready, now)) {
+    // Work that its organisation's cap keeps from starting needs no capacity.
+    if (step.filler || !HasTaskToRun(ready, now) ||
+        !MayHold(state.quota, ready.job->request.organisation, step.size)) {
       continue;
     }
     const std::int64_t millicores =
