Report which organisations wait, and for what

Once a second the owner of a shard names the five organisations with the most waiting jobs and says whether their cap, their share or room is what they lack.

--- a/src/fireflythread/entry/shard_monitor.cc
+++ b/src/fireflythread/entry/shard_monitor.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "fireflythread/jobs/oldest_task.h"
+#include "fireflythread/jobs/organisation_wait.h"
 #include "fireflythread/jobs/shard_summary.h"
 #include "fireflythread/jobs/waiting_step.h"
 
@@ -19,6 +20,9 @@
 /// Shorter waits are ordinary in a peak and are not reported.
 constexpr std::chrono::seconds kMinReportedWait{3};
 
+/// Organisations that are named in one report.
+constexpr std::size_t kMaxReportedOrganisations = 5;
+
 /// The phases in which a run may exist.
 constexpr std::array<RunPhase, 5> kAssignedPhases = {
     RunPhase::kPlanned, RunPhase::kStarting, RunPhase::kRunning,
@@ -93,6 +97,40 @@
                      {"most_free_memory_mb", waiting->max_free.memory_mb}});
 }
 
+auto ShardMonitor::ReportOrganisations(const ShardState& state, TimePoint now)
+    -> void {
+  if (state.shares.weights.empty()) {
+    return;
+  }
+  const std::vector<OrganisationWait> waits = FindOrganisationWaits(state, now);
+  for (const WaitCause cause :
+       {WaitCause::kCap, WaitCause::kShare, WaitCause::kRoom}) {
+    const auto waiting = std::count_if(
+        waits.begin(), waits.end(),
+        [cause](const OrganisationWait& wait) { return wait.cause == cause; });
+    this->metrics
+        .GetGauge("fireflythread_waiting_organisations",
+                  "Organisations with waiting tasks, by what they wait for",
+                  {{"shard", state.shard.value},
+                   {"cause", std::string(WaitCauseName(cause))}})
+        .Set(static_cast<double>(waiting));
+  }
+  const std::size_t reported =
+      std::min(waits.size(), kMaxReportedOrganisations);
+  for (std::size_t index = 0; index < reported; ++index) {
+    const OrganisationWait& wait = waits[index];
+    this->logger.Info("shard", "organisation_waits",
+                      {{"shard", state.shard},
+                       {"organisation", wait.organisation},
+                       {"cause", WaitCauseName(wait.cause)},
+                       {"waiting_jobs", wait.waiting_jobs},
+                       {"held_millicores", wait.held.millicores},
+                       {"held_memory_mb", wait.held.memory_mb},
+                       {"limit_millicores", wait.limit.millicores},
+                       {"limit_memory_mb", wait.limit.memory_mb}});
+  }
+}
+
 auto ShardMonitor::ReportOldestTasks(const ShardState& state, TimePoint now)
     -> void {
   const std::map<RunPhase, OldestTask> oldest = FindOldestTasks(state, now);
@@ -170,6 +208,7 @@
        {"longest_step_ms", ToMilliseconds(this->max_step_time)},
        {"longest_gap_ms", ToMilliseconds(this->max_step_gap)}});
   this->ReportWait(state, now);
+  this->ReportOrganisations(state, now);
   this->ReportOldestTasks(state, now);
   this->plan_cost = state.plan_cost;
   this->feed_rows = 0;
--- a/src/fireflythread/entry/shard_monitor.h
+++ b/src/fireflythread/entry/shard_monitor.h
@@ -41,6 +41,9 @@
  private:
   /// Logs the step that has waited longest.
   auto ReportWait(const ShardState& state, TimePoint now) -> void;
+  /// Logs which organisations wait for what, those with the most waiting jobs,
+  /// and counts them by cause.
+  auto ReportOrganisations(const ShardState& state, TimePoint now) -> void;
   /// Sets the age of the oldest task in each phase, and logs those that stay in
   /// a phase that should be short.
   auto ReportOldestTasks(const ShardState& state, TimePoint now) -> void;
