--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -73,6 +73,29 @@
   CHECK(FaultOf(EntryWith("16000", "16000.0")) == "none");
 }
 
+TEST_CASE("A submission that is made to be costly is refused", "[platform]") {
+  // Guards against a process that ends, hangs or needs many times a body's size
+  // because of deep nesting, very many members or repeated keys.
+  constexpr std::size_t kBodyBytes = 256 << 10;
+  std::string members = "{";
+  for (int member = 0; members.size() < kBodyBytes - 20; ++member) {
+    members += "\"f" + std::to_string(member) + "\":1,";
+  }
+  members.back() = '}';
+  std::string repeated = "{";
+  while (repeated.size() < kBodyBytes - 20) {
+    repeated += "\"steps\":[],";
+  }
+  repeated.back() = '}';
+  for (const std::string& body :
+       {std::string(kBodyBytes, '['), std::string(kBodyBytes, '{'),
+        std::string(kBodyBytes, '9'), std::string(kBodyBytes, '\xff'),
+        std::string(kBodyBytes / 2, '[') + std::string(kBodyBytes / 2, ']'),
+        members, repeated}) {
+    CHECK_FALSE(DecodeJobBody(body).has_value());
+  }
+}
+
 TEST_CASE("A configuration's organisations are decoded", "[platform]") {
   // Guards against organisations without limits or keys because of one entry
   // that can't be read, and against keys that nobody asked for.
