--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -294,6 +294,27 @@
   });
 }
 
+TEST_CASE("The decoders survive deep nesting", "[platform]") {
+  // Guards against an entry that exhausts its stack on a row that another
+  // program wrote.
+  constexpr std::size_t kLevels = 100'000;
+  const std::string deep =
+      std::string(kLevels, '[') + std::string(kLevels, ']');
+  for (const char* list : {"routes", "services", "tenants"}) {
+    INFO(list);
+    const auto configuration = DecodeConfiguration(
+        R"({"version":7,")" + std::string(list) + "\":[" + deep + "]}");
+    REQUIRE(configuration.has_value());
+    CHECK(configuration->version == 7);
+  }
+  const auto keys = DecodeConfiguration(
+      R"({"version":7,"tenants":[{"name":"north","api_keys":[)" + deep +
+      "]}]}");
+  REQUIRE(keys.has_value());
+  CHECK(keys->organisations.at(0).api_keys.empty());
+  CHECK(DecodeWave(R"({"wave":1,"machines":[)" + deep + "]}").has_value());
+}
+
 TEST_CASE("The decoders survive a change of any one character", "[platform]") {
   const std::string entry = kWorkerEntry;
   for (std::size_t position = 0; position < entry.size(); ++position) {
