Estimate the work ahead of a new job and decide admission by it

Cause: in a peak, submissions whose results could not be of use any more were accepted and waited in vain.

Change: the owner of a shard can measure the waiting work ahead of a new job by priority, share, deadline and cap; a job is refused if it would neither start in time nor end within three times its objective, with a Retry-After of the wait, spread by a hash of the job. No clock, no network. PeakSimulation can refuse arrivals and have refused clients return.

--- a/src/fireflythread/jobs/job_urgency.h
+++ b/src/fireflythread/jobs/job_urgency.h
@@ -9,6 +9,10 @@
 
 namespace fireflythread {
 
+/// A result that comes later than this many times the latency objective is of
+/// no use to its caller.
+inline constexpr int kUsefulObjectives = 3;
+
 /// Returns the time by which one occurrence of a job should be done: the
 /// latency objective in its terms, counted from its acceptance or its due time,
 /// whichever is later.
--- a/src/fireflythread/jobs/organisation_shares.cc
+++ b/src/fireflythread/jobs/organisation_shares.cc
@@ -94,4 +94,19 @@
   return over;
 }
 
+auto StartedMillicores(const OrganisationShares& shares,
+                       const std::set<OrganisationName>& except,
+                       TimePoint now) -> double {
+  double work = 0.0;
+  for (const auto& [name, started] : shares.started) {
+    if (!except.contains(name)) {
+      work += DecayedWork(started, now);
+    }
+  }
+  // Work at a constant rate adds up to that of the mean life of a decay.
+  const std::chrono::duration<double, std::milli> half_life =
+      kStartedWorkHalfLife;
+  return work * std::log(2.0) / half_life.count();
+}
+
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/organisation_shares.h
+++ b/src/fireflythread/jobs/organisation_shares.h
@@ -48,6 +48,12 @@
                                  const std::set<OrganisationName>& competing,
                                  TimePoint now) -> std::set<OrganisationName>;
 
+/// Returns the cores, in thousandths, that the work started lately for the
+/// organisations beside these takes on average.
+[[nodiscard]] auto StartedMillicores(const OrganisationShares& shares,
+                                     const std::set<OrganisationName>& except,
+                                     TimePoint now) -> double;
+
 }  // namespace fireflythread
 
 #endif  // FIREFLYTHREAD_JOBS_ORGANISATION_SHARES_H_
--- a/src/fireflythread/jobs/ready_step.cc
+++ b/src/fireflythread/jobs/ready_step.cc
@@ -8,10 +8,6 @@
 namespace fireflythread {
 namespace {
 
-/// A result that comes later than this many times the latency objective is of
-/// no use to its caller.
-constexpr int kUsefulObjectives = 3;
-
 auto MakeReadyStep(ShardJob& job,
                    const QueueTerms& terms,
                    int occurrence,
--- a/test/fireflythread/jobs/peak_simulation.cc
+++ b/test/fireflythread/jobs/peak_simulation.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr milliseconds kStep{10};
+
+/// Time between two estimates that entries get.
+constexpr milliseconds kBacklogPeriod{500};
 constexpr int kTaskMillicores = 1000;
 constexpr double kWorkerCores = 8.0;
 
@@ -67,19 +70,71 @@
     this->pending_work -= job.tasks * run_s;
     const double error =
         std::exp(this->load.estimate_error * (2 * Fraction(this->random) - 1));
-    JobStep step = ShardFixture::Step(job.tasks, kTaskMillicores);
-    step.estimate = milliseconds(
+    job.step = ShardFixture::Step(job.tasks, kTaskMillicores);
+    job.step.estimate = milliseconds(
         static_cast<int>(static_cast<double>(job.run_time.count()) * error));
-    const Queue& queue = this->shard.state.queues.begin()->second;
     job.left = job.tasks;
-    job.objective =
-        this->shard.now + queue.terms.latency_objective +
-        milliseconds(static_cast<int>(
-            static_cast<double>(job.run_time.count()) * queue.terms.stretch));
-    this->last_objective = std::max(this->last_objective, job.objective);
-    const std::string id = "job" + std::to_string(this->jobs.size());
-    this->shard.AddJob(id, step, job.organisation);
-    this->jobs.emplace(JobId(id), job);
+    this->Submit("job" + std::to_string(this->arrivals++), job);
+  }
+}
+
+auto PeakSimulation::Submit(const std::string& id, const SimulatedJob& arrived)
+    -> void {
+  SimulatedJob job = arrived;
+  const QueueTerms& terms = this->shard.state.queues.begin()->second.terms;
+  const bool late = this->shard.now >= this->began_at + this->load.length;
+  ++this->submitted[job.organisation];
+  if (late) {
+    ++this->late_submissions;
+    ++this->late_by_second[std::chrono::duration_cast<std::chrono::seconds>(
+                               this->shard.now - this->began_at)
+                               .count()];
+  }
+  JobRequest request;
+  request.id = JobId(id);
+  request.organisation = job.organisation;
+  request.steps = {job.step};
+  request.terms = terms;
+  const auto candidate = MakeAdmissionCandidate(request);
+  const auto refusal =
+      this->load.admission && candidate
+          ? DecideAdmission(this->backlog, this->shard.now - this->backlog_at,
+                            *candidate)
+          : std::nullopt;
+  if (refusal) {
+    ++this->refused[job.organisation];
+    ++this->refused_by_cause[refusal->cause];
+    this->late_refusals += late ? 1 : 0;
+    if (this->load.retries) {
+      this->returns.emplace(this->shard.now + refusal->retry_after,
+                            std::make_pair(id, job));
+    }
+    return;
+  }
+  job.objective =
+      this->shard.now + terms.latency_objective +
+      milliseconds(static_cast<int>(static_cast<double>(job.run_time.count()) *
+                                    terms.stretch));
+  job.last_use = this->shard.now + 3 * (job.objective - this->shard.now);
+  this->last_objective = std::max(this->last_objective, job.objective);
+  this->shard.AddJob(id, job.step, job.organisation);
+  this->jobs.emplace(JobId(id), job);
+}
+
+auto PeakSimulation::AddReturns() -> void {
+  while (!this->returns.empty() &&
+         this->returns.begin()->first <= this->shard.now) {
+    const auto returned = this->returns.extract(this->returns.begin()).mapped();
+    this->Submit(returned.first, returned.second);
+  }
+}
+
+auto PeakSimulation::MeasureWait() -> void {
+  if (this->load.admission &&
+      this->shard.now - this->backlog_at >= kBacklogPeriod) {
+    this->backlog = MeasureBacklog(this->shard.state, this->cap_waits,
+                                   this->shard.wall_now, this->shard.now);
+    this->backlog_at = this->shard.now;
   }
 }
 
@@ -99,6 +154,7 @@
     SimulatedJob& job = this->jobs.at(run.start.task.job);
     if (--job.left == 0) {
       job.in_time = run.ends_at <= job.objective;
+      job.useful = run.ends_at <= job.last_use;
     }
   }
   this->runs = std::move(left);
@@ -116,7 +172,9 @@
 
 auto PeakSimulation::Run() -> void {
   const TimePoint peak_end = this->began_at + this->load.length;
-  while (this->shard.now < peak_end || !this->runs.empty()) {
+  while (this->shard.now < peak_end || !this->runs.empty() ||
+         !this->returns.empty()) {
+    this->AddReturns();
     if (this->shard.now < peak_end) {
       this->AddArrivals();
     }
@@ -125,12 +183,53 @@
       const SimulatedJob& job = this->jobs.at(start.task.job);
       this->runs.push_back({start, this->shard.now + job.run_time});
     }
+    this->MeasureWait();
     this->shard.Advance(kStep);
     this->shard.wall_now += kStep;
     this->FinishRuns();
   }
 }
 
+auto PeakSimulation::Submissions(const std::string& organisation) const -> int {
+  const auto count = this->submitted.find(OrganisationName(organisation));
+  return count == this->submitted.end() ? 0 : count->second;
+}
+
+auto PeakSimulation::Refusals(const std::string& organisation) const -> int {
+  const auto count = this->refused.find(OrganisationName(organisation));
+  return count == this->refused.end() ? 0 : count->second;
+}
+
+auto PeakSimulation::Refusals(RefusalCause cause) const -> int {
+  const auto count = this->refused_by_cause.find(cause);
+  return count == this->refused_by_cause.end() ? 0 : count->second;
+}
+
+auto PeakSimulation::Refusals() const -> int {
+  int count = 0;
+  for (const auto& [cause, refusals] : this->refused_by_cause) {
+    count += refusals;
+  }
+  return count;
+}
+
+auto PeakSimulation::MostLateSubmissions() const -> int {
+  int most = 0;
+  for (const auto& [second, count] : this->late_by_second) {
+    most = std::max(most, count);
+  }
+  return most;
+}
+
+auto PeakSimulation::UsefulShare() const -> double {
+  const auto useful = std::count_if(
+      this->jobs.begin(), this->jobs.end(),
+      [](const auto& entry) -> bool { return entry.second.useful; });
+  return this->jobs.empty() ? 1.0
+                            : static_cast<double>(useful) /
+                                  static_cast<double>(this->jobs.size());
+}
+
 auto PeakSimulation::GoodputShare() const -> double {
   double good = 0;
   for (const auto& [id, job] : this->jobs) {
--- a/test/fireflythread/jobs/peak_simulation.h
+++ b/test/fireflythread/jobs/peak_simulation.h
@@ -5,9 +5,12 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "fireflythread/base/random.h"
+#include "fireflythread/jobs/admission_decision.h"
+#include "fireflythread/jobs/backlog.h"
 #include "test/fireflythread/jobs/shard_fixture.h"
 
 namespace fireflythread::test {
@@ -37,6 +40,10 @@
     double estimate_error = 0.5;
     /// Organisations that send the jobs; none where it is empty.
     std::vector<OrganisationLoad> organisations;
+    /// Jobs that could not be of use any more are refused at arrival.
+    bool admission = false;
+    /// Refused jobs are submitted again after the time that they were told.
+    bool retries = false;
     std::uint64_t seed = 1;
   };
 
@@ -57,14 +64,35 @@
   [[nodiscard]] auto InTimeShare(const std::string& organisation) const
       -> double;
 
+  /// Returns how many submissions of an organisation were made and refused.
+  [[nodiscard]] auto Submissions(const std::string& organisation) const -> int;
+  [[nodiscard]] auto Refusals(const std::string& organisation) const -> int;
+  /// Returns the refusals by cause.
+  [[nodiscard]] auto Refusals(RefusalCause cause) const -> int;
+  [[nodiscard]] auto Refusals() const -> int;
+  /// Returns the submissions that were made after the peak, and how many of
+  /// them were refused.
+  [[nodiscard]] auto LateSubmissions() const -> int {
+    return this->late_submissions;
+  }
+  [[nodiscard]] auto LateRefusals() const -> int { return this->late_refusals; }
+  /// Returns the most submissions after the peak in one second.
+  [[nodiscard]] auto MostLateSubmissions() const -> int;
+  /// Returns the share of stored jobs that ended while they were of use.
+  [[nodiscard]] auto UsefulShare() const -> double;
+
  private:
   struct SimulatedJob {
     int tasks = 0;
     int left = 0;
     std::chrono::milliseconds run_time{0};
     TimePoint objective;
+    /// Time after which the result is of no use.
+    TimePoint last_use;
     bool in_time = false;
+    bool useful = false;
     OrganisationName organisation;
+    JobStep step;
   };
   struct ActiveRun {
     StartCommand start;
@@ -72,6 +100,11 @@
   };
 
   auto AddArrivals() -> void;
+  /// Submits a job that arrives or returns.
+  auto Submit(const std::string& id, const SimulatedJob& job) -> void;
+  auto AddReturns() -> void;
+  /// Publishes the backlog as an owner does.
+  auto MeasureWait() -> void;
   /// Draws the organisation of the next job by demand; null for none.
   auto DrawOrganisation() -> const OrganisationLoad*;
   auto FinishRuns() -> void;
@@ -86,6 +119,17 @@
   TimePoint last_objective;
   /// Work that is due to arrive but has not arrived yet, in core-seconds.
   double pending_work = 0;
+  int arrivals = 0;
+  Backlog backlog;
+  CapWaits cap_waits;
+  TimePoint backlog_at;
+  std::multimap<TimePoint, std::pair<std::string, SimulatedJob>> returns;
+  std::map<OrganisationName, int> submitted;
+  std::map<OrganisationName, int> refused;
+  std::map<RefusalCause, int> refused_by_cause;
+  int late_submissions = 0;
+  int late_refusals = 0;
+  std::map<std::int64_t, int> late_by_second;
 };
 
 }  // namespace fireflythread::test
