--- a/src/fireflythread/entry/shard_publisher.cc
+++ b/src/fireflythread/entry/shard_publisher.cc
@@ -66,13 +66,17 @@
                std::string(kLoadPart),
                [this](const std::string& value) {
                  return this->MayReplaceLoad(value);
-               }) {}
+               }),
+      backlog(table_store, log, shard) {}
 
 auto ShardPublisher::Publish(ShardState& state,
                              TimePoint feed_at,
                              TimePoint now) -> void {
   this->PublishWaiting(state, feed_at, now);
   this->PublishLoad(state, now);
+  if (now - feed_at <= kFeedTimeout) {
+    this->backlog.Publish(state, std::chrono::system_clock::now(), now);
+  }
 }
 
 auto ShardPublisher::PublishWaiting(const ShardState& state,
--- a/src/fireflythread/entry/shard_publisher.h
+++ b/src/fireflythread/entry/shard_publisher.h
@@ -8,6 +8,7 @@
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
 #include "fireflythread/duties/pool_load.h"
+#include "fireflythread/entry/backlog_publisher.h"
 #include "fireflythread/entry/published_row.h"
 #include "fireflythread/jobs/fwd.h"
 #include "fireflythread/jobs/job_tables.h"
@@ -17,9 +18,10 @@
 namespace fireflythread {
 
 /// Publishes the state of a shard in the store: the number of waiting jobs of
-/// each queue, for callers, and the load of the pool, for the owner of the duty
-/// shard. Each is stored only after a change, at a limited rate. Counts that
-/// are no longer current are replaced by kNoCounts.
+/// each queue, for callers, the load of the pool, for the owner of the duty
+/// shard, and the backlog, for admission. Each is stored only after a change,
+/// at a limited rate. Counts that are no longer current are replaced by
+/// kNoCounts.
 class ShardPublisher {
  public:
   /// `pool` is the pool that the shard is a part of.
@@ -30,9 +32,10 @@
   ShardPublisher(const ShardPublisher&) = delete;
   auto operator=(const ShardPublisher&) -> ShardPublisher& = delete;
 
-  /// Stores the counts and the load when they are due. `feed_at` is the time as
-  /// of which `state` contains all jobs and cancellations. When it is more than
-  /// kFeedTimeout ago, the counts are not current.
+  /// Stores the counts, the load and the backlog when they are due. `feed_at`
+  /// is the time as of which `state` contains all jobs and cancellations. When
+  /// it is more than kFeedTimeout ago, the counts are not current, and there is
+  /// no estimate of the backlog.
   auto Publish(ShardState& state, TimePoint feed_at, TimePoint now) -> void;
 
  private:
@@ -56,6 +59,7 @@
   std::uint64_t fence = 0;
   /// A newer owner of the shard has published its load.
   bool load_superseded = false;
+  BacklogPublisher backlog;
 };
 
 /// Timeout of the feed of jobs, after which an owner's counts are no longer
