Refuse submissions whose results could not be of use any more

Cause: callers learned only from the lateness of their jobs that a pool, their share or their cap is exhausted.

Before a refusal the store must show that the job isn't stored; if that search fails, the job is submitted. Calls of 15 s, as the store's client ends a read after 20 s.

--- a/src/fireflythread/entry/job_submitter.cc
+++ b/src/fireflythread/entry/job_submitter.cc
@@ -1,7 +1,9 @@
 #include "fireflythread/entry/job_submitter.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
+#include <variant>
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/run_later.h"
@@ -19,12 +21,18 @@
 /// turned away can plan.
 constexpr milliseconds kMaxWait{500};
 
+/// Upper limit of the search for a stored job before a refusal. A submission
+/// whose search fails is stored and needs the rest of its time for that.
+constexpr milliseconds kMaxSearch{500};
+
 }  // namespace
 
 struct JobSubmitter::Pending {
   JobRequest job;
   TimePoint deadline;
   Callback callback;
+  /// Null once the submission must not be refused any more.
+  RefusalCallback on_refused;
   /// Version of an assignment that was found to have ended.
   std::uint64_t ended_version = 0;
   /// Time until which the submission waits; empty while it need not.
@@ -40,18 +48,22 @@
 
 JobSubmitter::JobSubmitter(JobRequestHandler& request_handler,
                            QueueAssignmentsTask& queue_assignments,
-                           const PoolParts& pool_parts)
+                           const PoolParts& pool_parts,
+                           AdmissionTask* admission_task)
     : handler(request_handler),
       assignments(queue_assignments),
-      parts(pool_parts) {}
+      parts(pool_parts),
+      admission(admission_task) {}
 
 auto JobSubmitter::Submit(const JobRequest& job,
                           TimePoint deadline,
-                          Callback callback) -> void {
+                          Callback callback,
+                          RefusalCallback on_refused) -> void {
   auto pending = std::make_shared<Pending>();
   pending->job = job;
   pending->deadline = deadline;
   pending->callback = std::move(callback);
+  pending->on_refused = std::move(on_refused);
   this->Try(pending);
 }
 
@@ -92,19 +104,60 @@
     return;
   }
   pending->shard = target->shard;
+  if (this->admission != nullptr && pending->on_refused) {
+    const auto refusal =
+        this->admission->Decide(target->shard, pending->job, ReadBootClock());
+    if (refusal) {
+      this->RefuseUnlessStored(pending, *target, *refusal);
+      return;
+    }
+  }
+  this->Store(pending, *target);
+}
+
+auto JobSubmitter::RefuseUnlessStored(const std::shared_ptr<Pending>& pending,
+                                      const Target& target,
+                                      const AdmissionRefusal& refusal) -> void {
+  const TimePoint now = ReadBootClock();
+  std::vector<ShardName> shards{target.shard};
+  shards.insert(shards.end(), target.former_shards.begin(),
+                target.former_shards.end());
+  const TimePoint search_end =
+      now + std::min<Duration>(kMaxSearch, (pending->deadline - now) / 2);
+  // A job of another organisation is searched for as well: the submission finds
+  // the conflict.
+  this->handler.ReadState(
+      std::move(shards), pending->job.id, std::nullopt, search_end,
+      this->alive.Guard(
+          [this, pending, target,
+           refusal](const std::variant<JobState, JobRequestOutcome>& result) {
+            const auto* outcome = std::get_if<JobRequestOutcome>(&result);
+            if (outcome != nullptr && *outcome == JobRequestOutcome::kNoJob) {
+              this->admission->RecordRefusal(target.shard, pending->job,
+                                             refusal, ReadBootClock());
+              pending->on_refused(refusal);
+              return;
+            }
+            pending->on_refused = nullptr;
+            this->Store(pending, target);
+          }));
+}
+
+auto JobSubmitter::Store(const std::shared_ptr<Pending>& pending,
+                         const Target& target) -> void {
   this->handler.Submit(
-      target->shard, EndedAssignmentKey(pending->job.queue, target->version),
-      target->former_shards, pending->job, pending->deadline,
-      this->alive.Guard([this, pending,
-                         version = target->version](JobRequestOutcome outcome) {
-        if (outcome != JobRequestOutcome::kMoved) {
-          pending->callback(outcome, pending->shard);
-          return;
-        }
-        pending->ended_version = version;
-        this->assignments.RefreshEnded(pending->job.queue, version);
-        this->Postpone(pending);
-      }));
+      target.shard, EndedAssignmentKey(pending->job.queue, target.version),
+      target.former_shards, pending->job, pending->deadline,
+      this->alive.Guard(
+          [this, pending, version = target.version](JobRequestOutcome outcome) {
+            if (outcome != JobRequestOutcome::kMoved) {
+              pending->callback(outcome, pending->shard);
+              return;
+            }
+            pending->ended_version = version;
+            this->assignments.RefreshEnded(pending->job.queue, version);
+            this->Postpone(pending);
+          }));
 }
 
 auto JobSubmitter::Postpone(const std::shared_ptr<Pending>& pending) -> void {
--- a/src/fireflythread/entry/job_submitter.h
+++ b/src/fireflythread/entry/job_submitter.h
@@ -9,6 +9,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/entry/admission_task.h"
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/job_request_handler.h"
 #include "fireflythread/entry/queue_assignments_task.h"
@@ -24,22 +25,38 @@
   /// Called with the shard that was tried last; empty if none was.
   using Callback = std::function<void(JobRequestOutcome, const ShardName&)>;
 
-  /// `parts` must outlive the submitter.
+  /// Called with a refusal instead of the other callback: nothing was stored or
+  /// will be stored.
+  using RefusalCallback = std::function<void(const AdmissionRefusal&)>;
+
+  /// `parts` must outlive the submitter, and so must `admission`, without which
+  /// nothing is refused.
   JobSubmitter(JobRequestHandler& handler,
                QueueAssignmentsTask& assignments,
-               const PoolParts& parts);
+               const PoolParts& parts,
+               AdmissionTask* admission = nullptr);
   JobSubmitter(const JobSubmitter&) = delete;
   auto operator=(const JobSubmitter&) -> JobSubmitter& = delete;
 
-  /// Stores a job unless it is stored already. Never answers kMoved.
-  auto Submit(const JobRequest& job, TimePoint deadline, Callback callback)
-      -> void;
+  /// Stores a job unless it is stored already. Never answers kMoved. A job that
+  /// would be of no use any more is refused if there is a callback for it,
+  /// unless the job is or may be stored already.
+  auto Submit(const JobRequest& job,
+              TimePoint deadline,
+              Callback callback,
+              RefusalCallback on_refused = nullptr) -> void;
 
  private:
   struct Pending;
   struct Target;
 
   auto Try(const std::shared_ptr<Pending>& pending) -> void;
+  auto Store(const std::shared_ptr<Pending>& pending, const Target& target)
+      -> void;
+  /// Refuses a submission, or stores it if the job may be stored already.
+  auto RefuseUnlessStored(const std::shared_ptr<Pending>& pending,
+                          const Target& target,
+                          const AdmissionRefusal& refusal) -> void;
   auto Postpone(const std::shared_ptr<Pending>& pending) -> void;
   /// Returns no value while the queue's assignment or the parts of a pool are
   /// not known.
@@ -49,6 +66,7 @@
   JobRequestHandler& handler;
   QueueAssignmentsTask& assignments;
   const PoolParts& parts;
+  AdmissionTask* admission;
   AliveToken alive;
 };
 
--- a/src/fireflythread/entry/store_timeouts.h
+++ b/src/fireflythread/entry/store_timeouts.h
@@ -18,6 +18,12 @@
 /// connection the shard is claimed that much later.
 inline constexpr std::chrono::milliseconds kShardFollowWait{2000};
 
+/// Long-poll wait of the call that follows the shards' backlogs, which every
+/// entry makes. It is long, so that it costs next to nothing while no shard has
+/// a backlog, but ends within the time that the store's client allows a read
+/// (20 s). On an unresponsive connection nothing is refused meanwhile.
+inline constexpr std::chrono::milliseconds kBacklogFollowWait{15000};
+
 /// Added to the wait of a call that follows a table to get its timeout.
 inline constexpr std::chrono::milliseconds kFollowSlack{400};
 
