Add the pace order to the worker client

Fillers beside serving tasks have to be slowed down, and workers take POST /pace for that. WorkerClient gets SetPace with a fencing token and the verdicts of the other orders; the relayed client sends it through its local client, as relay peers of an earlier version do not know it. wire_test.cc and relay_node_test.cc check the fields and the way.

--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -13,6 +13,7 @@
 struct FinishedJob;
 struct GivenUpRun;
 struct OldestTask;
+struct PaceCommand;
 struct PollCommand;
 struct JobProgress;
 struct JobRequest;
--- a/src/fireflythread/platform/worker_client.h
+++ b/src/fireflythread/platform/worker_client.h
@@ -6,6 +6,7 @@
 
 #include "fireflythread/base/time.h"
 #include "fireflythread/jobs/order_verdict.h"
+#include "fireflythread/jobs/pace_command.h"
 #include "fireflythread/jobs/poll_command.h"
 #include "fireflythread/jobs/start_command.h"
 #include "fireflythread/jobs/stop_command.h"
@@ -30,6 +31,9 @@
   virtual auto Stop(const StopCommand& stop,
                     Duration timeout,
                     OrderCallback callback) -> void = 0;
+  virtual auto SetPace(const PaceCommand& pace,
+                       Duration timeout,
+                       OrderCallback callback) -> void = 0;
   virtual auto Poll(const PollCommand& hold,
                     Duration timeout,
                     ReportCallback callback) -> void = 0;
--- a/src/fireflythread/relay/io_relayed_worker_client.cc
+++ b/src/fireflythread/relay/io_relayed_worker_client.cc
@@ -72,6 +72,12 @@
   this->Submit({stop, timeout}, ToReportCallback(std::move(callback)));
 }
 
+auto RelayedWorkerClient::SetPace(const PaceCommand& pace,
+                                  Duration timeout,
+                                  OrderCallback callback) -> void {
+  this->local.SetPace(pace, timeout, std::move(callback));
+}
+
 auto RelayedWorkerClient::Poll(const PollCommand& poll,
                                Duration timeout,
                                ReportCallback callback) -> void {
--- a/src/fireflythread/relay/io_relayed_worker_client.h
+++ b/src/fireflythread/relay/io_relayed_worker_client.h
@@ -37,6 +37,10 @@
              OrderCallback callback) -> void override;
   auto Stop(const StopCommand& stop, Duration timeout, OrderCallback callback)
       -> void override;
+  /// Always sends the order through the local client.
+  auto SetPace(const PaceCommand& pace,
+               Duration timeout,
+               OrderCallback callback) -> void override;
   auto Poll(const PollCommand& poll, Duration timeout, ReportCallback callback)
       -> void override;
 
--- a/test/fireflythread/entry/lost_worker_takeover_test.cc
+++ b/test/fireflythread/entry/lost_worker_takeover_test.cc
@@ -39,6 +39,9 @@
   auto Stop(const StopCommand& /*stop*/,
             Duration /*timeout*/,
             OrderCallback /*callback*/) -> void override {}
+  auto SetPace(const PaceCommand& /*pace*/,
+               Duration /*timeout*/,
+               OrderCallback /*callback*/) -> void override {}
   auto Poll(const PollCommand& poll,
             Duration /*timeout*/,
             ReportCallback callback) -> void override {
--- a/test/fireflythread/entry/paused_owner_test.cc
+++ b/test/fireflythread/entry/paused_owner_test.cc
@@ -29,6 +29,9 @@
   auto Stop(const StopCommand& /*stop*/,
             Duration /*timeout*/,
             OrderCallback /*callback*/) -> void override {}
+  auto SetPace(const PaceCommand& /*pace*/,
+               Duration /*timeout*/,
+               OrderCallback /*callback*/) -> void override {}
   auto Poll(const PollCommand& /*poll*/,
             Duration /*timeout*/,
             ReportCallback callback) -> void override {
--- a/test/fireflythread/entry/takeover_reads_test.cc
+++ b/test/fireflythread/entry/takeover_reads_test.cc
@@ -25,6 +25,9 @@
   auto Stop(const StopCommand& /*stop*/,
             Duration /*timeout*/,
             OrderCallback /*callback*/) -> void override {}
+  auto SetPace(const PaceCommand& /*pace*/,
+               Duration /*timeout*/,
+               OrderCallback /*callback*/) -> void override {}
   auto Poll(const PollCommand& /*hold*/,
             Duration /*timeout*/,
             ReportCallback /*callback*/) -> void override {}
--- a/test/fireflythread/relay/fake_workers.h
+++ b/test/fireflythread/relay/fake_workers.h
@@ -30,6 +30,13 @@
         [done = std::move(callback)] { done({OrderVerdict::kOldRun}); });
   }
 
+  auto SetPace(const PaceCommand& pace, Duration, OrderCallback callback)
+      -> void override {
+    this->called.push_back(pace.worker);
+    this->open.emplace_back(
+        [done = std::move(callback)] { done({OrderVerdict::kDone}); });
+  }
+
   auto Poll(const PollCommand& poll, Duration, ReportCallback callback)
       -> void override {
     this->called.push_back(poll.worker);
--- a/test/fireflythread/relay/relay_node_test.cc
+++ b/test/fireflythread/relay/relay_node_test.cc
@@ -214,6 +214,26 @@
   CHECK(replies["i-2"].size() == 1);
 }
 
+// Guards against pace orders to a relay peer of an earlier version, which does
+// not know them.
+TEST_CASE("Pace orders are sent locally beside a relay peer", "[relay]") {
+  Entry owner("owner");
+  Entry relay_peer("helper");
+  Link(owner, {&relay_peer});
+  int replies = 0;
+  PaceCommand pace;
+  pace.worker = WorkerId("i-1");
+  owner.node.Workers().SetPace(pace, kLongTimeout,
+                               [&](const OrderReply& reply) {
+                                 CHECK(reply.verdict == OrderVerdict::kDone);
+                                 ++replies;
+                               });
+  CHECK(owner.workers.called == std::vector<WorkerId>{WorkerId("i-1")});
+  owner.workers.AnswerAll();
+  CHECK(replies == 1);
+  CHECK(relay_peer.workers.called.empty());
+}
+
 // Guards against orders that are lost in a planned restart of their relay peer.
 TEST_CASE("A stopping relay peer performs accepted orders and returns new ones",
           "[relay]") {
--- a/test/platform/wire_test.cc
+++ b/test/platform/wire_test.cc
@@ -215,6 +215,20 @@
         OrderVerdict::kNotSent);
 }
 
+TEST_CASE("A pace order has the fields of the protocol", "[platform]") {
+  // Guards against orders that workers reject or apply to another run.
+  const PaceCommand pace{WorkerId("i-1"),
+                         "10.0.0.1:80",
+                         TaskName{JobId("00000000000000aa"), 0, 1, 2},
+                         3,
+                         40,
+                         77};
+  CHECK(EncodePace(pace) == Json{{"task", FormatTaskName(pace.task)},
+                                 {"run", 3},
+                                 {"percent", 40},
+                                 {"fencing_token", 77}});
+}
+
 TEST_CASE("A worker's report is decoded", "[platform]") {
   const Json body = Json::parse(
       R"({"clock_ms":482113,"born":9,"running":)"
