Avoid interfering images in placement and order fillers' speeds

Among workers that are otherwise equal, a long-running task or filler gets one without an interfering image; other finite tasks are packed first. Workers with fillers beside serving tasks are polled with a wait of 500 ms.

--- a/src/fireflythread/jobs/job_step.h
+++ b/src/fireflythread/jobs/job_step.h
@@ -49,6 +49,12 @@
   bool has_disruption_budget = false;
 };
 
+/// Returns whether the tasks of this step are serving tasks: they report their
+/// tail latency, which must stay below a target.
+[[nodiscard]] inline auto IsServing(const JobStep& step) -> bool {
+  return step.latency_target.count() > 0 && !step.filler;
+}
+
 /// Returns the capacity that a task of this step takes from its worker. The
 /// cores of a filler do not count.
 [[nodiscard]] inline auto RequiredCapacity(const JobStep& step) -> TaskSize {
--- a/src/fireflythread/jobs/shard_jobs.cc
+++ b/src/fireflythread/jobs/shard_jobs.cc
@@ -33,6 +33,7 @@
     const WorkerId worker = FindTask(job, name)->worker;
     AssignTask(state, name, worker, RunPhase::kUnresolved, now);
     FindTask(job, name)->inherited = true;
+    FindTask(job, name)->speed_known = false;
   }
 }
 
--- a/src/fireflythread/jobs/shard_limits.h
+++ b/src/fireflythread/jobs/shard_limits.h
@@ -28,6 +28,10 @@
   std::chrono::milliseconds released_retention{5000};
   /// Maximum time that a poll waits for a completion.
   std::chrono::milliseconds poll_wait{2000};
+  /// The same for a worker with fillers beside serving tasks: the speed of the
+  /// fillers must follow the serving tasks' tail latency, which a worker
+  /// reports for the last half second.
+  std::chrono::milliseconds paced_poll_wait{500};
   /// Delay of a poll after a completion or a start, so that the completions and
   /// starts of that time share one. Without effect while tasks wait for
   /// capacity, which a completion frees.
--- a/src/fireflythread/jobs/shard_plan.cc
+++ b/src/fireflythread/jobs/shard_plan.cc
@@ -228,6 +228,8 @@
   MarkOverShare(state, collected, now);
   UsableWorkers usable = FindUsableWorkers(state, now);
   ReserveForEviction(state, usable);
+  // These choices start nothing.
+  usable.kept_apart = 0;
   const TaskSize min_need = MinNeed(collected);
   ReadyQueue queue(RunsLater(), std::move(collected));
   while (!queue.empty() && !IsFull(usable, min_need)) {
@@ -241,6 +243,7 @@
   }
   state.has_backlog = state.has_backlog || !queue.empty();
   state.plan_cost.workers += usable.cost.workers;
+  state.kept_apart += usable.kept_apart;
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -14,6 +14,11 @@
     worker.long_running_used = Plus(worker.long_running_used, capacity);
     ++worker.long_running_tasks;
   }
+  worker.serving_tasks += IsServing(step) ? 1 : 0;
+  if (step.filler) {
+    ++worker.fillers;
+    worker.paces_settled = false;
+  }
 }
 
 auto FreeUpCapacity(ShardWorker& worker, const JobStep& step) -> void {
@@ -23,6 +28,8 @@
     worker.long_running_used = Minus(worker.long_running_used, capacity);
     --worker.long_running_tasks;
   }
+  worker.serving_tasks -= IsServing(step) ? 1 : 0;
+  worker.fillers -= step.filler ? 1 : 0;
 }
 
 auto FindByName(const ShardState& state, const QueueName& name)
@@ -89,6 +96,9 @@
   task->stop_in_flight = false;
   task->inherited = false;
   task->speed_percent = 100;
+  task->speed_known = true;
+  task->pace_in_flight = false;
+  task->next_pace = {};
   task->percent = 0;
   ++job.assigned;
 }
--- a/src/fireflythread/jobs/shard_state.h
+++ b/src/fireflythread/jobs/shard_state.h
@@ -11,6 +11,7 @@
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/interference/image_pairs.h"
 #include "fireflythread/jobs/completion_snapshot.h"
 #include "fireflythread/jobs/finished_job.h"
 #include "fireflythread/jobs/given_up_run.h"
@@ -101,6 +102,13 @@
   std::vector<ReleasedRuns> released;
   /// Runs that were given up and are not logged yet.
   std::vector<GivenUpRun> given_up;
+  /// Which images interfere with each other; empty after a change of owner.
+  ImagePairs image_pairs;
+  /// Time of the last pass over the speed limits of fillers.
+  TimePoint paced_at;
+  /// Runs whose worker was chosen because another one has an image that
+  /// interferes, since the shard was acquired.
+  std::int64_t kept_apart = 0;
   /// Planning cost since the shard was acquired.
   PlanCost plan_cost;
 };
--- a/src/fireflythread/jobs/shard_worker.h
+++ b/src/fireflythread/jobs/shard_worker.h
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "fireflythread/base/time.h"
+#include "fireflythread/interference/filler_pace.h"
 #include "fireflythread/jobs/task_name.h"
 #include "fireflythread/jobs/worker_view.h"
 
@@ -55,6 +56,13 @@
   /// The part of `used` that long-running tasks take, and their number.
   TaskSize long_running_used;
   int long_running_tasks = 0;
+  /// Number of serving tasks and of fillers among `tasks`.
+  int serving_tasks = 0;
+  int fillers = 0;
+  /// Speed limit of the fillers.
+  FillerPace filler_pace;
+  /// All fillers are known to have their speed limit.
+  bool paces_settled = true;
   /// Tasks with a run that may exist on this worker.
   std::set<TaskName> tasks;
   /// No runs are started on the worker before this time.
--- a/src/fireflythread/jobs/shard_workers.cc
+++ b/src/fireflythread/jobs/shard_workers.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "fireflythread/jobs/given_up_run.h"
+#include "fireflythread/jobs/neighbours.h"
 #include "fireflythread/jobs/run_completion.h"
 #include "fireflythread/jobs/shard_orders.h"
 #include "fireflythread/jobs/unresponsive_workers.h"
@@ -335,6 +336,9 @@
     const bool withheld =
         worker.failed_polls > 0 || !MayGetLease(state, worker.view.id);
     poll.wait = withheld ? state.limits.poll_retry : state.limits.poll_wait;
+    if (worker.fillers > 0 && worker.serving_tasks > 0) {
+      poll.wait = std::min(poll.wait, state.limits.paced_poll_wait);
+    }
   }
   worker.poll_in_flight = true;
   return poll;
@@ -381,6 +385,7 @@
   worker.confirmed = true;
   ApplyCompletions(state, worker, report, now);
   ReconcileRuns(state, worker, report, sent_at, now);
+  ObserveNeighbours(state, worker, sent_at, now);
   if (state.dirty.empty() && !state.storing) {
     worker.last_stored_completion = worker.last_applied_completion;
   }
--- a/src/fireflythread/jobs/task_state.h
+++ b/src/fireflythread/jobs/task_state.h
@@ -65,6 +65,13 @@
   std::int64_t usage = 0;
   /// Speed limit of the task, in percent of its full speed.
   int speed_percent = 100;
+  /// The worker is known to apply `speed_percent`. False for a run of a former
+  /// owner, and after an order without an answer.
+  bool speed_known = true;
+  /// An order that sets the speed limit is in flight.
+  bool pace_in_flight = false;
+  /// Earliest time of the next such order.
+  TimePoint next_pace;
 };
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/usable_workers.cc
+++ b/src/fireflythread/jobs/usable_workers.cc
@@ -80,6 +80,7 @@
 auto FindUsableWorkers(const ShardState& state, TimePoint now)
     -> UsableWorkers {
   UsableWorkers usable;
+  usable.now = now;
   usable.workers.reserve(state.workers.size());
   for (const auto& [id, worker] : state.workers) {
     if (IsUsable(worker, now) && MayGetLease(state, id)) {
--- a/src/fireflythread/jobs/usable_workers.h
+++ b/src/fireflythread/jobs/usable_workers.h
@@ -50,6 +50,10 @@
   std::vector<CapacityNeed> free_misses;
   std::vector<CapacityNeed> without_finite_misses;
   PlanCost cost;
+  /// Time of the planning step.
+  TimePoint now;
+  /// Choices that evidence of interference has changed.
+  int kept_apart = 0;
 };
 
 [[nodiscard]] auto FindUsableWorkers(const ShardState& state, TimePoint now)
--- a/src/fireflythread/jobs/worker_choice.cc
+++ b/src/fireflythread/jobs/worker_choice.cc
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <tuple>
 
+#include "fireflythread/jobs/neighbours.h"
+
 namespace fireflythread {
 namespace {
 
@@ -55,6 +58,32 @@
   return whole > workers / kWholeDivisor;
 }
 
+/// Preference among workers that suit a step equally; the higher one wins.
+struct Preference {
+  /// Takes precedence over the free capacity.
+  int before_capacity = 0;
+  /// Decides between workers with the same free capacity.
+  int after_capacity = 0;
+};
+
+/// Returns the preference that follows from known interference. A long-running
+/// task stays where it is, so it avoids interference first. A filler prefers
+/// interference to a worker without any task, which could leave the pool, and
+/// other finite tasks are packed as without interference.
+auto PreferApart(const ShardState& state,
+                 const UsableWorkers& usable,
+                 const ShardWorker& worker,
+                 const JobStep& step) -> Preference {
+  const int harm = InterferenceOn(state, worker, step, usable.now);
+  if (step.long_running) {
+    return {-harm, 0};
+  }
+  if (step.filler) {
+    return {worker.tasks.empty() ? std::numeric_limits<int>::min() : -harm, 0};
+  }
+  return {0, -harm};
+}
+
 auto Choose(const ShardState& state,
             UsableWorkers& usable,
             const TaskName& name,
@@ -67,7 +96,12 @@
   }
   const std::string rack = PreferredRack(state, job, name, step);
   const UsableWorker* best = nullptr;
-  std::tuple<bool, int, bool, std::int64_t> best_score;
+  std::tuple<bool, int, bool, int, std::int64_t, int> best_score;
+  const UsableWorker* best_without = nullptr;
+  std::tuple<bool, int, bool, std::int64_t> best_score_without;
+  const bool may_interfere =
+      rule == CapacityRule::kFree &&
+      MayInterfere(state.image_pairs, KeyOfImage(step.image));
   bool has_capacity = false;
   const bool prefers_free =
       step.long_running || rule == CapacityRule::kWithoutFinite;
@@ -84,17 +118,27 @@
         CountSiblings(worker, name) >= step.max_per_worker) {
       continue;
     }
-    const std::tuple<bool, int, bool, std::int64_t> score = {
+    const std::tuple<bool, int, bool, std::int64_t> without = {
         !rack.empty() && worker.view.rack == rack,
         -std::min(worker.failures_in_row, 1),
         !spares_whole || worker.long_running_tasks > 0,
         prefers_free ? each.free.millicores : -each.free.millicores,
     };
+    const Preference apart =
+        may_interfere ? PreferApart(state, usable, worker, step) : Preference{};
+    const std::tuple score = {std::get<0>(without), std::get<1>(without),
+                              std::get<2>(without), apart.before_capacity,
+                              std::get<3>(without), apart.after_capacity};
     if (best == nullptr || score > best_score) {
       best = &each;
       best_score = score;
     }
+    if (best_without == nullptr || without > best_score_without) {
+      best_without = &each;
+      best_score_without = without;
+    }
   }
+  usable.kept_apart += best != best_without ? 1 : 0;
   if (!has_capacity) {
     RecordMiss(usable, need, rule);
   }
--- a/src/fireflythread/jobs/worker_choice.h
+++ b/src/fireflythread/jobs/worker_choice.h
@@ -12,8 +12,10 @@
 /// label and enough free capacity that is not reserved and holds fewer tasks of
 /// the step than allowed. Workers near the data are preferred. Long-running
 /// tasks are spread, but leave some workers without any; finite tasks are
-/// packed, so that idle workers can leave for another pool at once. Returns no
-/// value when no worker can take the task now.
+/// packed, so that idle workers can leave for another pool at once. Among
+/// workers that are equally suitable, one without an interfering image is
+/// preferred, for finite tasks only after packing. Returns no value when no
+/// worker can take the task now.
 [[nodiscard]] auto ChooseWorker(const ShardState& state,
                                 UsableWorkers& usable,
                                 const TaskName& name)
