--- a/src/fireflythread/entry/shard_task.cc
+++ b/src/fireflythread/entry/shard_task.cc
@@ -68,6 +68,11 @@
             this->state,
             ShardOf(this->part),
             [this] { this->Wake(); }),
+      paces(this->environment.workers,
+            this->environment.logger,
+            this->environment.metrics,
+            this->state,
+            [this] { this->CheckFence(); }),
       unresponsive_workers(this->environment.store,
                            this->state,
                            handover.former.fence,
@@ -336,6 +341,7 @@
     PlanRuns(this->state, std::chrono::system_clock::now(), now);
   }
   this->SendStops();
+  this->paces.Step(now);
   this->PollWorkers();
   this->publisher.Publish(this->state, this->monitor.FeedAt(), now);
   const std::vector<WorkerId> drained_workers = DrainedWorkers(this->state);
--- a/src/fireflythread/entry/shard_task.h
+++ b/src/fireflythread/entry/shard_task.h
@@ -13,6 +13,7 @@
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/ended_jobs_task.h"
 #include "fireflythread/entry/one_shot_timer.h"
+#include "fireflythread/entry/pace_task.h"
 #include "fireflythread/entry/range_loader.h"
 #include "fireflythread/entry/run_log.h"
 #include "fireflythread/entry/shard_monitor.h"
@@ -153,6 +154,7 @@
   RunLog run_log;
   EndedJobsTask ended_jobs;
   ShardQuotaTask quota;
+  PaceTask paces;
   UnresponsiveWorkersTask unresponsive_workers;
   std::unique_ptr<RangeLoader> progress_loader;
   std::unique_ptr<RangeLoader> job_loader;
