--- a/test/fireflythread/interference/image_pairs_test.cc
+++ b/test/fireflythread/interference/image_pairs_test.cc
@@ -54,7 +54,7 @@
       logarithm += std::log(2);
     }
     if (this->random() % 100 < this->spike_percent) {
-      logarithm += std::log(4);
+      logarithm += std::log(20);
     }
     return {kServing, static_cast<std::uint64_t>(worker) + 1,
             std::exp(logarithm), this->neighbours[worker]};
@@ -164,7 +164,7 @@
       workers.load = 1;
       workers.Run(seconds(1), {kInnocent});
     }
-    SECTION("5% of the reports during a checkpoint") {
+    SECTION("5% of the reports at 20 times the tail, during a checkpoint") {
       workers.spike_percent = 5;
       workers.Run(seconds(120), {kInnocent});
     }
--- a/test/fireflythread/interference/placement_test.cc
+++ b/test/fireflythread/interference/placement_test.cc
@@ -104,5 +104,24 @@
   }
 }
 
+TEST_CASE("A run's first seconds and late reports teach nothing",
+          "[interference]") {
+  // Load: a tail at ten times its target 1 s after the start, and in a report
+  // to a poll that was sent 10 s ago. Guards against blaming neighbours for a
+  // cold start, or for what happened beside others.
+  ShardFixture shard(1);
+  shard.AddJob("a", ServingStep("serving"));
+  RunningRun run = ShardFixture::Running(shard.StartAll().at(0));
+  run.usage = 1000;
+  shard.Advance(milliseconds(1000));
+  shard.Report("w0", {run});
+  CHECK(shard.state.image_pairs.levels.empty());
+  shard.Advance(milliseconds(10'000));
+  shard.ReportSince(shard.now - milliseconds(10'000), "w0", {run});
+  CHECK(shard.state.image_pairs.levels.empty());
+  shard.Report("w0", {run});
+  CHECK(shard.state.image_pairs.levels.size() == 1);
+}
+
 }  // namespace
 }  // namespace fireflythread::test
