--- a/test/fireflythread/interference/image_pairs_test.cc
+++ b/test/fireflythread/interference/image_pairs_test.cc
@@ -172,6 +172,25 @@
   }
 }
 
+TEST_CASE("A single report has little influence", "[interference]") {
+  // Load: 120 s beside an image without effect; each 10 s one report has 20
+  // times the usual tail. Guards against an image that is avoided for a while
+  // after each checkpoint.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    ReportingWorkers workers(seed);
+    workers.Run(seconds(30), {kInnocent});
+    for (int round = 0; round < 12; ++round) {
+      workers.neighbours[0] = {{kInnocent, 1}};
+      workers.spike_percent = 100;
+      Learn(workers.pairs, workers.Observe(0), workers.now);
+      workers.spike_percent = 0;
+      CHECK(workers.Effect(kInnocent) == 0);
+      workers.Run(seconds(10), {kInnocent});
+    }
+  }
+}
+
 TEST_CASE("A worker that becomes slow does not prove interference",
           "[interference]") {
   // Load: one worker, whose speed halves when a neighbour arrives that stays
