--- a/test/fireflythread/jobs/backlog_test.cc
+++ b/test/fireflythread/jobs/backlog_test.cc
@@ -111,7 +111,7 @@
 TEST_CASE("An organisation at its cap waits for its own limit", "[jobs]") {
   BacklogFixture fixture;
   OrganisationQuota& quota = fixture.shard.state.quota;
-  quota.capped = {kOrg};
+  quota.caps[kOrg] = TaskSize{100000, 0, 0};
   QuotaGrant grant;
   grant.number = 1;
   grant.limits[kOrg] = {2000, kNoLimit, kNoLimit};
