--- a/src/fireflythread/jobs/backlog.cc
+++ b/src/fireflythread/jobs/backlog.cc
@@ -238,7 +238,9 @@
                     TimePoint now) -> Backlog {
   Backlog backlog;
   UpdateCapWaits(state, cap_waits, now);
-  if (state.shares.weights.empty() || !state.has_backlog) {
+  // Work that only a cap keeps from starting is no backlog of the pool.
+  const bool waits = state.has_backlog || !state.quota.blocked.empty();
+  if (state.shares.weights.empty() || !waits) {
     return backlog;
   }
   std::vector<ReadyStep> ready = CollectReadySteps(state, wall_now);
