--- a/src/fireflythread/config_check/configuration_faults.cc
+++ b/src/fireflythread/config_check/configuration_faults.cc
@@ -164,7 +164,9 @@
     if (added) {
       continue;
     }
-    if (organisations[holder->second].name == organisation.name) {
+    // The index first: names may be long, and there may be many such keys.
+    if (holder->second == index ||
+        organisations[holder->second].name == organisation.name) {
       ++repeated;
     } else {
       ++shared[holder->second];
--- a/src/fireflythread/interference/filler_pace.cc
+++ b/src/fireflythread/interference/filler_pace.cc
@@ -28,8 +28,14 @@
 constexpr milliseconds kRaiseDelay{2000};
 constexpr milliseconds kMaxRaiseDelay{30'000};
 
-/// A lowering this soon after a raise shows that the raise was the cause.
-constexpr milliseconds kRaiseTrial{10'000};
+/// A lowering this soon after a raise shows that the raise was the cause. Its
+/// effect is in the reports within a second; later ones come from the load, and
+/// would keep the fillers slow in the calm phases of a load that swings.
+constexpr milliseconds kRaiseTrial{3000};
+
+/// A raise is tried after this long, too, if the serving tasks are below their
+/// targets, but not clearly.
+constexpr milliseconds kUnclearRaiseDelay{30'000};
 
 /// After this long at full speed, raises are tried quickly again.
 constexpr milliseconds kForgetDelay{30'000};
@@ -78,9 +84,13 @@
     return pace.percent > 0 && unchanged >= kLowerDelay &&
            (is_new || unchanged >= kLateReport) && Lower(pace, now);
   }
-  return pace.percent < kFullSpeed && pace.calm_since != TimePoint() &&
-         now - std::max(pace.calm_since, pace.changed_at) >= pace.raise_delay &&
-         Raise(pace, now);
+  // The harm of a raise shows within a second, so the next one in the same calm
+  // phase waits half as long as the first.
+  const bool is_calm = pace.calm_since != TimePoint() &&
+                       now - pace.calm_since >= pace.raise_delay &&
+                       unchanged >= pace.raise_delay / 2;
+  return pace.percent < kFullSpeed &&
+         (is_calm || unchanged >= kUnclearRaiseDelay) && Raise(pace, now);
 }
 
 }  // namespace fireflythread
--- a/src/fireflythread/jobs/filler_paces.cc
+++ b/src/fireflythread/jobs/filler_paces.cc
@@ -22,6 +22,14 @@
 /// worker that does not know the order.
 constexpr milliseconds kRefusedDelay{5000};
 
+/// Period of the orders to a filler of which an earlier order got no answer and
+/// may still be carried out.
+constexpr milliseconds kUnsettledPeriod{1000};
+
+/// A worker's limit is forgotten when it has had no filler and no change for
+/// this long: other fillers may be harmless.
+constexpr std::chrono::seconds kForgetDelay{30};
+
 /// Orders of one pass; the others follow in the next.
 constexpr std::size_t kMaxOrders = 64;
 
@@ -79,6 +87,9 @@
   state.paced_at = now;
   for (auto& [id, worker] : state.workers) {
     FillerPace& pace = worker.filler_pace;
+    if (worker.fillers == 0 && now - pace.changed_at >= kForgetDelay) {
+      pace = FillerPace{};
+    }
     const bool limited = worker.serving_tasks > 0 || pace.percent < 100;
     if (worker.fillers == 0 || worker.gone || worker.view.address.empty() ||
         (!limited && worker.paces_settled)) {
@@ -114,12 +125,16 @@
   task->pace_in_flight = false;
   switch (reply.verdict) {
     case OrderVerdict::kDone:
-      task->speed_known = true;
+      // An earlier order without an answer may be carried out after this one.
+      task->speed_known = now >= task->pace_unsettled_until;
       task->speed_percent = pace.percent;
+      task->next_pace =
+          task->speed_known ? TimePoint() : now + kUnsettledPeriod;
       break;
     case OrderVerdict::kUnknown:
       // The order may have been carried out.
       task->speed_known = false;
+      task->pace_unsettled_until = now + state.limits.late_order;
       task->next_pace = now + kRetryDelay;
       break;
     case OrderVerdict::kFenced:
--- a/src/fireflythread/jobs/shard_state.cc
+++ b/src/fireflythread/jobs/shard_state.cc
@@ -99,7 +99,10 @@
   task->speed_known = true;
   task->pace_in_flight = false;
   task->next_pace = {};
+  task->pace_unsettled_until = {};
   task->percent = 0;
+  // What the former run reported says nothing about this worker.
+  task->usage = 0;
   ++job.assigned;
 }
 
--- a/src/fireflythread/jobs/task_state.h
+++ b/src/fireflythread/jobs/task_state.h
@@ -72,6 +72,8 @@
   bool pace_in_flight = false;
   /// Earliest time of the next such order.
   TimePoint next_pace;
+  /// Until when an order without an answer may still be carried out.
+  TimePoint pace_unsettled_until;
 };
 
 }  // namespace fireflythread
--- a/test/fireflythread/interference/filler_pace_test.cc
+++ b/test/fireflythread/interference/filler_pace_test.cc
@@ -145,6 +145,38 @@
   CHECK(worker.longest_standstill <= kMaxStandstill);
 }
 
+TEST_CASE("Speed returns in the calm phases of a swinging load",
+          "[interference][pace]") {
+  // Load: for 10 minutes, 4.5 s of every 18 s the fillers do harm; else they
+  // don't. Guards against fillers that stay slow as each peak seems to show
+  // that the last raise did harm.
+  for (const double calm_tail : {0.3, 0.4}) {
+    PacedWorker worker;
+    double sum = 0;
+    int count = 0;
+    worker.Run(std::chrono::minutes(10), [&](milliseconds at, int percent) {
+      const bool peak = at % seconds(18) < milliseconds(4500);
+      if (at >= std::chrono::minutes(5)) {
+        sum += percent;
+        ++count;
+      }
+      return (peak ? 0.9 : calm_tail) * (1 + percent / 100.0);
+    });
+    CAPTURE(calm_tail);
+    CHECK(sum / count >= 50);
+    CHECK(worker.longest_harm <= kHarm / 2);
+  }
+}
+
+TEST_CASE("A spike does not slow fillers for good", "[interference][pace]") {
+  // Load: half a second over the target, then 85% of it at any speed.
+  PacedWorker worker;
+  worker.Run(milliseconds(500), [](milliseconds, int) { return 1.5; });
+  REQUIRE(worker.pace.percent < 100);
+  worker.Run(std::chrono::minutes(3), [](milliseconds, int) { return 0.85; });
+  CHECK(worker.pace.percent == 100);
+}
+
 TEST_CASE("No filler stands still for good", "[interference][pace]") {
   // Load: a tail that is over its target by itself, for 10 minutes.
   PacedWorker worker;
--- a/test/fireflythread/interference/filler_paces_test.cc
+++ b/test/fireflythread/interference/filler_paces_test.cc
@@ -129,6 +129,54 @@
   CHECK(shard.Next().empty());
 }
 
+TEST_CASE("An order without an answer is repeated until it is over",
+          "[interference][pace]") {
+  // Load: the order to stand still gets no answer and is carried out 4 s later,
+  // after the repetition. Guards against a filler that stands still for good.
+  PacedShard shard;
+  shard.ReportTail(150);
+  const std::vector<PaceCommand> first = shard.Next();
+  REQUIRE(first.size() == 1);
+  shard.Reply(first[0], OrderVerdict::kUnknown);
+  ReleaseTask(shard.state, TaskName{JobId("a"), 0, 0, 0}, shard.now);
+  int orders = 0;
+  TimePoint last_order;
+  const TimePoint began = shard.now;
+  while (shard.now - began < std::chrono::seconds(12)) {
+    for (const PaceCommand& pace : shard.Next()) {
+      ++orders;
+      last_order = shard.now;
+      shard.Reply(pace, OrderVerdict::kDone);
+    }
+    shard.Advance(milliseconds(100));
+  }
+  CHECK(last_order - began >= shard.state.limits.late_order);
+  CHECK(orders <= 8);
+}
+
+TEST_CASE("A takeover makes the speed of fillers unknown",
+          "[interference][pace]") {
+  // Guards against a new owner that takes a filler for running at full speed
+  // that its former owner has stopped.
+  PacedShard former;
+  const ShardJob& job = former.state.jobs.at(JobId("b"));
+  ShardState next;
+  AddJob(next, job.request, job.progress, 1, former.now);
+  CHECK_FALSE(FindTask(next, TaskName{JobId("b"), 0, 0, 0})->speed_known);
+}
+
+TEST_CASE("A task's former figure does not count on another worker",
+          "[interference][pace]") {
+  // Guards against fillers that are slowed because of what a serving task
+  // suffered elsewhere.
+  PacedShard shard;
+  shard.ReportTail(150);
+  ReleaseTask(shard.state, TaskName{JobId("a"), 0, 0, 0}, shard.now);
+  AssignTask(shard.state, TaskName{JobId("a"), 0, 0, 0}, WorkerId("w0"),
+             RunPhase::kRunning, shard.now);
+  CHECK(shard.Task("a", 0).usage == 0);
+}
+
 TEST_CASE("A newer owner's fence ends the pacing", "[interference][pace]") {
   PacedShard shard;
   shard.ReportTail(150);
