--- a/review/13/play.py
+++ b/review/11/play.py
@@ -1,4 +1,4 @@
-"""Case 13. Scheduled jobs that repeat often, and the memory of a machine."""
+"""Case 11. Scheduled jobs that repeat often, and the memory of a machine."""
 import asyncio
 import os
 import signal
