Store a tombstone before a caller is told that its job does not exist

A submission without an answer, then a cancel answered 410, and a second later the job is stored by the entry that had stood still with the submission in its socket. It runs, and nobody cancels it again.

Cause: a cancel that found no job wrote nothing, so nothing in the transaction that stored the job later failed because of it.

Change: a cancel that finds no job stores a row in the table of ended jobs of the shard in which the job would be stored, under the conditions of a submission, so that each pair of a cancel and a submission meets wherever the queue has moved. A submission has always required that the row is absent; its next attempt stores a cancelled job, so POST is answered 200 and GET shows `cancelled`, as in the other order. GET of a tombstone is 410. A tombstone counts for the organisations that cancelled.

--- a/src/fireflythread/entry/job_request_handler.cc
+++ b/src/fireflythread/entry/job_request_handler.cc
@@ -5,9 +5,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "fireflythread/base/io_clock.h"
+#include "fireflythread/entry/call_deadline.h"
 #include "fireflythread/entry/run_later.h"
 #include "fireflythread/entry/store_timeouts.h"
+#include "fireflythread/jobs/cancel_tombstone.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/shard_job.h"
@@ -15,19 +16,17 @@
 namespace fireflythread {
 namespace {
 
-using std::chrono::milliseconds;
-
-/// Delay before a store call for a caller's request is retried.
-constexpr milliseconds kCallRetryDelay{100};
-
-/// Returns the timeout of a store call for a request with this deadline.
-auto CallTimeout(TimePoint deadline) -> Duration {
-  const Duration left = deadline - ReadBootClock();
-  return std::clamp<Duration>(left, milliseconds(1), kStoreTimeout);
-}
-
-auto HasTimeToRetry(TimePoint deadline) -> bool {
-  return deadline - ReadBootClock() > 2 * kCallRetryDelay;
+/// Makes a submission without its kind and its value.
+auto MakeSubmission(const SubmissionTarget& target,
+                    const JobId& job,
+                    TimePoint deadline) -> Submission {
+  Submission submission;
+  submission.shard = target.shard;
+  submission.ended_key = target.ended_key;
+  submission.other_shards = target.other_shards;
+  submission.job = job;
+  submission.deadline = deadline;
+  return submission;
 }
 
 }  // namespace
@@ -44,115 +43,31 @@
   /// Returns whether the caller may learn of the job that a row belongs to. A
   /// job without organisation belongs to everybody.
   [[nodiscard]] auto MayRead(const std::string& row) const -> bool {
-    if (!this->caller) {
-      return true;
-    }
-    const OrganisationName owner = DecodeRowOrganisation(row);
-    return owner.empty() || owner == *this->caller;
+    return MayAccess(this->caller, DecodeRowOrganisation(row));
   }
 };
 
 JobRequestHandler::JobRequestHandler(TableStore& table_store, const Logger& log)
-    : store(table_store), logger(log) {}
+    : store(table_store), logger(log), sender(table_store, log) {}
 
-auto JobRequestHandler::Submit(const ShardName& shard,
-                               const std::string& ended_key,
-                               const std::vector<ShardName>& other_shards,
+auto JobRequestHandler::Submit(const SubmissionTarget& target,
                                const JobRequest& job,
                                TimePoint deadline,
                                OutcomeCallback callback) -> void {
-  Submission submission;
-  submission.number = ++this->last_submission;
-  submission.shard = shard;
-  submission.ended_key = ended_key;
-  submission.other_shards = other_shards;
-  submission.job = job.id;
-  submission.organisation = job.organisation;
+  Submission submission = MakeSubmission(target, job.id, deadline);
+  submission.caller = job.organisation;
   submission.value = EncodeJobRequest(job);
-  submission.deadline = deadline;
-  this->submitters.emplace(submission.number, std::move(callback));
-  this->submissions[shard].waiting.push_back(std::move(submission));
-  this->SendSubmissions(shard);
+  this->sender.Send(std::move(submission), std::move(callback));
 }
 
-auto JobRequestHandler::SendSubmissions(const ShardName& shard) -> void {
-  SubmissionQueue& queue = this->submissions[shard];
-  for (const Submission& expired : TakeExpired(queue, ReadBootClock())) {
-    this->AnswerSubmission(expired, expired.uncertain
-                                        ? JobRequestOutcome::kUnknown
-                                        : JobRequestOutcome::kNotStored);
-  }
-  std::vector<Submission> batch = TakeSubmissions(queue);
-  if (batch.empty()) {
-    return;
-  }
-  TimePoint deadline = TimePoint::max();
-  for (const Submission& submission : batch) {
-    deadline = std::min(deadline, submission.deadline);
-  }
-  Transaction transaction = MakeSubmissionTransaction(batch);
-  this->store.Commit(std::move(transaction), CallTimeout(deadline),
-                     this->alive.Guard([this, shard, sent = std::move(batch)](
-                                           const TransactionOutcome& outcome) {
-                       this->ApplySubmissionOutcome(shard, sent, outcome);
-                     }));
-}
-
-auto JobRequestHandler::ApplySubmissionOutcome(
-    const ShardName& shard,
-    std::vector<Submission> batch,
-    const TransactionOutcome& outcome) -> void {
-  SubmissionQueue& queue = this->submissions[shard];
-  queue.committing = false;
-  if (const auto* conflict = std::get_if<Conflict>(&outcome)) {
-    // A row that exists already was stored by an earlier attempt or an earlier
-    // request.
-    ConflictSplit split = SplitConflict(std::move(batch), *conflict);
-    PutBack(queue, std::move(split.again));
-    for (const Submission& submission : split.moved) {
-      this->AnswerSubmission(submission, JobRequestOutcome::kMoved);
-    }
-    for (const Submission& submission : split.foreign) {
-      this->AnswerSubmission(submission, JobRequestOutcome::kForeign);
-    }
-    for (Submission& submission : split.unclear) {
-      submission.uncertain = true;
-      this->RetrySubmission(std::move(submission));
-    }
-    batch = std::move(split.stored);
-  }
-  const bool stored = std::holds_alternative<Committed>(outcome) ||
-                      std::holds_alternative<Conflict>(outcome);
-  const bool unknown = std::holds_alternative<CommitUnknown>(outcome);
-  for (Submission& submission : batch) {
-    submission.uncertain = submission.uncertain || unknown;
-    if (stored) {
-      this->AnswerSubmission(submission, JobRequestOutcome::kStored);
-    } else if (!submission.uncertain) {
-      this->AnswerSubmission(submission, JobRequestOutcome::kNotStored);
-    } else {
-      this->RetrySubmission(std::move(submission));
-    }
-  }
-  this->SendSubmissions(shard);
-}
-
-auto JobRequestHandler::RetrySubmission(Submission submission) -> void {
-  if (!HasTimeToRetry(submission.deadline)) {
-    this->AnswerSubmission(submission, JobRequestOutcome::kUnknown);
-    return;
-  }
-  RunLater(kCallRetryDelay,
-           this->alive.Guard([this, again = std::move(submission)]() {
-             this->submissions[again.shard].waiting.push_back(again);
-             this->SendSubmissions(again.shard);
-           }));
-}
-
-auto JobRequestHandler::AnswerSubmission(const Submission& submission,
-                                         JobRequestOutcome outcome) -> void {
-  const auto submitter = this->submitters.extract(submission.number);
-  submitter.mapped()(outcome);
+auto JobRequestHandler::SubmitTombstone(const SubmissionTarget& target,
+                                        const CancelRequest& request,
+                                        TimePoint deadline,
+                                        OutcomeCallback callback) -> void {
+  Submission submission = MakeSubmission(target, request.job, deadline);
+  submission.kind = SubmissionKind::kTombstone;
+  submission.caller = request.caller;
+  this->sender.Send(std::move(submission), std::move(callback));
 }
 
 auto JobRequestHandler::ReadState(std::vector<ShardName> shards,
@@ -252,7 +167,8 @@
                             this->RetryRead(lookup);
                             return;
                           }
-                          if (page->rows.empty()) {
+                          if (page->rows.empty() ||
+                              DecodeCancelTombstone(page->rows.front().value)) {
                             this->TryNextShard(lookup);
                             return;
                           }
--- a/src/fireflythread/entry/job_request_handler.h
+++ b/src/fireflythread/entry/job_request_handler.h
@@ -1,45 +1,26 @@
 #ifndef FIREFLYTHREAD_ENTRY_JOB_REQUEST_HANDLER_H_
 #define FIREFLYTHREAD_ENTRY_JOB_REQUEST_HANDLER_H_
 
-#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
-#include <string>
 #include <variant>
 #include <vector>
 
 #include "fireflythread/base/time.h"
 #include "fireflythread/entry/alive_token.h"
+#include "fireflythread/entry/job_request_outcome.h"
+#include "fireflythread/entry/submission_sender.h"
+#include "fireflythread/jobs/cancel_request.h"
 #include "fireflythread/jobs/configuration.h"
 #include "fireflythread/jobs/job_progress.h"
 #include "fireflythread/jobs/job_request.h"
-#include "fireflythread/jobs/submission_queue.h"
+#include "fireflythread/jobs/submission_target.h"
 #include "fireflythread/platform/table_store.h"
 #include "fireflythread/telemetry/logger.h"
 
 namespace fireflythread {
 
-/// The outcome of a caller's request, other than a job's state.
-enum class JobRequestOutcome : std::uint8_t {
-  /// The job or its cancellation is accepted, now or by an earlier request.
-  kStored,
-  /// Nothing was stored or will be stored.
-  kNotStored,
-  /// The result is not known: the request may have been stored. A repeat of the
-  /// request finds out.
-  kUnknown,
-  /// There is no such job.
-  kNoJob,
-  /// Nothing was stored or will be stored in this shard: the job's queue is
-  /// assigned to another one.
-  kMoved,
-  /// Nothing was stored or will be stored: another organisation has a job with
-  /// this id.
-  kForeign
-};
-
 /// Handles the callers' requests about jobs by reading and writing the store.
 /// Any entry can handle requests for any job. Each callback is called exactly
 /// once unless the handler is destroyed before.
@@ -54,17 +35,22 @@
   JobRequestHandler(const JobRequestHandler&) = delete;
   auto operator=(const JobRequestHandler&) -> JobRequestHandler& = delete;
 
-  /// Stores a job unless the row `ended_key` says that its queue has left the
-  /// shard; see EndedAssignmentKey(). A job that is already stored in this
-  /// shard or in one of `other_shards` is accepted again, but not stored a
-  /// second time.
-  auto Submit(const ShardName& shard,
-              const std::string& ended_key,
-              const std::vector<ShardName>& other_shards,
+  /// Stores a job unless its queue has left the target's shard. A job that is
+  /// already stored in this shard or in one of the other shards is accepted
+  /// again, but not stored a second time. One that was cancelled ahead is
+  /// stored as a cancelled job.
+  auto Submit(const SubmissionTarget& target,
               const JobRequest& job,
               TimePoint deadline,
               OutcomeCallback callback) -> void;
 
+  /// Stores a tombstone, so that no submission that is still on its way stores
+  /// the job. Answers kJobExists if there is a job.
+  auto SubmitTombstone(const SubmissionTarget& target,
+                       const CancelRequest& request,
+                       TimePoint deadline,
+                       OutcomeCallback callback) -> void;
+
   /// Reads a job's state, searching `shards` in their order. A job that has not
   /// ended takes one or two reads of the store in its shard. With a caller's
   /// organisation, a job of another one is not found.
@@ -74,9 +60,9 @@
                  TimePoint deadline,
                  StateCallback callback) -> void;
 
-  /// Stores the cancellation of a job. For a job that has ended, it is accepted
-  /// but not stored, as it would have no effect. With a caller's organisation,
-  /// a job of another one is not found.
+  /// Stores the cancellation of a job that is found. For a job that has ended,
+  /// it is accepted but not stored, as it would have no effect. With a caller's
+  /// organisation, a job of another one is not found.
   auto Cancel(std::vector<ShardName> shards,
               const JobId& job,
               const std::optional<OrganisationName>& caller,
@@ -94,13 +80,6 @@
   struct Lookup;
   struct WaitingSum;
 
-  auto SendSubmissions(const ShardName& shard) -> void;
-  auto ApplySubmissionOutcome(const ShardName& shard,
-                              std::vector<Submission> batch,
-                              const TransactionOutcome& outcome) -> void;
-  auto RetrySubmission(Submission submission) -> void;
-  auto AnswerSubmission(const Submission& submission, JobRequestOutcome outcome)
-      -> void;
   auto TryRead(const std::shared_ptr<Lookup>& lookup) -> void;
   auto TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void;
   auto TryReadEnded(const std::shared_ptr<Lookup>& lookup) -> void;
@@ -114,10 +93,7 @@
 
   TableStore& store;
   const Logger& logger;
-  std::map<ShardName, SubmissionQueue> submissions;
-  /// Callbacks of the submissions without an answer, by submission number.
-  std::map<std::uint64_t, OutcomeCallback> submitters;
-  std::uint64_t last_submission = 0;
+  SubmissionSender sender;
   AliveToken alive;
 };
 
--- a/src/fireflythread/entry/job_submitter.cc
+++ b/src/fireflythread/entry/job_submitter.cc
@@ -28,7 +28,10 @@
 }  // namespace
 
 struct JobSubmitter::Pending {
-  JobRequest job;
+  JobId job;
+  QueueId queue;
+  /// What is stored: the job, or a tombstone.
+  std::variant<JobRequest, CancelRequest> content;
   TimePoint deadline;
   Callback callback;
   /// Null once the submission must not be refused any more.
@@ -41,8 +44,8 @@
 };
 
 struct JobSubmitter::Target {
-  ShardName shard;
-  std::vector<ShardName> former_shards;
+  SubmissionTarget place;
+  /// Version of the queue's assignment.
   std::uint64_t version = 0;
 };
 
@@ -60,33 +63,51 @@
                           Callback callback,
                           RefusalCallback on_refused) -> void {
   auto pending = std::make_shared<Pending>();
-  pending->job = job;
+  pending->job = job.id;
+  pending->queue = job.queue;
+  pending->content = job;
   pending->deadline = deadline;
   pending->callback = std::move(callback);
   pending->on_refused = std::move(on_refused);
   this->Try(pending);
 }
 
+auto JobSubmitter::SubmitTombstone(const CancelRequest& request,
+                                   TimePoint deadline,
+                                   Callback callback) -> void {
+  auto pending = std::make_shared<Pending>();
+  pending->job = request.job;
+  pending->queue = request.queue;
+  pending->content = request;
+  pending->deadline = deadline;
+  pending->callback = std::move(callback);
+  this->Try(pending);
+}
+
 auto JobSubmitter::FindTarget(const Pending& pending) const
     -> std::optional<Target> {
   const QueueAssignment* assignment =
-      this->assignments.AssignmentOf(pending.job.queue);
+      this->assignments.AssignmentOf(pending.queue);
   if (assignment == nullptr || assignment->version == pending.ended_version) {
     return std::nullopt;
   }
   const auto part =
-      FindPartOfJob(this->parts, assignment->service, pending.job.id);
+      FindPartOfJob(this->parts, assignment->service, pending.job);
   if (!part) {
     return std::nullopt;
   }
-  Target target{ShardOf(*part), {}, assignment->version};
+  Target target;
+  target.place.shard = ShardOf(*part);
+  target.place.ended_key =
+      EndedAssignmentKey(pending.queue, assignment->version);
+  target.version = assignment->version;
   for (const ServiceName& former :
        FormerServices(*assignment, std::chrono::system_clock::now())) {
-    const auto former_part = FindPartOfJob(this->parts, former, pending.job.id);
+    const auto former_part = FindPartOfJob(this->parts, former, pending.job);
     if (!former_part) {
       return std::nullopt;
     }
-    target.former_shards.push_back(ShardOf(*former_part));
+    target.place.other_shards.push_back(ShardOf(*former_part));
   }
   return target;
 }
@@ -97,44 +118,49 @@
     if (pending->ended_version == 0) {
       this->assignments.WriteNow();
     } else {
-      this->assignments.RefreshEnded(pending->job.queue,
-                                     pending->ended_version);
+      this->assignments.RefreshEnded(pending->queue, pending->ended_version);
     }
     this->Postpone(pending);
     return;
   }
-  pending->shard = target->shard;
-  if (this->admission != nullptr && pending->on_refused) {
-    const auto refusal =
-        this->admission->Decide(target->shard, pending->job, ReadBootClock());
-    if (refusal) {
-      this->RefuseUnlessStored(pending, *target, *refusal);
-      return;
-    }
+  pending->shard = target->place.shard;
+  if (const auto refusal = this->Decide(*pending, pending->shard)) {
+    this->RefuseUnlessStored(pending, *target, *refusal);
+    return;
   }
   this->Store(pending, *target);
 }
 
+auto JobSubmitter::Decide(const Pending& pending, const ShardName& shard)
+    -> std::optional<AdmissionRefusal> {
+  const auto* job = std::get_if<JobRequest>(&pending.content);
+  if (job == nullptr || this->admission == nullptr || !pending.on_refused) {
+    return std::nullopt;
+  }
+  return this->admission->Decide(shard, *job, ReadBootClock());
+}
+
 auto JobSubmitter::RefuseUnlessStored(const std::shared_ptr<Pending>& pending,
                                       const Target& target,
                                       const AdmissionRefusal& refusal) -> void {
   const TimePoint now = ReadBootClock();
-  std::vector<ShardName> shards{target.shard};
-  shards.insert(shards.end(), target.former_shards.begin(),
-                target.former_shards.end());
+  std::vector<ShardName> shards{target.place.shard};
+  shards.insert(shards.end(), target.place.other_shards.begin(),
+                target.place.other_shards.end());
   const TimePoint search_end =
       now + std::min<Duration>(kMaxSearch, (pending->deadline - now) / 2);
   // A job of another organisation is searched for as well: the submission finds
   // the conflict.
   this->handler.ReadState(
-      std::move(shards), pending->job.id, std::nullopt, search_end,
+      std::move(shards), pending->job, std::nullopt, search_end,
       this->alive.Guard(
           [this, pending, target,
            refusal](const std::variant<JobState, JobRequestOutcome>& result) {
             const auto* outcome = std::get_if<JobRequestOutcome>(&result);
             if (outcome != nullptr && *outcome == JobRequestOutcome::kNoJob) {
-              this->admission->RecordRefusal(target.shard, pending->job,
-                                             refusal, ReadBootClock());
+              this->admission->RecordRefusal(
+                  target.place.shard, std::get<JobRequest>(pending->content),
+                  refusal, ReadBootClock());
               pending->on_refused(refusal);
               return;
             }
@@ -145,19 +171,24 @@
 
 auto JobSubmitter::Store(const std::shared_ptr<Pending>& pending,
                          const Target& target) -> void {
-  this->handler.Submit(
-      target.shard, EndedAssignmentKey(pending->job.queue, target.version),
-      target.former_shards, pending->job, pending->deadline,
-      this->alive.Guard(
-          [this, pending, version = target.version](JobRequestOutcome outcome) {
-            if (outcome != JobRequestOutcome::kMoved) {
-              pending->callback(outcome, pending->shard);
-              return;
-            }
-            pending->ended_version = version;
-            this->assignments.RefreshEnded(pending->job.queue, version);
-            this->Postpone(pending);
-          }));
+  auto done = this->alive.Guard(
+      [this, pending, version = target.version](JobRequestOutcome outcome) {
+        if (outcome != JobRequestOutcome::kMoved) {
+          pending->callback(outcome, pending->shard);
+          return;
+        }
+        pending->ended_version = version;
+        this->assignments.RefreshEnded(pending->queue, version);
+        this->Postpone(pending);
+      });
+  if (const auto* job = std::get_if<JobRequest>(&pending->content)) {
+    this->handler.Submit(target.place, *job, pending->deadline,
+                         std::move(done));
+  } else {
+    this->handler.SubmitTombstone(target.place,
+                                  std::get<CancelRequest>(pending->content),
+                                  pending->deadline, std::move(done));
+  }
 }
 
 auto JobSubmitter::Postpone(const std::shared_ptr<Pending>& pending) -> void {
--- a/src/fireflythread/entry/job_submitter.h
+++ b/src/fireflythread/entry/job_submitter.h
@@ -13,6 +13,7 @@
 #include "fireflythread/entry/alive_token.h"
 #include "fireflythread/entry/job_request_handler.h"
 #include "fireflythread/entry/queue_assignments_task.h"
+#include "fireflythread/jobs/cancel_request.h"
 #include "fireflythread/jobs/job_request.h"
 #include "fireflythread/jobs/pool_parts.h"
 
@@ -38,7 +39,8 @@
   JobSubmitter(const JobSubmitter&) = delete;
   auto operator=(const JobSubmitter&) -> JobSubmitter& = delete;
 
-  /// Stores a job unless it is stored already. Never answers kMoved. A job that
+  /// Stores a job unless it is stored already. Answers neither kMoved nor
+  /// kJobExists. A job that
   /// would be of no use any more is refused if there is a callback for it,
   /// unless the job is or may be stored already.
   auto Submit(const JobRequest& job,
@@ -46,6 +48,12 @@
               Callback callback,
               RefusalCallback on_refused = nullptr) -> void;
 
+  /// Stores a tombstone for a job where the job would be stored. Never answers
+  /// kMoved.
+  auto SubmitTombstone(const CancelRequest& request,
+                       TimePoint deadline,
+                       Callback callback) -> void;
+
  private:
   struct Pending;
   struct Target;
@@ -53,6 +61,10 @@
   auto Try(const std::shared_ptr<Pending>& pending) -> void;
   auto Store(const std::shared_ptr<Pending>& pending, const Target& target)
       -> void;
+  /// Returns the refusal of a job that would be of no use any more; no value
+  /// for a tombstone and for a job that must not be refused.
+  [[nodiscard]] auto Decide(const Pending& pending, const ShardName& shard)
+      -> std::optional<AdmissionRefusal>;
   /// Refuses a submission, or stores it if the job may be stored already.
   auto RefuseUnlessStored(const std::shared_ptr<Pending>& pending,
                           const Target& target,
--- a/src/fireflythread/jobs/ended_scan.cc
+++ b/src/fireflythread/jobs/ended_scan.cc
@@ -10,7 +10,9 @@
 namespace {
 
 /// Callers may query a final state for 2 minutes after the end. The rest allows
-/// for clock differences between entries and for late repeats.
+/// for clock differences between entries and for late repeats. A cancel
+/// tombstone outlasts every submission that was on its way: the listener takes
+/// none that is older than a minute.
 constexpr std::chrono::minutes kEndedRetention{10};
 
 /// Time between two scans.
@@ -34,8 +36,8 @@
                     TimePoint now,
                     WallTime wall_now) -> void {
   for (const Row& row : page.rows) {
-    const auto ended = DecodeEndedJob(row.value);
-    if (ended && wall_now - ended->ended_at > kEndedRetention) {
+    const auto ended_at = DecodeEndedTime(row.value);
+    if (ended_at && wall_now - *ended_at > kEndedRetention) {
       scan.expired.push_back(row);
     }
   }
--- a/src/fireflythread/jobs/fwd.h
+++ b/src/fireflythread/jobs/fwd.h
@@ -3,6 +3,7 @@
 
 namespace fireflythread {
 
+struct CancelTombstone;
 struct Configuration;
 struct EndedBatch;
 struct EndedJob;
@@ -31,6 +32,7 @@
 struct ShardWorker;
 struct StartCommand;
 struct StopCommand;
+struct StoredTombstone;
 struct Organisation;
 struct OrphanedCancel;
 struct TaskName;
--- a/src/fireflythread/jobs/job_codec.cc
+++ b/src/fireflythread/jobs/job_codec.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "fireflythread/jobs/cancel_tombstone.h"
 #include "fireflythread/jobs/shard_job.h"
 
 namespace fireflythread {
@@ -255,7 +256,7 @@
   try {
     const Json json = Json::parse(text);
     const auto state = StateFromJson(json);
-    if (!state || !IsFinal(*state)) {
+    if (!state || !IsFinal(*state) || json.contains(kTombstoneMember)) {
       return std::nullopt;
     }
     return EndedJob{
@@ -266,6 +267,15 @@
   }
 }
 
+auto DecodeEndedTime(std::string_view text) -> std::optional<WallTime> {
+  try {
+    return FromMilliseconds(
+        Json::parse(text).at("ended_ms").get<std::int64_t>());
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
 auto DecodeJobState(std::string_view text) -> std::optional<JobState> {
   try {
     return StateFromJson(Json::parse(text));
--- a/src/fireflythread/jobs/job_codec.h
+++ b/src/fireflythread/jobs/job_codec.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "fireflythread/base/ids.h"
+#include "fireflythread/base/time.h"
 #include "fireflythread/jobs/ended_job.h"
 #include "fireflythread/jobs/fwd.h"
 #include "fireflythread/jobs/job_progress.h"
@@ -38,11 +39,17 @@
 /// Encodes the value of a row in the table of ended jobs as JSON.
 [[nodiscard]] auto EncodeEndedJob(const EndedJob& ended) -> std::string;
 
-/// Decodes the value of a row in the table of ended jobs. Returns no value when
-/// the text is unreadable or the state is not final.
+/// Decodes the value of a row in the table of ended jobs. Returns no value for
+/// a cancel tombstone, and when the text is unreadable or the state is not
+/// final.
 [[nodiscard]] auto DecodeEndedJob(std::string_view text)
     -> std::optional<EndedJob>;
 
+/// Decodes only the time of a row in the table of ended jobs, of a job or of a
+/// cancel tombstone. Returns no value when the text is unreadable.
+[[nodiscard]] auto DecodeEndedTime(std::string_view text)
+    -> std::optional<WallTime>;
+
 /// Decodes only the state of a progress row. Returns no value when the text is
 /// unreadable.
 [[nodiscard]] auto DecodeJobState(std::string_view text)
--- a/src/fireflythread/jobs/job_tables.h
+++ b/src/fireflythread/jobs/job_tables.h
@@ -13,8 +13,10 @@
 /// Only the shard's owner writes it.
 inline constexpr std::string_view kProgressTable = "progress";
 
-/// Table of the final states of jobs whose other rows were removed: the part is
-/// the shard, the key is the job. Only the shard's owner writes it.
+/// Table of the final states of jobs whose other rows were removed, and of the
+/// cancel tombstones of jobs that were not stored: the part is the shard, the
+/// key is the job. The shard's owner writes it; any entry writes tombstones,
+/// and the cancelled jobs that submissions make of them.
 inline constexpr std::string_view kEndedTable = "ended";
 
 /// Table of the number of waiting jobs of each queue, with one row in each
--- a/src/fireflythread/jobs/submission_queue.cc
+++ b/src/fireflythread/jobs/submission_queue.cc
@@ -1,7 +1,9 @@
 #include "fireflythread/jobs/submission_queue.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <iterator>
 #include <map>
 #include <set>
@@ -47,31 +49,83 @@
   }
 }
 
-/// Requires that a shard has no such job, neither open nor ended. An ended
-/// job's rows are moved in one transaction, so one of the two always exists.
+/// Requires that a shard has no such job, neither open nor ended, and no other
+/// tombstone than the one that is known. An ended job's rows are moved in one
+/// transaction, so one of the two always exists.
 auto AddAbsence(const ShardName& shard,
-                const JobId& job,
+                const Submission& submission,
                 Transaction& transaction) -> void {
+  const auto known = submission.tombstones.find(shard);
+  const std::uint64_t tombstone =
+      known == submission.tombstones.end() ? 0 : known->second.version;
   transaction.conditions.push_back(
-      {JobTable(shard), JobKey(job), 0, shard.value});
+      {JobTable(shard), JobKey(submission.job), 0, shard.value});
   transaction.conditions.push_back(
-      {std::string(kEndedTable), job.value, 0, shard.value});
+      {std::string(kEndedTable), submission.job.value, tombstone, shard.value});
 }
 
+auto MakeTombstone(const Submission& submission, WallTime now)
+    -> CancelTombstone {
+  const auto known = submission.tombstones.find(submission.shard);
+  return WithCancellation(known == submission.tombstones.end()
+                              ? CancelTombstone{}
+                              : known->second.tombstone,
+                          submission.caller, now);
+}
+
+/// Returns the organisation of a submitted job; empty for none.
+auto OwnerOf(const Submission& submission) -> OrganisationName {
+  return submission.caller.value_or(OrganisationName());
+}
+
+auto MakeWrite(const Submission& submission, WallTime now) -> Write {
+  const std::string& part = submission.shard.value;
+  const std::string ended_table(kEndedTable);
+  if (submission.kind == SubmissionKind::kTombstone) {
+    return {ended_table, submission.job.value,
+            EncodeCancelTombstone(MakeTombstone(submission, now)), part};
+  }
+  if (IsCancelled(submission)) {
+    return {ended_table, submission.job.value,
+            EncodeEndedJob({JobState::kCancelled, now, OwnerOf(submission)}),
+            part};
+  }
+  return {JobTable(submission.shard), JobKey(submission.job), submission.value,
+          part};
+}
+
+/// The part and the key of a row in the table of ended jobs.
+using EndedRowKey = std::pair<std::string, std::string>;
+
 /// The keys of a conflict's rows that exist: those of jobs, with their values,
-/// and those of assignments that have ended.
+/// tombstones, and those of assignments that have ended.
 struct PresentRows {
   std::map<std::string, std::string> jobs;
+  std::map<EndedRowKey, StoredTombstone> tombstones;
   std::set<std::string> ended_assignments;
+  /// Rows in the table of ended jobs that do not exist.
+  std::set<EndedRowKey> without_tombstone;
 };
 
+auto AddEndedRow(const Row& row, PresentRows& present) -> void {
+  const EndedRowKey key{row.part, row.key};
+  if (row.version == 0) {
+    present.without_tombstone.insert(key);
+  } else if (auto tombstone = DecodeCancelTombstone(row.value)) {
+    present.tombstones[key] = {std::move(*tombstone), row.version};
+  } else {
+    present.jobs.emplace(row.key, row.value);
+  }
+}
+
 auto FindPresent(const Conflict& conflict) -> PresentRows {
   PresentRows present;
   for (const Row& row : conflict.current) {
-    if (row.version == 0) {
+    if (row.table == kEndedTable) {
+      AddEndedRow(row, present);
+    } else if (row.version == 0) {
       continue;
-    }
-    if (row.table == kQueueAssignmentTable) {
+    } else if (row.table == kQueueAssignmentTable) {
       present.ended_assignments.insert(row.key);
     } else {
       present.jobs.emplace(row.key, row.value);
@@ -95,7 +149,42 @@
 /// of a submission.
 auto IsForeign(const std::string& row, const Submission& submission) -> bool {
   const OrganisationName owner = DecodeRowOrganisation(row);
-  return !owner.empty() && owner != submission.organisation;
+  if (submission.kind == SubmissionKind::kTombstone) {
+    return !MayAccess(submission.caller, owner);
+  }
+  return !MayAccess(OwnerOf(submission), owner);
+}
+
+/// Takes over what a conflict says about the tombstones of a submission's job
+/// in one shard. Returns whether anything is new.
+auto LearnTombstone(const PresentRows& present,
+                    const ShardName& shard,
+                    Submission& submission) -> bool {
+  const EndedRowKey key{shard.value, submission.job.value};
+  const auto found = present.tombstones.find(key);
+  if (found != present.tombstones.end()) {
+    submission.tombstones[shard] = found->second;
+    return true;
+  }
+  return present.without_tombstone.contains(key) &&
+         submission.tombstones.erase(shard) > 0;
+}
+
+auto LearnTombstones(const PresentRows& present, Submission& submission)
+    -> bool {
+  bool learned = LearnTombstone(present, submission.shard, submission);
+  for (const ShardName& shard : submission.other_shards) {
+    learned = LearnTombstone(present, shard, submission) || learned;
+  }
+  return learned;
+}
+
+/// Returns whether a tombstone can't name one caller more.
+auto IsTombstoneFull(const Submission& submission) -> bool {
+  const auto known = submission.tombstones.find(submission.shard);
+  return submission.kind == SubmissionKind::kTombstone &&
+         known != submission.tombstones.end() &&
+         !HasRoomFor(known->second.tombstone, submission.caller);
 }
 
 }  // namespace
@@ -142,18 +231,24 @@
   return batch;
 }
 
-auto MakeSubmissionTransaction(const std::vector<Submission>& batch)
-    -> Transaction {
+auto IsCancelled(const Submission& submission) -> bool {
+  const OrganisationName owner = OwnerOf(submission);
+  return std::any_of(submission.tombstones.begin(), submission.tombstones.end(),
+                     [&owner](const auto& known) -> bool {
+                       return IsCancelled(known.second.tombstone, owner);
+                     });
+}
+
+auto MakeSubmissionTransaction(const std::vector<Submission>& batch,
+                               WallTime now) -> Transaction {
   Transaction transaction;
   AddAssignments(batch, transaction);
   for (const Submission& submission : batch) {
-    AddAbsence(submission.shard, submission.job, transaction);
+    AddAbsence(submission.shard, submission, transaction);
     for (const ShardName& other : submission.other_shards) {
-      AddAbsence(other, submission.job, transaction);
+      AddAbsence(other, submission, transaction);
     }
-    transaction.writes.push_back({JobTable(submission.shard),
-                                  JobKey(submission.job), submission.value,
-                                  submission.shard.value});
+    transaction.writes.push_back(MakeWrite(submission, now));
   }
   return transaction;
 }
@@ -163,6 +258,7 @@
   const PresentRows present = FindPresent(conflict);
   ConflictSplit split;
   const bool single = batch.size() == 1;
+  bool explained = false;
   for (Submission& submission : batch) {
     const std::string* row = FindJobRow(present, submission.job);
     if (row != nullptr) {
@@ -170,13 +266,19 @@
       (foreign ? split.foreign : split.stored).push_back(std::move(submission));
     } else if (present.ended_assignments.contains(submission.ended_key)) {
       split.moved.push_back(std::move(submission));
+    } else if (LearnTombstones(present, submission)) {
+      const bool full = IsTombstoneFull(submission);
+      (full ? split.refused : split.again).push_back(std::move(submission));
+      explained = true;
     } else if (single) {
       split.unclear.push_back(std::move(submission));
     } else {
       split.again.push_back(std::move(submission));
     }
   }
-  if (split.stored.empty() && split.moved.empty() && split.foreign.empty()) {
+  explained = explained || !split.stored.empty() || !split.moved.empty() ||
+              !split.foreign.empty();
+  if (!explained) {
     for (Submission& submission : split.again) {
       submission.alone = true;
     }
--- a/src/fireflythread/jobs/submission_queue.h
+++ b/src/fireflythread/jobs/submission_queue.h
@@ -3,16 +3,28 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "fireflythread/base/ids.h"
 #include "fireflythread/base/time.h"
+#include "fireflythread/jobs/cancel_tombstone.h"
 #include "fireflythread/platform/fwd.h"
 
 namespace fireflythread {
 
-/// A caller's job that is being stored.
+/// What a submission stores if there is no such job.
+enum class SubmissionKind : std::uint8_t {
+  /// The job. If it was cancelled ahead, a cancelled job that has ended.
+  kJob,
+  /// A cancel tombstone, which keeps the job from being stored.
+  kTombstone
+};
+
+/// A caller's job that is being stored, or the cancellation of a job that was
+/// not found.
 struct Submission {
   /// Identifies the caller's request in this process.
   std::uint64_t number = 0;
@@ -23,10 +35,14 @@
   /// Other shards that may have accepted the same job before.
   std::vector<ShardName> other_shards;
   JobId job;
-  /// Organisation of the caller; empty for none.
-  OrganisationName organisation;
-  /// Value of the job's row.
+  SubmissionKind kind = SubmissionKind::kJob;
+  /// Organisation of the caller, empty for none; no value where organisations
+  /// are not checked.
+  std::optional<OrganisationName> caller;
+  /// Value of the job's row; empty for a tombstone.
   std::string value;
+  /// The tombstones of the job that an earlier attempt has found.
+  std::map<ShardName, StoredTombstone> tombstones;
   TimePoint deadline;
   /// An earlier attempt got no answer and may still take effect.
   bool uncertain = false;
@@ -45,10 +61,12 @@
 
 /// The submissions of a conflicting transaction, by outcome.
 struct ConflictSplit {
-  /// Already stored by an earlier request.
+  /// The job was stored by an earlier request.
   std::vector<Submission> stored;
   /// To be retried.
   std::vector<Submission> again;
+  /// Not stored: the tombstone names too many organisations already.
+  std::vector<Submission> refused;
   /// Not stored, and never will be in this shard: its queue is assigned
   /// elsewhere.
   std::vector<Submission> moved;
@@ -70,10 +88,15 @@
 [[nodiscard]] auto TakeSubmissions(SubmissionQueue& queue)
     -> std::vector<Submission>;
 
-/// Makes the transaction that stores each job on the condition that its queue
-/// is still assigned to the shard and that no shard has or recently had it.
+/// Returns whether the job of a submission is known to be cancelled.
+[[nodiscard]] auto IsCancelled(const Submission& submission) -> bool;
+
+/// Makes the transaction that stores each job or tombstone on the condition
+/// that its queue is still assigned to the shard, that no shard has or recently
+/// had the job, and that no tombstone has been written meanwhile.
 [[nodiscard]] auto MakeSubmissionTransaction(
-    const std::vector<Submission>& batch) -> Transaction;
+    const std::vector<Submission>& batch,
+    WallTime now) -> Transaction;
 
 [[nodiscard]] auto SplitConflict(std::vector<Submission> batch,
                                  const Conflict& conflict) -> ConflictSplit;
--- a/test/fireflythread/entry/ended_jobs_task_test.cc
+++ b/test/fireflythread/entry/ended_jobs_task_test.cc
@@ -8,6 +8,7 @@
 
 #include "fireflythread/base/io_clock.h"
 #include "fireflythread/entry/job_request_handler.h"
+#include "fireflythread/jobs/cancel_tombstone.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/shard_jobs.h"
@@ -97,6 +98,23 @@
   CHECK(fixture.store.CountRows(kEndedTable) == 0);
 }
 
+TEST_CASE("A cancel tombstone is kept for ten minutes and then removed",
+          "[jobs]") {
+  // Guards against a tombstone that goes while the submission is on its way,
+  // and against rows of ids that callers make up which stay for ever.
+  EndedFixture fixture;
+  const CancelTombstone tombstone =
+      WithCancellation({}, OrganisationName("north"), fixture.wall_now);
+  fixture.store.Put(kEndedTable, kShard.value, "a",
+                    EncodeCancelTombstone(tombstone));
+  fixture.Advance(minutes(9));
+  CHECK(fixture.store.CountRows(kEndedTable) == 1);
+  CHECK(fixture.ReadState("a") ==
+        std::variant<JobState, JobRequestOutcome>(JobRequestOutcome::kNoJob));
+  fixture.Advance(minutes(3));
+  CHECK(fixture.store.CountRows(kEndedTable) == 0);
+}
+
 TEST_CASE("A move whose answer is lost is retried without side effects",
           "[jobs]") {
   EndedFixture fixture;
--- a/test/fireflythread/entry/job_request_handler_test.cc
+++ b/test/fireflythread/entry/job_request_handler_test.cc
@@ -62,7 +62,7 @@
     request.queue = QueueId("orders");
     request.organisation = this->caller.value_or(OrganisationName());
     std::optional<JobRequestOutcome> outcome;
-    this->handler.Submit(kShard, "orders/3", others, request, Deadline(),
+    this->handler.Submit({kShard, "orders/3", others}, request, Deadline(),
                          [&outcome](JobRequestOutcome got) { outcome = got; });
     REQUIRE(FakeTableStore::RunUntil([&] { return outcome.has_value(); }));
     return *outcome;
--- a/test/fireflythread/jobs/submission_queue_test.cc
+++ b/test/fireflythread/jobs/submission_queue_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 
+#include "fireflythread/jobs/cancel_tombstone.h"
 #include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/queue_assignments.h"
 #include "fireflythread/platform/row.h"
@@ -16,6 +17,7 @@
 using std::chrono::milliseconds;
 
 constexpr TimePoint kNow{std::chrono::hours(1)};
+constexpr WallTime kWallNow{std::chrono::hours(5)};
 constexpr const char* kEndedKey = "quotes/3";
 
 auto MakeSubmission(const std::string& job) -> Submission {
@@ -72,7 +74,7 @@
     const auto batch = TakeSubmissions(queue);
     queue.committing = false;
     REQUIRE_FALSE(batch.empty());
-    const Transaction transaction = MakeSubmissionTransaction(batch);
+    const Transaction transaction = MakeSubmissionTransaction(batch, kWallNow);
     CHECK(transaction.conditions.size() + transaction.writes.size() <= 100);
     jobs += batch.size();
   }
@@ -125,7 +127,7 @@
   // Guards against a repeated submission that runs a job again after the job
   // has ended and its row was moved.
   const Transaction transaction =
-      MakeSubmissionTransaction({MakeSubmission("job0")});
+      MakeSubmissionTransaction({MakeSubmission("job0")}, kWallNow);
   int found = 0;
   for (const Condition& condition : transaction.conditions) {
     if (condition.table == kEndedTable) {
@@ -151,6 +153,40 @@
   CHECK(split.again.size() == 2);
 }
 
+TEST_CASE("A cancelled job delays no other job of its transaction", "[jobs]") {
+  // Guards against a tombstone that has the whole batch retried one by one, or
+  // that is taken for one of another shard.
+  SubmissionQueue queue = MakeQueue(3);
+  Conflict conflict;
+  const CancelTombstone tombstone = WithCancellation({}, {}, kWallNow);
+  conflict.current = {{std::string(kEndedTable), "job1", 7,
+                       EncodeCancelTombstone(tombstone), "office"}};
+  ConflictSplit split = SplitConflict(TakeSubmissions(queue), conflict);
+  REQUIRE(split.again.size() == 3);
+  CHECK_FALSE(split.again[0].alone);
+  CHECK_FALSE(IsCancelled(split.again[0]));
+  CHECK(IsCancelled(split.again[1]));
+  const Transaction transaction =
+      MakeSubmissionTransaction(split.again, kWallNow);
+  for (const Condition& condition : transaction.conditions) {
+    const bool is_tombstone = condition.table == kEndedTable &&
+                              condition.key == "job1" &&
+                              condition.part == "office";
+    CHECK(condition.version == (is_tombstone ? 7 : 0));
+  }
+  REQUIRE(transaction.writes.size() == 3);
+  CHECK(transaction.writes[0].table == JobTable(ShardName("desk")));
+  CHECK(transaction.writes[1].table == kEndedTable);
+  CHECK(transaction.writes[1].part == "desk");
+  CHECK(transaction.writes[2].table == JobTable(ShardName("desk")));
+
+  // The tombstone was removed meanwhile.
+  Row gone{std::string(kEndedTable), "job1", 0, "", "office"};
+  split = SplitConflict(std::move(split.again), Conflict{{gone}});
+  REQUIRE(split.again.size() == 3);
+  CHECK_FALSE(IsCancelled(split.again[1]));
+}
+
 TEST_CASE("After a conflict that names no job, submissions are sent one by one",
           "[jobs]") {
   SubmissionQueue queue = MakeQueue(3);
@@ -179,7 +215,7 @@
   SubmissionQueue queue = MakeQueue(3);
   queue.waiting[2].ended_key = "plans/7";
   const auto batch = TakeSubmissions(queue);
-  const Transaction transaction = MakeSubmissionTransaction(batch);
+  const Transaction transaction = MakeSubmissionTransaction(batch, kWallNow);
   int assignments = 0;
   for (const Condition& condition : transaction.conditions) {
     if (condition.table == kQueueAssignmentTable) {
--- /dev/null
+++ b/test/soak/cancelled_submission_case.py
@@ -0,0 +1,158 @@
+"""A caller cancels a job whose submission is still on its way.
+
+    test/soak/cancelled_submission_case.py [--keep]
+
+Guards against a job that runs although its caller cancelled it and was told that
+it does not exist: the submission lay in the socket of an entry that stood still,
+was repeated later, or the store carried it out late. Also guards against the
+opposite: a job that nobody cancelled, or that another organisation did, is not
+accepted any more. Exits with 0 if all held, with 1 if not, and with 2 if the
+case could not run. SOAK_ROOT names another checkout whose entries are played.
+"""
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import sys
+import tempfile
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import soak_site  # noqa: E402
+from soak_site import standin  # noqa: E402
+
+STEPS = [{"count": 2, "cpu": 500, "mem_mb": 256, "estimate_ms": 300}]
+BODY = {"spec": "work_ms=300", "steps": STEPS}
+# How long the first entry stands still, and a caller waits, in seconds.
+FREEZE_S = 4.0
+DEADLINE_S = 3.0
+# How long a job that must run may take, and one that must not is watched, in
+# seconds.
+RUN_LIMIT_S = 20
+WATCH_S = 6
+
+
+class Site(soak_site.Site):
+    """Two entries and two organisations with a key each."""
+
+    def __init__(self, folder):
+        super().__init__(folder, random.Random(1), 2, 6)
+        self.keys = ["north", "south"]
+
+    def write_config(self):
+        super().write_config()
+        row = json.loads(self.store.rows[("op", "", "config")][0])
+        self.config_version += 1
+        row["version"] = self.config_version
+        row["tenants"] = [{"name": key, "api_keys": [key], "weight": 10,
+                           "cap": {"cpu": 0, "mem_mb": 0, "gpu": 0}}
+                          for key in self.keys]
+        self.store.put("op", "config", row)
+
+    async def ask(self, entry, method, job, key="north", timeout=DEADLINE_S,
+                  deadline_s=DEADLINE_S):
+        """The status and the state that an entry answers, or None twice."""
+        body = BODY if method == "POST" else None
+        headers = [("Api-Key", key),
+                   ("Fireflythread-Deadline-Ms", str(int(deadline_s * 1000)))]
+        try:
+            status, answer = await standin.call(
+                entry.front, method, f"/quote/{job}", body=body,
+                timeout=timeout, headers=headers)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            status, answer = None, {}
+        self.record.line(f"{method} {job} by {key} at {entry.name}: {status} {answer}")
+        return status, (answer or {}).get("state")
+
+    def has_runs(self, job):
+        return any(run.task.startswith(job) for run in self.runs())
+
+    async def completes(self, entry, job):
+        end = self.record.now() + RUN_LIMIT_S
+        while self.record.now() < end:
+            if (await self.ask(entry, "GET", job))[1] == "completed":
+                return True
+            await asyncio.sleep(0.3)
+        return False
+
+
+class Faults(list):
+    def expect(self, holds, text):
+        if not holds:
+            self.append(text)
+
+
+async def play_frozen(site, faults):
+    """The first entry stands still with submissions in its sockets."""
+    first, second = site.entries
+    cancelled, foreign, patient, repeated = (standin.new_job() for _ in range(4))
+    first.freeze()
+    thaw = asyncio.get_running_loop().call_later(FREEZE_S, first.thaw)
+    try:
+        waiting = asyncio.ensure_future(
+            site.ask(first, "POST", patient, timeout=12, deadline_s=12))
+        await asyncio.gather(*(site.ask(first, "POST", job)
+                               for job in (cancelled, foreign, repeated)))
+        faults.expect((await site.ask(second, "DELETE", cancelled))[0] == 410,
+                      "the cancel of an unknown job is not answered 410")
+        faults.expect((await site.ask(second, "GET", cancelled))[0] == 410,
+                      "a job that was only cancelled is shown")
+        faults.expect((await site.ask(second, "DELETE", foreign, "south"))[0] == 410,
+                      "another organisation's cancel is not answered 410")
+        faults.expect((await site.ask(second, "POST", foreign))[0] == 200,
+                      "another organisation's cancel keeps a job from being stored")
+        faults.expect((await site.ask(second, "POST", repeated))[0] == 200,
+                      "a submission that is repeated elsewhere is not accepted")
+        faults.expect((await waiting)[0] == 200,
+                      "a submission whose caller waits is not accepted after a pause")
+    finally:
+        if first.frozen:
+            thaw.cancel()
+            first.thaw()
+    await asyncio.sleep(WATCH_S)
+    faults.expect(not site.has_runs(cancelled), "a cancelled job runs after a pause")
+    for job in (foreign, patient, repeated):
+        faults.expect(await site.completes(second, job), "a job does not complete")
+    # A submission that arrives once more finds the job cancelled.
+    status, _ = await site.ask(first, "POST", cancelled)
+    faults.expect(status is not None and status < 300 or status == 503,
+                  f"a cancelled job that is submitted again is answered {status}")
+    state = await site.ask(second, "GET", cancelled)
+    faults.expect(state in ((200, "cancelled"), (410, None)),
+                  f"a cancelled job is shown as {state}")
+    faults.expect((await site.ask(second, "DELETE", cancelled))[0] in (200, 410),
+                  "a second cancel is not acknowledged")
+    await asyncio.sleep(WATCH_S)
+    faults.expect(not site.has_runs(cancelled),
+                  "a cancelled job runs after a repeated submission")
+
+
+async def main_async(args):
+    folder = tempfile.mkdtemp(prefix="cancelled-")
+    site = Site(folder)
+    faults = Faults()
+    try:
+        await site.start()
+        await play_frozen(site, faults)
+    finally:
+        for entry in site.entries:
+            await entry.kill()
+    for fault in faults:
+        print("BROKEN", fault)
+    if args.keep:
+        print("record and logs in", folder, site.folder)
+    else:
+        shutil.rmtree(folder, ignore_errors=True)
+        shutil.rmtree(site.folder, ignore_errors=True)
+    return 1 if faults else 0
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--keep", action="store_true")
+    soak_site.run_and_exit(main_async, parser.parse_args())
+
+
+if __name__ == "__main__":
+    main()
