Give the search for a job a class of its own

JobRequestHandler read three tables in three functions of like shape, and a cancel needed a weak reference to the search that had called it. JobLookup reads one table after the other by one function and returns where it found the job. No change of what is read, in which order, or answered; the unit tests of jobs pass as before.

--- a/src/fireflythread/entry/job_request_handler.cc
+++ b/src/fireflythread/entry/job_request_handler.cc
@@ -8,7 +8,6 @@
 #include "fireflythread/entry/call_deadline.h"
 #include "fireflythread/entry/run_later.h"
 #include "fireflythread/entry/store_timeouts.h"
-#include "fireflythread/jobs/cancel_tombstone.h"
 #include "fireflythread/jobs/job_codec.h"
 #include "fireflythread/jobs/job_tables.h"
 #include "fireflythread/jobs/shard_job.h"
@@ -31,24 +30,8 @@
 
 }  // namespace
 
-struct JobRequestHandler::Lookup {
-  std::vector<ShardName> shards;
-  std::size_t next = 0;
-  JobId job;
-  /// Organisation of the caller; no value where organisations are not checked.
-  std::optional<OrganisationName> caller;
-  TimePoint deadline;
-  StateCallback callback;
-
-  /// Returns whether the caller may learn of the job that a row belongs to. A
-  /// job without organisation belongs to everybody.
-  [[nodiscard]] auto MayRead(const std::string& row) const -> bool {
-    return MayAccess(this->caller, DecodeRowOrganisation(row));
-  }
-};
-
 JobRequestHandler::JobRequestHandler(TableStore& table_store, const Logger& log)
-    : store(table_store), logger(log), sender(table_store, log) {}
+    : store(table_store), sender(table_store, log), lookup(table_store, log) {}
 
 auto JobRequestHandler::Submit(const SubmissionTarget& target,
                                const JobRequest& job,
@@ -75,137 +58,15 @@
                                   const std::optional<OrganisationName>& caller,
                                   TimePoint deadline,
                                   StateCallback callback) -> void {
-  auto lookup = std::make_shared<Lookup>();
-  lookup->shards = std::move(shards);
-  lookup->job = job;
-  lookup->caller = caller;
-  lookup->deadline = deadline;
-  lookup->callback = std::move(callback);
-  this->TryRead(lookup);
-}
-
-// The rows of an ended job are moved from the progress and job tables to the
-// table of ended jobs in one transaction. When the tables are read in this
-// order, a job that is missing from the first two is in the third.
-auto JobRequestHandler::TryRead(const std::shared_ptr<Lookup>& lookup) -> void {
-  const ShardName& shard = lookup->shards[lookup->next];
-  RangeRequest range{std::string(kProgressTable), shard.value,
-                     lookup->job.value, lookup->job.value + '\x01'};
-  this->store.ReadRange(std::move(range), CallTimeout(lookup->deadline),
-                        this->alive.Guard([this, lookup](auto&& result) {
-                          const auto* page = std::get_if<RangePage>(&result);
-                          if (page == nullptr) {
-                            this->RetryRead(lookup);
-                            return;
-                          }
-                          if (page->rows.empty()) {
-                            this->TryReadJob(lookup);
-                            return;
-                          }
-                          if (!lookup->MayRead(page->rows.front().value)) {
-                            lookup->callback(JobRequestOutcome::kNoJob);
-                            return;
-                          }
-                          const auto state =
-                              DecodeJobState(page->rows.front().value);
-                          if (state) {
-                            lookup->callback(*state);
-                          } else {
-                            this->logger.Error("desk", "unreadable_progress",
-                                               {{"job", lookup->job}});
-                            lookup->callback(JobRequestOutcome::kUnknown);
-                          }
-                        }));
-}
-
-auto JobRequestHandler::TryReadJob(const std::shared_ptr<Lookup>& lookup)
-    -> void {
-  const ShardName& shard = lookup->shards[lookup->next];
-  RangeRequest range{JobTable(shard), shard.value, lookup->job.value + "/",
-                     lookup->job.value + "0"};
-  this->store.ReadRange(
-      std::move(range), CallTimeout(lookup->deadline),
-      this->alive.Guard([this, lookup](auto&& result) {
-        const auto* page = std::get_if<RangePage>(&result);
-        if (page == nullptr) {
-          this->RetryRead(lookup);
-          return;
-        }
-        bool found = false;
-        bool readable = true;
-        bool cancelled = false;
-        for (const Row& row : page->rows) {
-          const auto key = ParseJobTableKey(row.key);
-          if (key && !key->is_cancel) {
-            found = true;
-            readable = lookup->MayRead(row.value);
-          }
-          cancelled = cancelled || (key && key->is_cancel);
-        }
-        // A cancellation without a job row was stored while its job was moved.
-        if (!found) {
-          this->TryReadEnded(lookup);
-          return;
-        }
-        if (!readable) {
-          lookup->callback(JobRequestOutcome::kNoJob);
-          return;
+  this->lookup.Find(
+      {std::move(shards), job, caller, deadline},
+      [done = std::move(callback)](const JobLookup::Result& result) -> void {
+        if (const auto* found = std::get_if<JobLookup::FoundJob>(&result)) {
+          done(found->state);
+        } else {
+          done(std::get<JobRequestOutcome>(result));
         }
-        lookup->callback(cancelled ? JobState::kCancelled : JobState::kQueued);
-      }));
-}
-
-auto JobRequestHandler::TryReadEnded(const std::shared_ptr<Lookup>& lookup)
-    -> void {
-  const ShardName& shard = lookup->shards[lookup->next];
-  RangeRequest range{std::string(kEndedTable), shard.value, lookup->job.value,
-                     lookup->job.value + '\x01'};
-  this->store.ReadRange(std::move(range), CallTimeout(lookup->deadline),
-                        this->alive.Guard([this, lookup](auto&& result) {
-                          const auto* page = std::get_if<RangePage>(&result);
-                          if (page == nullptr) {
-                            this->RetryRead(lookup);
-                            return;
-                          }
-                          if (page->rows.empty() ||
-                              DecodeCancelTombstone(page->rows.front().value)) {
-                            this->TryNextShard(lookup);
-                            return;
-                          }
-                          if (!lookup->MayRead(page->rows.front().value)) {
-                            lookup->callback(JobRequestOutcome::kNoJob);
-                            return;
-                          }
-                          const auto ended =
-                              DecodeEndedJob(page->rows.front().value);
-                          if (ended) {
-                            lookup->callback(ended->state);
-                          } else {
-                            this->logger.Error("desk", "unreadable_progress",
-                                               {{"job", lookup->job}});
-                            lookup->callback(JobRequestOutcome::kUnknown);
-                          }
-                        }));
-}
-
-auto JobRequestHandler::TryNextShard(const std::shared_ptr<Lookup>& lookup)
-    -> void {
-  ++lookup->next;
-  if (lookup->next >= lookup->shards.size()) {
-    lookup->callback(JobRequestOutcome::kNoJob);
-    return;
-  }
-  this->TryRead(lookup);
-}
-
-auto JobRequestHandler::RetryRead(const std::shared_ptr<Lookup>& lookup)
-    -> void {
-  if (!HasTimeToRetry(lookup->deadline)) {
-    lookup->callback(JobRequestOutcome::kUnknown);
-    return;
-  }
-  RunLater(kCallRetryDelay,
-           this->alive.Guard([this, lookup]() { this->TryRead(lookup); }));
+      });
 }
 
 auto JobRequestHandler::Cancel(std::vector<ShardName> shards,
@@ -213,29 +74,19 @@
                                const std::optional<OrganisationName>& caller,
                                TimePoint deadline,
                                OutcomeCallback callback) -> void {
-  auto lookup = std::make_shared<Lookup>();
-  lookup->shards = std::move(shards);
-  lookup->job = job;
-  lookup->caller = caller;
-  lookup->deadline = deadline;
-  // The callback holds only a weak reference, so that the lookup doesn't own
-  // itself.
-  lookup->callback =
-      [this, weak = std::weak_ptr<Lookup>(lookup), job, deadline,
-       done = std::move(callback)](
-          const std::variant<JobState, JobRequestOutcome>& result) {
-        if (const auto* outcome = std::get_if<JobRequestOutcome>(&result)) {
-          done(*outcome);
-          return;
-        }
-        if (IsFinal(std::get<JobState>(result))) {
-          done(JobRequestOutcome::kStored);
-          return;
-        }
-        const auto owner = weak.lock();
-        this->StoreCancel(owner->shards[owner->next], job, deadline, done);
-      };
-  this->TryRead(lookup);
+  this->lookup.Find({std::move(shards), job, caller, deadline},
+                    [this, job, deadline, done = std::move(callback)](
+                        const JobLookup::Result& result) -> void {
+                      const auto* found =
+                          std::get_if<JobLookup::FoundJob>(&result);
+                      if (found == nullptr) {
+                        done(std::get<JobRequestOutcome>(result));
+                      } else if (IsFinal(found->state)) {
+                        done(JobRequestOutcome::kStored);
+                      } else {
+                        this->StoreCancel(found->shard, job, deadline, done);
+                      }
+                    });
 }
 
 auto JobRequestHandler::StoreCancel(const ShardName& shard,
--- a/src/fireflythread/entry/job_request_handler.h
+++ b/src/fireflythread/entry/job_request_handler.h
@@ -9,6 +9,7 @@
 
 #include "fireflythread/base/time.h"
 #include "fireflythread/entry/alive_token.h"
+#include "fireflythread/entry/job_lookup.h"
 #include "fireflythread/entry/job_request_outcome.h"
 #include "fireflythread/entry/submission_sender.h"
 #include "fireflythread/jobs/cancel_request.h"
@@ -77,14 +78,8 @@
                    CountCallback callback) -> void;
 
  private:
-  struct Lookup;
   struct WaitingSum;
 
-  auto TryRead(const std::shared_ptr<Lookup>& lookup) -> void;
-  auto TryReadJob(const std::shared_ptr<Lookup>& lookup) -> void;
-  auto TryReadEnded(const std::shared_ptr<Lookup>& lookup) -> void;
-  auto TryNextShard(const std::shared_ptr<Lookup>& lookup) -> void;
-  auto RetryRead(const std::shared_ptr<Lookup>& lookup) -> void;
   auto ReadNextWaiting(const std::shared_ptr<WaitingSum>& sum) -> void;
   auto StoreCancel(const ShardName& shard,
                    const JobId& job,
@@ -92,8 +87,8 @@
                    OutcomeCallback callback) -> void;
 
   TableStore& store;
-  const Logger& logger;
   SubmissionSender sender;
+  JobLookup lookup;
   AliveToken alive;
 };
 
