--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -7,7 +7,8 @@
 are frozen, killed, starved and replaced, workers restart, are cut off, slow or
 carry orders out late, the store is down, slow or loses its answers, and routes
 get other names, services or each other's names; one after another and at the
-same time. Clients send some accepted jobs once more. Prints each breach
+same time. Clients send some accepted jobs once more, and may cancel jobs whose
+submission got no answer. Prints each breach
 with the lines that the entries logged about its task. Exits with 0 if none was
 found, with 1 if some were, and with 2 if the soak could not run.
 
@@ -47,9 +48,11 @@
     """The clients: they submit jobs, again under the same id after no answer,
     and cancel some."""
 
-    def __init__(self, site, rng):
+    def __init__(self, site, rng, cancel_unanswered):
         self.site = site
         self.rng = rng
+        # The share of tries without an answer after which a client cancels.
+        self.cancel_unanswered = cancel_unanswered
         self.accepted = {}   # job -> queue
         self.cancelled = {}  # job -> time of the answer, or None without one
         self.tasks = []
@@ -75,6 +78,10 @@
             await asyncio.sleep(self.rng.expovariate(rate))
         await asyncio.gather(*self.tasks)
 
+    def gives_up(self):
+        # Draws nothing without such clients, so that a seed stays what it was.
+        return self.cancel_unanswered > 0 and self.rng.random() < self.cancel_unanswered
+
     def pick_entry(self):
         up = [entry for entry in self.site.entries if entry.is_up()]
         return self.rng.choice(up or self.site.entries)
@@ -87,6 +94,9 @@
             if status is not None and 200 <= status < 300:
                 self.accepted[job] = queue
                 break
+            if status is None and self.gives_up():
+                await self.cancel(job, queue)
+                return
             if status in (429, 503):
                 # Not accepted, and never runs, unless an earlier try was.
                 job = standin.new_job()
@@ -203,7 +213,7 @@
     folder = os.environ.get("SOAK_OUT") or tempfile.mkdtemp(prefix="soak-")
     os.makedirs(folder, exist_ok=True)
     site = soak_site.Site(folder, random.Random(rng.random()), args.entries, args.workers)
-    load = Load(site, random.Random(rng.random()))
+    load = Load(site, random.Random(rng.random()), args.cancel_unanswered)
     plan = trouble.Trouble(site, random.Random(rng.random()), args.kinds)
     loop, task = asyncio.get_running_loop(), asyncio.current_task()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -241,6 +251,9 @@
     parser.add_argument("--workers", type=int, default=18)
     parser.add_argument("--rate", type=float, default=6, help="jobs per second")
     parser.add_argument("--kinds", help="only these kinds of faults, with commas")
+    parser.add_argument("--cancel-unanswered", type=float, default=0.0,
+                        help="the share of tries without an answer after which a "
+                        "client cancels the job")
     parser.add_argument("--keep", action="store_true")
     soak_site.run_and_exit(main_async, parser.parse_args())
 
