--- a/src/fireflythread/jobs/submission_queue.h
+++ b/src/fireflythread/jobs/submission_queue.h
@@ -36,8 +36,8 @@
   std::vector<ShardName> other_shards;
   JobId job;
   SubmissionKind kind = SubmissionKind::kJob;
-  /// Organisation of the caller, empty for none; no value where organisations
-  /// are not checked.
+  /// Of a job, its organisation, empty for none. Of a tombstone, that of the
+  /// caller; no value where organisations are not checked.
   std::optional<OrganisationName> caller;
   /// Value of the job's row; empty for a tombstone.
   std::string value;
