--- a/src/fireflythread/jobs/submission_queue.cc
+++ b/src/fireflythread/jobs/submission_queue.cc
@@ -104,13 +104,13 @@
   std::map<EndedRowKey, StoredTombstone> tombstones;
   std::set<std::string> ended_assignments;
   /// Rows in the table of ended jobs that do not exist.
-  std::set<EndedRowKey> without_tombstone;
+  std::set<EndedRowKey> absent_ended_rows;
 };
 
 auto AddEndedRow(const Row& row, PresentRows& present) -> void {
   const EndedRowKey key{row.part, row.key};
   if (row.version == 0) {
-    present.without_tombstone.insert(key);
+    present.absent_ended_rows.insert(key);
   } else if (auto tombstone = DecodeCancelTombstone(row.value)) {
     present.tombstones[key] = {std::move(*tombstone), row.version};
   } else {
@@ -166,7 +166,7 @@
     submission.tombstones[shard] = found->second;
     return true;
   }
-  return present.without_tombstone.contains(key) &&
+  return present.absent_ended_rows.contains(key) &&
          submission.tombstones.erase(shard) > 0;
 }
 
