--- a/src/fireflythread/entry/job_submitter.cc
+++ b/src/fireflythread/entry/job_submitter.cc
@@ -35,12 +35,13 @@
   TimePoint deadline;
   Callback callback;
   /// Null once the submission must not be refused any more.
-  RefusalCallback on_refused;
+  RefusalCallback on_refused = nullptr;
   /// Version of an assignment that was found to have ended.
   std::uint64_t ended_version = 0;
   /// Time until which the submission waits; empty while it need not.
-  std::optional<TimePoint> wait_until;
-  ShardName shard;
+  std::optional<TimePoint> wait_until = {};
+  /// The shard that was tried last.
+  ShardName shard = {};
 };
 
 struct JobSubmitter::Target {
@@ -62,26 +63,16 @@
                           TimePoint deadline,
                           Callback callback,
                           RefusalCallback on_refused) -> void {
-  auto pending = std::make_shared<Pending>();
-  pending->job = job.id;
-  pending->queue = job.queue;
-  pending->content = job;
-  pending->deadline = deadline;
-  pending->callback = std::move(callback);
-  pending->on_refused = std::move(on_refused);
-  this->Try(pending);
+  this->Try(std::make_shared<Pending>(Pending{job.id, job.queue, job, deadline,
+                                              std::move(callback),
+                                              std::move(on_refused)}));
 }
 
 auto JobSubmitter::SubmitTombstone(const CancelRequest& request,
                                    TimePoint deadline,
                                    Callback callback) -> void {
-  auto pending = std::make_shared<Pending>();
-  pending->job = request.job;
-  pending->queue = request.queue;
-  pending->content = request;
-  pending->deadline = deadline;
-  pending->callback = std::move(callback);
-  this->Try(pending);
+  this->Try(std::make_shared<Pending>(Pending{
+      request.job, request.queue, request, deadline, std::move(callback)}));
 }
 
 auto JobSubmitter::FindTarget(const Pending& pending) const
