--- a/test/platform/request_deadline_test.cc
+++ b/test/platform/request_deadline_test.cc
@@ -28,6 +28,18 @@
   CHECK(HasExpired(MakeRequest(3000, milliseconds(3000))));
 }
 
+TEST_CASE("A request whose caller still waits gets time for a try",
+          "[platform]") {
+  // Guards against a caller who is refused after a pause although the store
+  // would have taken the job in time.
+  CHECK(DeadlineOf(MakeRequest(3000, milliseconds(2800)), kNow) ==
+        kNow + milliseconds(500));
+  CHECK_FALSE(HasExpired(MakeRequest(3000, milliseconds(2800))));
+  // One that did not wait has its own deadline, however short.
+  CHECK(DeadlineOf(MakeRequest(200, milliseconds(0)), kNow) ==
+        kNow + milliseconds(100));
+}
+
 TEST_CASE("A request without a deadline is taken after a pause", "[platform]") {
   // Guards against the refusal of a caller who may still wait, and against a
   // request that is older than the tombstone of its job.
