Play a move of the queue and a flood of cancels in the case with processes

The case now also moves the queue away and back while an entry stands still with submissions, and has one organisation cancel 300 unknown jobs at once: its accepted job is still cancelled, another organisation's cancel of an unknown job gets 410, and a job that nobody cancelled runs.

--- a/test/soak/cancelled_submission_case.py
+++ b/test/soak/cancelled_submission_case.py
@@ -31,6 +31,9 @@
 # seconds.
 RUN_LIMIT_S = 20
 WATCH_S = 6
+# Cancels of unknown jobs by one organisation, and how many at a time.
+FLOOD = 300
+FLOOD_AT_ONCE = 20
 
 
 class Site(soak_site.Site):
@@ -51,14 +54,14 @@
         self.store.put("op", "config", row)
 
     async def ask(self, entry, method, job, key="north", timeout=DEADLINE_S,
-                  deadline_s=DEADLINE_S):
+                  deadline_s=DEADLINE_S, body=BODY):
         """The status and the state that an entry answers, or None twice."""
-        body = BODY if method == "POST" else None
         headers = [("Api-Key", key),
                    ("Fireflythread-Deadline-Ms", str(int(deadline_s * 1000)))]
         try:
             status, answer = await standin.call(
-                entry.front, method, f"/quote/{job}", body=body,
+                entry.front, method, f"/quote/{job}",
+                body=body if method == "POST" else None,
                 timeout=timeout, headers=headers)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             status, answer = None, {}
@@ -134,6 +137,59 @@
                   "a cancelled job runs after a repeated submission")
 
 
+async def play_moved(site, faults):
+    """The queue moves to another service and back while the first entry, which
+    holds submissions, stands still."""
+    first, second = site.entries
+    before, after, kept = (standin.new_job() for _ in range(3))
+    first.freeze()
+    try:
+        await asyncio.gather(*(site.ask(first, "POST", job, timeout=1, deadline_s=20)
+                               for job in (before, after, kept)))
+        faults.expect((await site.ask(second, "DELETE", before))[0] == 410,
+                      "a cancel before the move is not answered 410")
+        for service in ("archive", "desk"):
+            site.routes["quote"]["service"] = service
+            site.write_config()
+            await asyncio.sleep(2)
+        faults.expect((await site.ask(second, "DELETE", after))[0] == 410,
+                      "a cancel after the move is not answered 410")
+    finally:
+        first.thaw()
+    await asyncio.sleep(WATCH_S)
+    for job in (before, after):
+        faults.expect(not site.has_runs(job), "a cancelled job runs after a move")
+    faults.expect(await site.completes(second, kept),
+                  "a job that nobody cancelled is lost in a move")
+
+
+async def play_flood(site, faults):
+    """One organisation cancels more unknown jobs than an entry notes."""
+    first, second = site.entries
+    accepted, unknown, late = (standin.new_job() for _ in range(3))
+    lasting = {"spec": "work_ms=60000", "steps": STEPS}
+    faults.expect((await site.ask(second, "POST", accepted, "south", body=lasting))[0]
+                  == 200, "a job is not accepted before the flood")
+    answers = []
+    for _ in range(FLOOD // FLOOD_AT_ONCE):
+        answers += await asyncio.gather(*(
+            site.ask(second, "DELETE", standin.new_job(), "south", timeout=10)
+            for _ in range(FLOOD_AT_ONCE)))
+    statuses = {status for status, _ in answers}
+    faults.expect(statuses <= {410, 503, 504, None} and 503 in statuses,
+                  f"a flood of cancels is answered {statuses}")
+    faults.expect((await site.ask(second, "DELETE", accepted, "south", timeout=10))[0]
+                  == 200, "an accepted job is not cancelled in a flood")
+    faults.expect((await site.ask(second, "DELETE", unknown, timeout=10))[0] == 410,
+                  "another organisation's cancel is refused in a flood")
+    faults.expect((await site.ask(first, "POST", late))[0] == 200,
+                  "a job is not accepted after a flood of cancels")
+    faults.expect(await site.completes(second, late),
+                  "a job does not complete after a flood of cancels")
+    faults.expect(all(entry.is_up() for entry in site.entries),
+                  "an entry has ended in a flood of cancels")
+
+
 async def main_async(args):
     folder = tempfile.mkdtemp(prefix="cancelled-")
     site = Site(folder)
@@ -141,6 +197,8 @@
     try:
         await site.start()
         await play_frozen(site, faults)
+        await play_moved(site, faults)
+        await play_flood(site, faults)
     finally:
         for entry in site.entries:
             await entry.kill()
